Serve a model call from caller to stand-in engine

Cause: the repository was empty. Conclusion: the path is thin (one instance, no rates, no replicated state) and is the base for the modules of docs/design.md.

--- /dev/null
+++ b/include/mimosahollow/control/organisation.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+
+#include <string>
+
+namespace mimosahollow::control {
+
+/** An organisation and what it may use, fleet-wide. */
+struct Organisation
+{
+    OrganisationId id {};
+    std::string name;
+    double rate = 0; /**< Tokens per second. */
+    double burst = 0; /**< Tokens. */
+    double weight = 1; /**< Relative share under overload. */
+};
+
+} // namespace mimosahollow::control
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,169 @@
+#include "exitcodes.h"
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/settings/keysecret.h"
+#include "mimosahollow/settings/load.h"
+#include "mimosahollow/settings/settings.h"
+#include "mimosahollow/settings/settingsproblem.h"
+#include "mimosahollow/standin/engine.h"
+#include "serve.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <sodium.h>
+
+#include <array>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace mimosahollow;
+using Arguments = std::vector<std::string>;
+
+/** Parses @p arguments; prints the help and returns false when it is asked for. */
+bool parse(const options::options_description &description,
+           const options::positional_options_description &positional,
+           const Arguments &arguments,
+           options::variables_map &values)
+{
+    options::store(options::command_line_parser(arguments).options(description).positional(positional).run(), values);
+    if (values.count("help") != 0) {
+        std::cout << description << '\n';
+        return false;
+    }
+    options::notify(values);
+    return true;
+}
+
+int runServe(const Arguments &arguments)
+{
+    options::options_description description("mimosahollow serve: runs an instance until SIGTERM");
+    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>()->required(), "settings file (TOML)");
+    options::variables_map values;
+    if (!parse(description, {}, arguments, values)) {
+        return app::Success;
+    }
+    return app::serve(values["settings"].as<std::string>());
+}
+
+int runCheck(const Arguments &arguments)
+{
+    options::options_description description("mimosahollow check FILE: checks a settings file");
+    description.add_options()("help,h", "shows this text")("file", options::value<std::string>()->required(), "settings file")("reference",
+                                                                                                                               "prints all keys as a table");
+    options::positional_options_description positional;
+    positional.add("file", 1);
+    if (arguments.size() == 1 && arguments.front() == "--reference") {
+        std::cout << settings::referenceTable();
+        return app::Success;
+    }
+    options::variables_map values;
+    if (!parse(description, positional, arguments, values)) {
+        return app::Success;
+    }
+    const auto file = values["file"].as<std::string>();
+    const auto result = settings::loadFile(file);
+    if (const auto *problems = std::get_if<std::vector<settings::SettingsProblem>>(&result)) {
+        for (const settings::SettingsProblem &problem : *problems) {
+            std::cerr << settings::describe(problem, file) << '\n';
+        }
+        return app::InvalidSettings;
+    }
+    std::cout << file << ": valid\n";
+    return app::Success;
+}
+
+int runEngine(const Arguments &arguments)
+{
+    standin::EngineOptions engineOptions;
+    std::int64_t tokenMicroseconds = 20'000;
+    std::int64_t loadMilliseconds = 250;
+    options::options_description description("mimosahollow engine: runs a stand-in backend server for trials and tests");
+    description.add_options()("help,h", "shows this text")("name", options::value(&engineOptions.name), "name of the backend server")(
+        "listen", options::value(&engineOptions.address), "address, IP:port")("domain", options::value(&engineOptions.failureDomain), "failure domain")(
+        "kind", options::value(&engineOptions.kind), "base model or plain service")(
+        "plain", options::bool_switch(&engineOptions.plainService), "answers as a plain service")(
+        "announce", options::value(&engineOptions.announceTo)->multitoken(), "backend listeners of instances")(
+        "slots", options::value(&engineOptions.slots), "calls at one time")(
+        "adapter-slots", options::value(&engineOptions.adapterSlots), "adapters at one time")(
+        "cold-limit", options::value(&engineOptions.coldLimit), "calls at one time when freshly started")(
+        "token-us", options::value(&tokenMicroseconds), "microseconds for each token")(
+        "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load");
+    options::variables_map values;
+    if (!parse(description, {}, arguments, values)) {
+        return app::Success;
+    }
+    engineOptions.tokenTime = std::chrono::microseconds(tokenMicroseconds);
+    engineOptions.loadTime = milliseconds(loadMilliseconds);
+    standin::Engine engine(std::move(engineOptions));
+    engine.start();
+    boost::asio::io_context context(1);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([](const boost::system::error_code &, int) {});
+    context.run();
+    return app::Success;
+}
+
+struct Subcommand
+{
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(const Arguments &arguments);
+};
+
+constexpr std::array subcommands {
+    Subcommand {"serve", "runs an instance", runServe},
+    Subcommand {"check", "checks a settings file", runCheck},
+    Subcommand {"engine", "runs a stand-in backend server", runEngine},
+};
+
+void printUsage(std::ostream &output)
+{
+    output << "mimosahollow SUBCOMMAND [options]; --help after a subcommand shows its options\n\n";
+    for (const Subcommand &subcommand : subcommands) {
+        output << "  " << subcommand.name << std::string(10 - subcommand.name.size(), ' ') << subcommand.summary << '\n';
+    }
+}
+
+int runSubcommand(const Arguments &arguments)
+{
+    if (arguments.empty()) {
+        printUsage(std::cerr);
+        return app::UsageError;
+    }
+    if (arguments.front() == "--help" || arguments.front() == "-h") {
+        printUsage(std::cout);
+        return app::Success;
+    }
+    for (const Subcommand &subcommand : subcommands) {
+        if (subcommand.name == arguments.front()) {
+            return subcommand.run(Arguments(arguments.begin() + 1, arguments.end()));
+        }
+    }
+    std::cerr << "unknown subcommand " << arguments.front() << "\n\n";
+    printUsage(std::cerr);
+    return app::UsageError;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (sodium_init() < 0) {
+        std::cerr << "cannot initialise libsodium\n";
+        return app::StartFailed;
+    }
+    try {
+        return runSubcommand(Arguments(argv + 1, argv + argc));
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n';
+        return app::UsageError;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return app::StartFailed;
+    }
+}
--- /dev/null
+++ b/src/standin/engine.cpp
@@ -0,0 +1,23 @@
+#include "mimosahollow/standin/engine.h"
+
+#include "engineserver.h"
+
+namespace mimosahollow::standin {
+
+Engine::Engine(EngineOptions options) : m_server(std::make_unique<EngineServer>(std::move(options)))
+{
+}
+
+Engine::~Engine() = default;
+
+void Engine::start()
+{
+    m_server->start();
+}
+
+void Engine::stop()
+{
+    m_server->stop();
+}
+
+} // namespace mimosahollow::standin
