Report malformed TOML that toml++ asserts on

Cause: the first fuzz run ended the process on "[+Q" (an assertion of toml++ 3.3.0) and on U+042C before a key (code marked unreachable). Conclusion: settings and bundles are checked without ending the process.

--- a/include/mimosahollow/control/adapter.h
+++ b/include/mimosahollow/control/adapter.h
@@ -10,7 +10,7 @@
 /** One LoRA adapter at one version. */
 struct Adapter
 {
-    AdapterId id {};
+    AdapterId id{};
     std::string baseModel;
     std::string name;
     std::string version;
--- a/include/mimosahollow/control/apikey.h
+++ b/include/mimosahollow/control/apikey.h
@@ -11,8 +11,8 @@
 struct ApiKey
 {
     std::string name; /**< For operators and logs; not secret. */
-    KeyHash hash {};
-    OrganisationId organisation {};
+    KeyHash hash{};
+    OrganisationId organisation{};
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/backendserver.h
+++ b/include/mimosahollow/control/backendserver.h
@@ -9,9 +9,9 @@
 /** A backend server that the operators have declared. One that announces itself without a declaration gets no work. */
 struct BackendServer
 {
-    ServerId id {};
+    ServerId id{};
     std::string name;
-    DomainId domain {};
+    DomainId domain{};
     std::string kind; /**< Name of the base model or of the plain service. */
     std::string address; /**< "IP:port". */
     bool out = false; /**< Taken out of service by an operator. */
--- a/include/mimosahollow/control/failuredomain.h
+++ b/include/mimosahollow/control/failuredomain.h
@@ -9,7 +9,7 @@
 /** A failure domain and its part of every organisation's rate and burst. */
 struct FailureDomain
 {
-    DomainId id {};
+    DomainId id{};
     std::string name;
     double share = 0; /**< Part of rates, bursts and budgets; the sum over all failure domains is at most 1. */
     bool out = false; /**< Taken out of service by an operator. */
--- a/include/mimosahollow/control/organisation.h
+++ b/include/mimosahollow/control/organisation.h
@@ -9,7 +9,7 @@
 /** An organisation and what it may use, fleet-wide. */
 struct Organisation
 {
-    OrganisationId id {};
+    OrganisationId id{};
     std::string name;
     double rate = 0; /**< Tokens per second. */
     double burst = 0; /**< Tokens. */
--- a/include/mimosahollow/gateway/backendorder.h
+++ b/include/mimosahollow/gateway/backendorder.h
@@ -18,7 +18,7 @@
 struct BackendOrder
 {
     std::uint64_t order = 0; /**< Number that the result carries. */
-    OrderKind kind {};
+    OrderKind kind{};
     std::string address; /**< "IP:port". */
     std::string adapter; /**< "name@version". */
     FencingNumber fencing = 0;
@@ -36,7 +36,7 @@
 struct BackendOrderResult
 {
     std::uint64_t order = 0;
-    OrderOutcome outcome {};
+    OrderOutcome outcome{};
 };
 
 } // namespace mimosahollow::gateway
--- a/include/mimosahollow/gateway/gateway.h
+++ b/include/mimosahollow/gateway/gateway.h
@@ -39,7 +39,7 @@
     /** Opens the listeners and starts the threads. Throws std::runtime_error when an address cannot be used. */
     void start();
     /** Delivers @p reply to the gateway thread that waits for it. Returns false when its ring is full. */
-    [[nodiscard]] bool reply(std::uint32_t gatewayThread, ServingReply &&reply);
+    [[nodiscard]] bool reply(std::uint32_t gatewayThread, ServingReply &reply);
     /** Stops accepting, waits for running calls up to the drain timeout, then stops the threads. Returns whether all finished. */
     bool drain();
 
--- a/include/mimosahollow/gateway/servingreply.h
+++ b/include/mimosahollow/gateway/servingreply.h
@@ -18,16 +18,16 @@
     std::string adapter; /**< "name@version"; empty for plain services and the bare base model. */
     std::string served; /**< "base:name@version" for the answer. */
     FencingNumber fencing = 0;
-    TimePoint deadline {};
+    TimePoint deadline{};
     bool repeatable = false;
 };
 
 /** The call is refused. */
 struct ServingRefusal
 {
-    RefusalReason reason {};
+    RefusalReason reason{};
     CallOutcome outcome = CallOutcome::NotRun;
-    Duration retryAfter {}; /**< 0: no advice. */
+    Duration retryAfter{}; /**< 0: no advice. */
 };
 
 /** The stored answer of an earlier call with the same idempotency key. */
--- a/include/mimosahollow/gateway/servingrequest.h
+++ b/include/mimosahollow/gateway/servingrequest.h
@@ -29,8 +29,8 @@
     std::uint64_t prefixHash = 0; /**< Hash of the start of the prompt, for prefix-cache affinity; 0: none. */
     std::string idempotencyKey;
     std::uint64_t bodyHash = 0; /**< Detects another request under the same idempotency key. */
-    TimePoint arrival {};
-    TimePoint deadline {};
+    TimePoint arrival{};
+    TimePoint deadline{};
 };
 
 } // namespace mimosahollow::gateway
--- a/include/mimosahollow/gateway/servingresult.h
+++ b/include/mimosahollow/gateway/servingresult.h
@@ -24,10 +24,10 @@
 {
     RequestId id;
     std::uint64_t grant = 0;
-    AttemptOutcome outcome {};
+    AttemptOutcome outcome{};
     unsigned status = 0;
     std::uint32_t outputTokens = 0;
-    Duration firstTokenLatency {};
+    Duration firstTokenLatency{};
     bool awaitsReply = false; /**< The gateway holds the call open and waits for a retry or a refusal. */
     std::string answerContentType; /**< Answer to store, only for calls with an idempotency key. */
     std::string answerBody;
--- a/include/mimosahollow/rings/boundedring.h
+++ b/include/mimosahollow/rings/boundedring.h
@@ -31,8 +31,8 @@
         m_wake = std::move(wake);
     }
 
-    /** Returns false, and leaves @p element untouched, when the ring is full. */
-    [[nodiscard]] bool tryPush(T &&element)
+    /** Moves @p element into the ring. Returns false, and leaves it untouched, when the ring is full. */
+    [[nodiscard]] bool tryPush(T &element)
     {
         bool wasEmpty = false;
         {
@@ -65,7 +65,9 @@
     void waitAndTake(std::vector<T> &out, WaitDuration timeout)
     {
         std::unique_lock lock(m_mutex);
-        m_notEmpty.wait_for(lock, timeout, [this] { return !m_elements.empty(); });
+        m_notEmpty.wait_for(lock, timeout, [this] {
+            return !m_elements.empty();
+        });
         moveAll(out);
     }
 
--- a/include/mimosahollow/settings/settings.h
+++ b/include/mimosahollow/settings/settings.h
@@ -25,7 +25,7 @@
     // [fleet]
     std::vector<std::string> seeds; /**< Link addresses of other instances. */
     std::vector<std::string> voters; /**< Names of the instances that vote. Empty: a fleet of one. */
-    Duration freshnessTime {};
+    Duration freshnessTime{};
     std::string keySecretFile; /**< File with the fleet secret for key hashes. */
 
     // [tls]
@@ -39,10 +39,10 @@
     std::uint32_t maximumConnections = 0;
     std::uint64_t maximumHeadBytes = 0;
     std::uint64_t maximumBodyBytes = 0;
-    Duration headTimeout {};
-    Duration idleTimeout {};
-    Duration requestDeadline {};
-    Duration drainTimeout {};
+    Duration headTimeout{};
+    Duration idleTimeout{};
+    Duration requestDeadline{};
+    Duration drainTimeout{};
 
     // [log]
     std::string logLevel;
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr milliseconds tickInterval {50};
+constexpr milliseconds tickInterval{50};
 constexpr std::size_t maximumWaiting = 4096;
 
 template<typename Range>
@@ -39,7 +39,9 @@
 
 void Dispatcher::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this] {
+        run();
+    });
 }
 
 void Dispatcher::stop()
@@ -57,7 +59,11 @@
         events.clear();
         m_ring.waitAndTake(events, tickInterval);
         for (gateway::ServingEvent &event : events) {
-            std::visit([this](auto &content) { handle(std::move(content)); }, event);
+            std::visit(
+                [this](auto &content) {
+                    handle(std::move(content));
+                },
+                event);
         }
         retryWaiting();
     }
@@ -68,15 +74,18 @@
     Resolved resolved;
     if (request.keyHash) {
         const auto &keys = m_configuration->keys;
-        const auto key = std::find_if(keys.begin(), keys.end(), [&](const control::ApiKey &candidate) { return candidate.hash == *request.keyHash; });
+        const auto key = std::find_if(keys.begin(), keys.end(), [&](const control::ApiKey &candidate) {
+            return candidate.hash == *request.keyHash;
+        });
         if (key != keys.end()) {
             resolved.organisation = &m_configuration->organisations[number(key->organisation) - 1];
         }
     }
     if (request.kind == gateway::CallKind::PlainService) {
         const auto &routes = m_configuration->routes;
-        const auto route =
-            std::find_if(routes.begin(), routes.end(), [&](const control::Route &candidate) { return request.target.starts_with(candidate.prefix); });
+        const auto route = std::find_if(routes.begin(), routes.end(), [&](const control::Route &candidate) {
+            return request.target.starts_with(candidate.prefix);
+        });
         if (route == routes.end()) {
             return RefusalReason::UnknownRoute;
         }
@@ -201,13 +210,15 @@
     const std::uint32_t thread = request.gatewayThread;
     const RequestId id = request.id;
     m_running[id] = {std::move(request), server.name};
-    m_ports.reply(thread, {id, std::move(content)});
+    gateway::ServingReply reply{id, std::move(content)};
+    m_ports.reply(thread, reply);
 }
 
 void Dispatcher::refuse(const ServingRequest &request, RefusalReason reason)
 {
     m_ports.logDecision(observability::DecisionLine("refuse").add("request", request.id.sequence).add("reason", toString(reason)).text());
-    m_ports.reply(request.gatewayThread, {request.id, gateway::ServingRefusal {reason, CallOutcome::NotRun, {}}});
+    gateway::ServingReply reply{request.id, gateway::ServingRefusal{reason, CallOutcome::NotRun, {}}};
+    m_ports.reply(request.gatewayThread, reply);
 }
 
 void Dispatcher::handle(gateway::ServingResult &&result)
@@ -244,7 +255,7 @@
     }
     Server &server = m_serversByKind[announcement.kind][announcement.name];
     if (server.incarnation != announcement.incarnation) {
-        server = Server {};
+        server = Server{};
     }
     server.name = announcement.name;
     server.address = announcement.address;
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -18,7 +18,7 @@
 /** Functions through which decisions leave the dispatch thread. */
 struct DispatchPorts
 {
-    std::function<void(std::uint32_t gatewayThread, gateway::ServingReply &&reply)> reply;
+    std::function<void(std::uint32_t gatewayThread, gateway::ServingReply &reply)> reply;
     std::function<bool(gateway::BackendOrder &&order)> sendOrder;
     std::function<void(std::string_view line)> logDecision;
 };
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -115,10 +115,10 @@
     int (*run)(const Arguments &arguments);
 };
 
-constexpr std::array subcommands {
-    Subcommand {"serve", "runs an instance", runServe},
-    Subcommand {"check", "checks a settings file", runCheck},
-    Subcommand {"engine", "runs a stand-in backend server", runEngine},
+constexpr std::array subcommands{
+    Subcommand{"serve", "runs an instance", runServe},
+    Subcommand{"check", "checks a settings file", runCheck},
+    Subcommand{"engine", "runs a stand-in backend server", runEngine},
 };
 
 void printUsage(std::ostream &output)
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -65,12 +65,12 @@
 {
     boost::json::array models;
     for (const std::string &model : configuration.baseModels) {
-        models.push_back(boost::json::object {{"id", model}, {"object", "model"}});
+        models.push_back(boost::json::object{{"id", model}, {"object", "model"}});
     }
     for (const control::Adapter &adapter : configuration.adapters) {
-        models.push_back(boost::json::object {{"id", adapter.baseModel + ":" + adapter.name + "@" + adapter.version}, {"object", "model"}});
+        models.push_back(boost::json::object{{"id", adapter.baseModel + ":" + adapter.name + "@" + adapter.version}, {"object", "model"}});
     }
-    return boost::json::serialize(boost::json::object {{"object", "list"}, {"data", std::move(models)}});
+    return boost::json::serialize(boost::json::object{{"object", "list"}, {"data", std::move(models)}});
 }
 
 void waitForSignal()
@@ -94,7 +94,7 @@
 int run(const Settings &settings)
 {
     const auto configuration = readBootstrapBundle(settings);
-    settings::KeySecret secret {};
+    settings::KeySecret secret{};
     if (!settings.keySecretFile.empty()) {
         const auto read = settings::readKeySecret(settings.keySecretFile);
         if (!read) {
@@ -104,19 +104,29 @@
     }
     BoundedRing<gateway::ServingEvent> dispatchRing(settings.ringCapacity);
     gateway::GatewayPorts gatewayPorts;
-    gatewayPorts.hashKey = [&secret](std::string_view key) { return settings::hashKey(secret, key); };
-    gatewayPorts.modelList = [configuration] { return modelListBody(*configuration); };
-    gatewayPorts.metricsText = [] { return std::string("# TYPE mimosahollow_up gauge\nmimosahollow_up 1\n"); };
-    gatewayPorts.isReady = [] { return true; };
+    gatewayPorts.hashKey = [&secret](std::string_view key) {
+        return settings::hashKey(secret, key);
+    };
+    gatewayPorts.modelList = [configuration] {
+        return modelListBody(*configuration);
+    };
+    gatewayPorts.metricsText = [] {
+        return std::string("# TYPE mimosahollow_up gauge\nmimosahollow_up 1\n");
+    };
+    gatewayPorts.isReady = [] {
+        return true;
+    };
     gateway::Gateway gateway(settings, std::move(gatewayPorts), dispatchRing);
     gateway::OrderSender orders(dispatchRing);
     DispatchPorts dispatchPorts;
-    dispatchPorts.reply = [&gateway](std::uint32_t thread, gateway::ServingReply &&reply) {
-        if (!gateway.reply(thread, std::move(reply))) {
+    dispatchPorts.reply = [&gateway](std::uint32_t thread, gateway::ServingReply &reply) {
+        if (!gateway.reply(thread, reply)) {
             observability::logError("reply ring is full although pending calls are bounded");
         }
     };
-    dispatchPorts.sendOrder = [&orders](gateway::BackendOrder &&order) { return orders.send(std::move(order)); };
+    dispatchPorts.sendOrder = [&orders](gateway::BackendOrder &&order) {
+        return orders.send(std::move(order));
+    };
     dispatchPorts.logDecision = observability::logDecision;
     Dispatcher dispatcher(configuration, std::move(dispatchPorts), dispatchRing);
 
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -15,24 +15,24 @@
 };
 
 // Indexed by the value of the enumerator.
-constexpr std::array reasonTable {
-    ReasonEntry {RefusalReason::InvalidRequest, "invalid-request", 400},
-    ReasonEntry {RefusalReason::InvalidKey, "invalid-key", 401},
-    ReasonEntry {RefusalReason::NotPermitted, "not-permitted", 403},
-    ReasonEntry {RefusalReason::UnknownModel, "unknown-model", 404},
-    ReasonEntry {RefusalReason::UnknownRoute, "unknown-route", 404},
-    ReasonEntry {RefusalReason::RateLimited, "rate-limited", 429},
-    ReasonEntry {RefusalReason::Overloaded, "overloaded", 503},
-    ReasonEntry {RefusalReason::DeadlineExceeded, "deadline-exceeded", 504},
-    ReasonEntry {RefusalReason::NoCapacity, "no-capacity", 503},
-    ReasonEntry {RefusalReason::ConfigurationStale, "configuration-stale", 503},
-    ReasonEntry {RefusalReason::NoQuorum, "no-quorum", 503},
-    ReasonEntry {RefusalReason::ShuttingDown, "shutting-down", 503},
-    ReasonEntry {RefusalReason::InProgress, "in-progress", 409},
-    ReasonEntry {RefusalReason::IdempotencyConflict, "idempotency-conflict", 422},
-    ReasonEntry {RefusalReason::BackendFailed, "backend-failed", 502},
-    ReasonEntry {RefusalReason::LoadFailed, "load-failed", 503},
-    ReasonEntry {RefusalReason::CostAboveBurst, "cost-above-burst", 400},
+constexpr std::array reasonTable{
+    ReasonEntry{RefusalReason::InvalidRequest, "invalid-request", 400},
+    ReasonEntry{RefusalReason::InvalidKey, "invalid-key", 401},
+    ReasonEntry{RefusalReason::NotPermitted, "not-permitted", 403},
+    ReasonEntry{RefusalReason::UnknownModel, "unknown-model", 404},
+    ReasonEntry{RefusalReason::UnknownRoute, "unknown-route", 404},
+    ReasonEntry{RefusalReason::RateLimited, "rate-limited", 429},
+    ReasonEntry{RefusalReason::Overloaded, "overloaded", 503},
+    ReasonEntry{RefusalReason::DeadlineExceeded, "deadline-exceeded", 504},
+    ReasonEntry{RefusalReason::NoCapacity, "no-capacity", 503},
+    ReasonEntry{RefusalReason::ConfigurationStale, "configuration-stale", 503},
+    ReasonEntry{RefusalReason::NoQuorum, "no-quorum", 503},
+    ReasonEntry{RefusalReason::ShuttingDown, "shutting-down", 503},
+    ReasonEntry{RefusalReason::InProgress, "in-progress", 409},
+    ReasonEntry{RefusalReason::IdempotencyConflict, "idempotency-conflict", 422},
+    ReasonEntry{RefusalReason::BackendFailed, "backend-failed", 502},
+    ReasonEntry{RefusalReason::LoadFailed, "load-failed", 503},
+    ReasonEntry{RefusalReason::CostAboveBurst, "cost-above-burst", 400},
 };
 
 constexpr bool tableMatchesEnum()
--- a/src/gateway/answers.cpp
+++ b/src/gateway/answers.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 // A caller that does not read for this long is treated as gone.
-constexpr seconds writeTimeout {30};
+constexpr seconds writeTimeout{30};
 
 std::string retryAfterSeconds(Duration duration)
 {
@@ -30,7 +30,7 @@
 
 std::string toText(const RequestId &id)
 {
-    std::array<char, 40> text {};
+    std::array<char, 40> text{};
     const int length =
         std::snprintf(text.data(), text.size(), "%016llx-%llx", static_cast<unsigned long long>(id.process), static_cast<unsigned long long>(id.sequence));
     return {text.data(), static_cast<std::size_t>(length)};
@@ -53,7 +53,7 @@
     error["code"] = toString(refusal.reason);
     error["message"] = message.empty() ? toString(refusal.reason) : message;
     error["request_id"] = toText(id);
-    return json::serialize(json::object {{"error", std::move(error)}});
+    return json::serialize(json::object{{"error", std::move(error)}});
 }
 
 HttpResponse makeRefusal(const HttpRequest &request, const RequestId &id, const ServingRefusal &refusal, std::string_view message)
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t chunkBytes = 16'384;
 // Answers of model calls and plain services that are not streamed are held in memory up to this size.
 constexpr std::uint64_t maximumAnswerBytes = 16ULL << 20U;
-constexpr seconds callerWriteTimeout {30};
+constexpr seconds callerWriteTimeout{30};
 // Status with which a backend server says that the adapter is not resident and the call did not run.
 constexpr unsigned adapterMissingStatus = 409;
 constexpr std::string_view streamEndMark = "data: [DONE]";
@@ -100,14 +100,14 @@
         static_cast<void>(bytes);
         if (error && error != http::error::need_buffer) {
             attempt.fail(AttemptOutcome::FailedDuringAnswer);
-            co_return std::string_view {};
+            co_return std::string_view{};
         }
         const std::size_t length = space.size() - parser.get().body().size;
         if (length > 0) {
             co_return std::string_view(space.data(), length);
         }
     }
-    co_return std::string_view {};
+    co_return std::string_view{};
 }
 
 void setAnswerHeaders(auto &response, const AttemptRequest &request, const ServingGrant &grant)
@@ -136,7 +136,7 @@
     head.keep_alive(attempt.request.keepAlive);
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
-    std::array<char, chunkBytes> space {};
+    std::array<char, chunkBytes> space{};
     std::string tail;
     bool headSent = false;
     bool endMarkSeen = false;
@@ -177,7 +177,7 @@
         co_return;
     }
     if (attempt.lost) {
-        const ServingRefusal cause {RefusalReason::BackendFailed, CallOutcome::Unknown, {}};
+        const ServingRefusal cause{RefusalReason::BackendFailed, CallOutcome::Unknown, {}};
         const std::string event = "event: error\ndata: " + refusalBody(attempt.request.id, cause, "the answer is not complete") + "\n\n";
         if (!co_await writeChunk(attempt, event)) {
             co_return;
@@ -200,7 +200,7 @@
 asio::awaitable<void> carryWhole(Attempt &attempt, UpstreamConnection &connection, ResponseParser &parser)
 {
     std::string body;
-    std::array<char, chunkBytes> space {};
+    std::array<char, chunkBytes> space{};
     for (;;) {
         const std::string_view piece = co_await readPiece(attempt, connection, parser, space);
         if (piece.empty()) {
@@ -232,7 +232,7 @@
 
 asio::awaitable<AttemptEnd> runAttempt(GatewayThread &thread, beast::tcp_stream &caller, const AttemptRequest &request, const ServingGrant &grant)
 {
-    Attempt attempt {thread, caller, request, grant, {}};
+    Attempt attempt{thread, caller, request, grant, {}};
     attempt.end.result.id = request.id;
     attempt.end.result.grant = grant.grant;
     auto connection = co_await thread.upstream().acquire(grant.address, grant.deadline);
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -18,7 +18,7 @@
     std::string target; /**< Path on the backend server. */
     std::string contentType;
     std::string body;
-    TimePoint arrival {};
+    TimePoint arrival{};
     bool stream = false;
     bool keepAlive = true; /**< Of the caller's connection. */
     unsigned httpVersion = 11;
--- a/src/gateway/backendmessages.cpp
+++ b/src/gateway/backendmessages.cpp
@@ -33,7 +33,7 @@
     {
         const json::value *value = object.if_contains(name);
         json::error_code error;
-        const auto result = value == nullptr ? std::uint64_t {0} : value->to_number<std::uint64_t>(error);
+        const auto result = value == nullptr ? std::uint64_t{0} : value->to_number<std::uint64_t>(error);
         if (value == nullptr || error || result > maximum) {
             good = false;
             return 0;
@@ -90,7 +90,7 @@
     if (!object) {
         return std::nullopt;
     }
-    FieldReader reader {*object};
+    FieldReader reader{*object};
     BackendAnnouncement announcement;
     announcement.name = reader.text("name");
     announcement.address = reader.text("address");
@@ -112,7 +112,7 @@
     if (!object) {
         return std::nullopt;
     }
-    FieldReader reader {*object};
+    FieldReader reader{*object};
     BackendReport report;
     report.name = reader.text("name");
     report.incarnation = reader.number("incarnation", any64);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr milliseconds drainPollInterval {10};
+constexpr milliseconds drainPollInterval{10};
 
 std::uint64_t randomProcessNumber()
 {
@@ -47,9 +47,9 @@
     }
 }
 
-bool Gateway::reply(std::uint32_t gatewayThread, ServingReply &&reply)
+bool Gateway::reply(std::uint32_t gatewayThread, ServingReply &reply)
 {
-    return m_threads[gatewayThread]->replies().tryPush(std::move(reply));
+    return m_threads[gatewayThread]->replies().tryPush(reply);
 }
 
 bool Gateway::drain()
@@ -58,7 +58,11 @@
         thread->stopAccepting();
     }
     const auto deadline = std::chrono::steady_clock::now() + m_settings.drainTimeout;
-    const auto allIdle = [this] { return std::all_of(m_threads.begin(), m_threads.end(), [](const auto &thread) { return thread->isIdle(); }); };
+    const auto allIdle = [this] {
+        return std::all_of(m_threads.begin(), m_threads.end(), [](const auto &thread) {
+            return thread->isIdle();
+        });
+    };
     while (!allIdle() && std::chrono::steady_clock::now() < deadline) {
         std::this_thread::sleep_for(drainPollInterval);
     }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -20,13 +20,13 @@
 namespace {
 
 // The dispatch thread answers at the deadline itself; the extra time covers the way through the rings.
-constexpr milliseconds replyGrace {250};
+constexpr milliseconds replyGrace{250};
 // Pause before results that found the dispatch ring full are offered again.
-constexpr milliseconds resendInterval {2};
+constexpr milliseconds resendInterval{2};
 
 ServingReply refusal(RequestId id, RefusalReason reason)
 {
-    return {id, ServingRefusal {reason, CallOutcome::NotRun, {}}};
+    return {id, ServingRefusal{reason, CallOutcome::NotRun, {}}};
 }
 
 } // namespace
@@ -42,7 +42,11 @@
     , m_context(1)
     , m_upstream(std::make_unique<UpstreamConnections>(m_context))
 {
-    m_replies.setWakeFunction([this] { asio::post(m_context, [this] { deliverReplies(); }); });
+    m_replies.setWakeFunction([this] {
+        asio::post(m_context, [this] {
+            deliverReplies();
+        });
+    });
 }
 
 GatewayThread::~GatewayThread()
@@ -78,7 +82,9 @@
 
 void GatewayThread::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] {
+        m_context.run();
+    });
 }
 
 void GatewayThread::stopAccepting()
@@ -127,7 +133,9 @@
             continue; // closes the socket
         }
         ++m_connections;
-        asio::co_spawn(m_context, serveConnection(*this, std::move(socket), role), [this](const std::exception_ptr &) { --m_connections; });
+        asio::co_spawn(m_context, serveConnection(*this, std::move(socket), role), [this](const std::exception_ptr &) {
+            --m_connections;
+        });
     }
 }
 
@@ -140,7 +148,8 @@
         co_return refusal(id, RefusalReason::Overloaded);
     }
     request.gatewayThread = m_index;
-    if (!m_dispatchRing.tryPush(std::move(request))) {
+    ServingEvent event(std::move(request));
+    if (!m_dispatchRing.tryPush(event)) {
         co_return refusal(id, RefusalReason::Overloaded);
     }
     co_return co_await waitForReply(id, deadline);
@@ -162,7 +171,7 @@
 void GatewayThread::report(ServingResult result)
 {
     ServingEvent event(std::move(result));
-    if (m_unsentResults.empty() && m_dispatchRing.tryPush(std::move(event))) {
+    if (m_unsentResults.empty() && m_dispatchRing.tryPush(event)) {
         return;
     }
     m_unsentResults.push_back(std::move(event));
@@ -184,7 +193,7 @@
 {
     // A lost result would leave a slot of a backend server occupied until the deadline, so results are never dropped.
     while (!m_unsentResults.empty()) {
-        if (m_dispatchRing.tryPush(std::move(m_unsentResults.front()))) {
+        if (m_dispatchRing.tryPush(m_unsentResults.front())) {
             m_unsentResults.pop_front();
             continue;
         }
@@ -196,7 +205,7 @@
 
 bool GatewayThread::forward(ServingEvent event)
 {
-    return m_dispatchRing.tryPush(std::move(event));
+    return m_dispatchRing.tryPush(event);
 }
 
 void GatewayThread::deliverReplies()
--- a/src/gateway/modelcall.cpp
+++ b/src/gateway/modelcall.cpp
@@ -23,21 +23,21 @@
 constexpr std::size_t maximumJsonDepth = 32;
 
 // Fields that are passed on. Anything else that a caller sends stays here, so no form of a key can slip through.
-constexpr std::array<std::string_view, 15> forwardedFields {"prompt",
-                                                            "messages",
-                                                            "max_tokens",
-                                                            "max_completion_tokens",
-                                                            "stream",
-                                                            "temperature",
-                                                            "top_p",
-                                                            "top_k",
-                                                            "stop",
-                                                            "seed",
-                                                            "n",
-                                                            "presence_penalty",
-                                                            "frequency_penalty",
-                                                            "logprobs",
-                                                            "response_format"};
+constexpr std::array<std::string_view, 15> forwardedFields{"prompt",
+                                                           "messages",
+                                                           "max_tokens",
+                                                           "max_completion_tokens",
+                                                           "stream",
+                                                           "temperature",
+                                                           "top_p",
+                                                           "top_k",
+                                                           "stop",
+                                                           "seed",
+                                                           "n",
+                                                           "presence_penalty",
+                                                           "frequency_penalty",
+                                                           "logprobs",
+                                                           "response_format"};
 
 std::variant<std::uint32_t, std::string> outputTokens(const json::object &object)
 {
@@ -111,7 +111,7 @@
 std::string upstreamBody(const ModelCall &call, std::string_view baseModel, std::string_view adapter)
 {
     // The stored text is a non-empty JSON object, so the two fields can be put before its first one.
-    const json::object names {{"model", baseModel}, {"adapter", adapter}};
+    const json::object names{{"model", baseModel}, {"adapter", adapter}};
     std::string text = json::serialize(names);
     text.back() = ',';
     text.append(call.upstreamBody, 1);
--- a/src/gateway/modelcall.h
+++ b/src/gateway/modelcall.h
@@ -18,7 +18,7 @@
 /** A model call as the gateway understands it. */
 struct ModelCall
 {
-    ModelEndpoint endpoint {};
+    ModelEndpoint endpoint{};
     std::string model;
     bool stream = false;
     std::uint32_t promptTokens = 0; /**< Estimate from the size of the prompt. */
--- a/src/gateway/ordersender.cpp
+++ b/src/gateway/ordersender.cpp
@@ -25,7 +25,7 @@
 namespace {
 
 constexpr std::uint32_t maximumOrdersUnderWay = 1024;
-constexpr milliseconds resendInterval {2};
+constexpr milliseconds resendInterval{2};
 
 std::string_view name(OrderKind kind)
 {
@@ -45,7 +45,7 @@
     HttpRequest request(http::verb::post, "/orders", 11);
     request.set(http::field::host, order.address);
     request.set(http::field::content_type, "application/json");
-    request.body() = boost::json::serialize(boost::json::object {{"order", name(order.kind)}, {"adapter", order.adapter}, {"fencing", order.fencing}});
+    request.body() = boost::json::serialize(boost::json::object{{"order", name(order.kind)}, {"adapter", order.adapter}, {"fencing", order.fencing}});
     request.prepare_payload();
     return request;
 }
@@ -77,7 +77,9 @@
 
     void start()
     {
-        m_thread = std::thread([this] { m_context.run(); });
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
     }
 
     void stop()
@@ -101,9 +103,9 @@
 private:
     asio::awaitable<void> carryOut(BackendOrder order)
     {
-        const BackendOrderResult result {order.order, co_await exchange(order)};
+        ServingEvent result(BackendOrderResult{order.order, co_await exchange(order)});
         asio::steady_timer pause(m_context);
-        while (!m_dispatchRing.tryPush(ServingEvent(result))) {
+        while (!m_dispatchRing.tryPush(result)) {
             pause.expires_after(resendInterval);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
         }
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -228,7 +228,7 @@
 
 asio::awaitable<void> serveConnection(GatewayThread &thread, asio::ip::tcp::socket socket, ListenerRole role)
 {
-    Session session {thread, beast::tcp_stream(std::move(socket))};
+    Session session{thread, beast::tcp_stream(std::move(socket))};
     boost::system::error_code ignored;
     session.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     beast::flat_buffer buffer;
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -15,7 +15,7 @@
 
 // Enough for the slots of one server; more idle connections only hold memory.
 constexpr std::size_t maximumIdlePerServer = 64;
-constexpr seconds connectTimeout {2};
+constexpr seconds connectTimeout{2};
 
 /** An idle connection on which the server has sent something, or which it has closed, must not carry another call. */
 bool isQuiet(boost::beast::tcp_stream &stream)
--- a/src/settings/bundle.cpp
+++ b/src/settings/bundle.cpp
@@ -3,7 +3,7 @@
 #include "gateway/addresses.h"
 #include "mimosahollow/settings/keysecret.h"
 
-#include <toml++/toml.h>
+#include "tomlparser.h"
 
 #include <algorithm>
 #include <initializer_list>
@@ -26,11 +26,13 @@
 
     void report(const toml::node *node, std::string_view key, std::string message) const
     {
-        SettingsProblem problem {
+        SettingsProblem problem{
             node != nullptr ? node->source().begin.line : table.source().begin.line, where + "." + std::string(key), "", std::move(message)};
         if (node != nullptr) {
             std::ostringstream text;
-            node->visit([&text](const auto &value) { text << value; });
+            node->visit([&text](const auto &value) {
+                text << value;
+            });
             problem.value = text.str();
         }
         problems.push_back(std::move(problem));
@@ -119,7 +121,7 @@
 
     BundleResult parse()
     {
-        const TableReader top {m_root, "bundle", m_problems};
+        const TableReader top{m_root, "bundle", m_problems};
         top.allowOnly({"version", "base_models", "load_rate", "loads_in_flight", "domain", "organisation", "key", "adapter", "route", "server"});
         m_configuration.version = static_cast<Version>(top.number("version", 1, 1e15, 0));
         if (m_configuration.version == 0) {
@@ -150,14 +152,14 @@
         }
         const toml::array *array = node->as_array();
         if (array == nullptr) {
-            TableReader {m_root, "bundle", m_problems}.report(node, section, "must be an array of tables, [[" + std::string(section) + "]]");
+            TableReader{m_root, "bundle", m_problems}.report(node, section, "must be an array of tables, [[" + std::string(section) + "]]");
             return;
         }
         std::size_t index = 0;
         for (const toml::node &element : *array) {
             const std::string where = std::string(section) + "[" + std::to_string(index++) + "]";
             if (const toml::table *table = element.as_table()) {
-                (this->*add)(TableReader {*table, where, m_problems});
+                (this->*add)(TableReader{*table, where, m_problems});
             } else {
                 m_problems.push_back({element.source().begin.line, where, "", "must be a table"});
             }
@@ -281,7 +283,7 @@
         const auto found = names.find(name);
         if (found == names.end()) {
             reader.report(reader.table.get(key), key, "\"" + name + "\" is not declared");
-            return Id {};
+            return Id{};
         }
         return found->second;
     }
@@ -317,7 +319,9 @@
         const toml::table root = toml::parse(text);
         return BundleParser(root).parse();
     } catch (const toml::parse_error &error) {
-        return std::vector {SettingsProblem {error.source().begin.line, "", "", std::string(error.description())}};
+        return std::vector{SettingsProblem{error.source().begin.line, "", "", std::string(error.description())}};
+    } catch (const TomlAssertion &) {
+        return std::vector{SettingsProblem{0, "", "", "is not valid TOML: a key is malformed"}};
     }
 }
 
--- a/src/settings/keysecret.cpp
+++ b/src/settings/keysecret.cpp
@@ -14,7 +14,7 @@
 
 std::optional<std::array<std::uint8_t, 32>> bytesFromHex(std::string_view text)
 {
-    std::array<std::uint8_t, 32> bytes {};
+    std::array<std::uint8_t, 32> bytes{};
     std::size_t length = 0;
     const char *end = nullptr;
     const int status = sodium_hex2bin(bytes.data(), bytes.size(), text.data(), text.size(), nullptr, &length, &end);
@@ -38,14 +38,14 @@
 
 KeyHash hashKey(const KeySecret &secret, std::string_view key)
 {
-    KeyHash hash {};
+    KeyHash hash{};
     crypto_generichash(hash.data(), hash.size(), reinterpret_cast<const unsigned char *>(key.data()), key.size(), secret.data(), secret.size());
     return hash;
 }
 
 std::string makeKey()
 {
-    std::array<unsigned char, keyBytes> bytes {};
+    std::array<unsigned char, keyBytes> bytes{};
     randombytes_buf(bytes.data(), bytes.size());
     std::string text(sodium_base64_ENCODED_LEN(keyBytes, sodium_base64_VARIANT_URLSAFE_NO_PADDING), '\0');
     sodium_bin2base64(text.data(), text.size(), bytes.data(), bytes.size(), sodium_base64_VARIANT_URLSAFE_NO_PADDING);
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -5,7 +5,7 @@
 #include "mimosahollow/settings/settingsproblem.h"
 #include "table.h"
 
-#include <toml++/toml.h>
+#include "tomlparser.h"
 
 #include <algorithm>
 #include <fstream>
@@ -29,7 +29,9 @@
         if (node != nullptr) {
             problem.line = node->source().begin.line;
             std::ostringstream text;
-            node->visit([&text](const auto &value) { text << value; });
+            node->visit([&text](const auto &value) {
+                text << value;
+            });
             problem.value = text.str();
         }
         problems.push_back(std::move(problem));
@@ -127,7 +129,9 @@
 void apply(Checker &checker, const SettingEntry &entry, const NumberRule<Number> &rule, const toml::node *node)
 {
     checker.settings.*rule.field = static_cast<Number>(rule.defaultValue);
-    applyInteger(checker, entry, rule.minimum, rule.maximum, node, [&](std::int64_t value) { checker.settings.*rule.field = static_cast<Number>(value); });
+    applyInteger(checker, entry, rule.minimum, rule.maximum, node, [&](std::int64_t value) {
+        checker.settings.*rule.field = static_cast<Number>(value);
+    });
 }
 
 void apply(Checker &checker, const SettingEntry &entry, const DurationRule &rule, const toml::node *node)
@@ -204,7 +208,11 @@
         if (node == nullptr && entry.presence == Presence::Required) {
             checker.report(nullptr, fullKey(entry), "is required: " + std::string(entry.meaning));
         }
-        std::visit([&](const auto &rule) { apply(checker, entry, rule, node); }, entry.rule);
+        std::visit(
+            [&](const auto &rule) {
+                apply(checker, entry, rule, node);
+            },
+            entry.rule);
     }
     reportContradictions(checker);
     if (!checker.problems.empty()) {
@@ -246,7 +254,9 @@
     try {
         return check(toml::parse(text));
     } catch (const toml::parse_error &error) {
-        return std::vector {SettingsProblem {error.source().begin.line, "", "", std::string(error.description())}};
+        return std::vector{SettingsProblem{error.source().begin.line, "", "", std::string(error.description())}};
+    } catch (const TomlAssertion &) {
+        return std::vector{SettingsProblem{0, "", "", "is not valid TOML: a key is malformed"}};
     }
 }
 
@@ -254,7 +264,7 @@
 {
     const std::ifstream input(file, std::ios::binary);
     if (!input) {
-        return std::vector {SettingsProblem {0, "", "", "cannot be opened"}};
+        return std::vector{SettingsProblem{0, "", "", "cannot be opened"}};
     }
     std::ostringstream text;
     text << input.rdbuf();
@@ -280,7 +290,11 @@
 {
     std::string text = "| key | allowed | meaning |\n|---|---|---|\n";
     for (const SettingEntry &entry : settingTable()) {
-        const std::string allowed = std::visit([](const auto &rule) { return describeRule(rule); }, entry.rule);
+        const std::string allowed = std::visit(
+            [](const auto &rule) {
+                return describeRule(rule);
+            },
+            entry.rule);
         text += "| `" + fullKey(entry) + "` | " + allowed + (entry.presence == Presence::Required ? ", required" : "") + " | " + std::string(entry.meaning)
                 + " |\n";
     }
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -33,8 +33,8 @@
 
 namespace {
 
-constexpr seconds announceInterval {1};
-constexpr seconds callTimeout {600};
+constexpr seconds announceInterval{1};
+constexpr seconds callTimeout{600};
 constexpr std::uint32_t defaultTokens = 16;
 
 std::uint64_t randomIncarnation()
@@ -68,28 +68,28 @@
 {
     json::object choice;
     if (chat) {
-        choice["delta"] = json::object {{"content", word}};
+        choice["delta"] = json::object{{"content", word}};
     } else {
         choice["text"] = word;
     }
     choice["index"] = 0;
-    return json::object {{"object", chat ? "chat.completion.chunk" : "text_completion"}, {"model", model}, {"choices", json::array {choice}}};
+    return json::object{{"object", chat ? "chat.completion.chunk" : "text_completion"}, {"model", model}, {"choices", json::array{choice}}};
 }
 
 json::object wholeObject(bool chat, const std::string &model, const std::string &content, std::uint32_t tokens)
 {
     json::object choice;
     if (chat) {
-        choice["message"] = json::object {{"role", "assistant"}, {"content", content}};
+        choice["message"] = json::object{{"role", "assistant"}, {"content", content}};
     } else {
         choice["text"] = content;
     }
     choice["index"] = 0;
     choice["finish_reason"] = "length";
-    return json::object {{"object", chat ? "chat.completion" : "text_completion"},
-                         {"model", model},
-                         {"choices", json::array {choice}},
-                         {"usage", json::object {{"completion_tokens", tokens}}}};
+    return json::object{{"object", chat ? "chat.completion" : "text_completion"},
+                        {"model", model},
+                        {"choices", json::array{choice}},
+                        {"usage", json::object{{"completion_tokens", tokens}}}};
 }
 
 /** Counts a running call for as long as it lives. */
@@ -136,7 +136,9 @@
     for (const std::string &target : m_options.announceTo) {
         asio::co_spawn(m_context, announce(target), asio::detached);
     }
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] {
+        m_context.run();
+    });
 }
 
 void EngineServer::stop()
--- a/tests/rings/boundedring.cpp
+++ b/tests/rings/boundedring.cpp
@@ -13,13 +13,15 @@
 TEST_CASE("A bounded ring refuses what it cannot hold")
 {
     BoundedRing<std::unique_ptr<int>> ring(2);
-    REQUIRE(ring.tryPush(std::make_unique<int>(1)));
-    REQUIRE(ring.tryPush(std::make_unique<int>(2)));
+    auto first = std::make_unique<int>(1);
+    auto second = std::make_unique<int>(2);
+    REQUIRE(ring.tryPush(first));
+    REQUIRE(ring.tryPush(second));
 
     SECTION("a third element stays with the producer")
     {
         auto third = std::make_unique<int>(3);
-        REQUIRE_FALSE(ring.tryPush(std::move(third)));
+        REQUIRE_FALSE(ring.tryPush(third));
         REQUIRE(third != nullptr);
 
         SECTION("and fits once the consumer has taken the others, in order")
@@ -29,7 +31,7 @@
             REQUIRE(taken.size() == 2);
             REQUIRE(*taken[0] == 1);
             REQUIRE(*taken[1] == 2);
-            REQUIRE(ring.tryPush(std::move(third)));
+            REQUIRE(ring.tryPush(third));
         }
     }
 }
@@ -46,7 +48,7 @@
         threads.emplace_back([&ring, &refused, p] {
             for (int i = 0; i < perProducer; ++i) {
                 int element = p * perProducer + i;
-                while (!ring.tryPush(std::move(element))) {
+                while (!ring.tryPush(element)) {
                     ++refused;
                     std::this_thread::yield();
                 }
@@ -68,5 +70,7 @@
     for (std::thread &thread : threads) {
         thread.join();
     }
-    REQUIRE(std::all_of(seen.begin(), seen.end(), [](int count) { return count == 1; }));
+    REQUIRE(std::all_of(seen.begin(), seen.end(), [](int count) {
+        return count == 1;
+    }));
 }
--- a/tests/settings/load.cpp
+++ b/tests/settings/load.cpp
@@ -66,4 +66,10 @@
         REQUIRE(problems.size() == 1);
         REQUIRE(problems[0].line == 1);
     }
+
+    SECTION("a malformed key that the TOML library asserts on is reported and does not abort")
+    {
+        REQUIRE(problemsOf("[+Q").size() == 1);
+        REQUIRE(problemsOf("\xd0\xac\n").size() == 1);
+    }
 }
