--- /dev/null
+++ b/include/mimosahollow/admission/keytable.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "mimosahollow/control/configuration.h"
+#include "mimosahollow/core/keyhash.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::admission {
+
+/** The keys in force. Immutable; a configuration change builds a new one. */
+struct KeyTable
+{
+    struct Entry
+    {
+        KeyHash hash{};
+        OrganisationId organisation{};
+    };
+    Version version = 0; /**< Of the configuration it was built from. */
+    std::vector<Entry> entries; /**< Sorted by bucket. */
+    std::vector<std::uint32_t> bucketStarts; /**< Index of the first entry of each bucket, and the end. */
+};
+
+[[nodiscard]] KeyTable buildKeyTable(const control::Configuration &configuration);
+
+/** Organisation of the key; empty when the key is unknown or withdrawn. Hashes are compared in constant time. */
+[[nodiscard]] std::optional<OrganisationId> findKey(const KeyTable &table, const KeyHash &hash) noexcept;
+
+} // namespace mimosahollow::admission
