--- /dev/null
+++ b/include/mimosahollow/scheduling/actions.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/refusal.h"
+#include "mimosahollow/core/time.h"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace mimosahollow::scheduling {
+
+/** The entry instance may run the request on the server until the deadline of the request. */
+struct Grant
+{
+    RequestId id;
+    InstanceId entry{};
+    std::uint64_t grant = 0;
+    FencingNumber fencing = 0;
+    ServerId server{};
+    AdapterId adapter{};
+};
+
+/** The request was not run. */
+struct Refusal
+{
+    RequestId id;
+    InstanceId entry{};
+    RefusalReason reason{};
+    Duration retryAfter{};
+};
+
+enum class OrderKind : std::uint8_t {
+    Load,
+    Unload,
+};
+
+struct Order
+{
+    std::uint64_t order = 0; /**< Number that orderFinished() receives. */
+    OrderKind kind{};
+    ServerId server{};
+    AdapterId adapter{};
+    FencingNumber fencing = 0;
+    Duration timeout{};
+};
+
+enum class DecisionReason : std::uint8_t {
+    LeastLoaded,
+    PrefixAffinity,
+    LoadOnDemand,
+    LoadReplica,
+    LoadAhead,
+    EvictLeastUseful,
+    Refused,
+};
+
+/** Content of one decision log line. */
+struct DecisionRecord
+{
+    RequestId request; /**< Zero for loads and evictions that serve no single request. */
+    OrganisationId organisation{};
+    AdapterId adapter{};
+    std::uint32_t candidates = 0;
+    ServerId choice{}; /**< 0: none. */
+    DecisionReason reason{};
+    RefusalReason refusal{}; /**< Only valid with DecisionReason::Refused. */
+};
+
+using Action = std::variant<Grant, Refusal, Order, DecisionRecord>;
+using Actions = std::vector<Action>;
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/grantreport.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace mimosahollow::scheduling {
+
+/** A grant that an entry instance holds from an earlier owner of the pool. */
+struct HeldGrant
+{
+    RequestId id;
+    std::uint64_t grant = 0;
+    FencingNumber fencing = 0;
+    ServerId server{};
+    OrganisationId organisation{};
+    AdapterId adapter{};
+    std::uint32_t estimatedTokens = 0;
+    TimePoint deadline;
+};
+
+/** All grants that an entry instance holds in one pool; sent to a new owner. */
+struct GrantReport
+{
+    InstanceId entry{};
+    std::vector<HeldGrant> grants;
+};
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/poolstate.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/scheduling/adapterstate.h"
+#include "mimosahollow/scheduling/declaration.h"
+#include "mimosahollow/scheduling/requestindex.h"
+#include "mimosahollow/scheduling/requestrecord.h"
+#include "mimosahollow/scheduling/serverstate.h"
+#include "mimosahollow/scheduling/settings.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace mimosahollow::scheduling {
+
+/** Fair shares of one organisation in the pool. */
+struct OrganisationState
+{
+    double weight = 1;
+    double servedTokens = 0; /**< Virtual counter: tokens divided by weight. */
+    double servedLoads = 0; /**< Virtual counter: loads divided by weight. */
+    std::uint32_t waiting = 0;
+};
+
+struct PrefixEntry
+{
+    std::uint64_t hash = 0;
+    std::uint16_t server = 0;
+};
+
+/** Everything that the owner of a pool knows. Copyable; a copy is a complete snapshot. */
+struct PoolState
+{
+    static constexpr std::size_t prefixEntries = 4096; // direct mapped; a collision only costs a prefix-cache hit
+
+    PoolId pool{};
+    FencingNumber fencing = 0;
+    SchedulingSettings settings;
+    ServiceState domain = ServiceState::InService;
+
+    std::vector<ServerState> servers;
+    std::vector<std::uint32_t> serverIndexes; /**< By server id; noIndex when not known. */
+    std::vector<AdapterState> adapters; /**< By adapter id; 0 stands for requests without an adapter. */
+    std::vector<OrganisationState> organisations; /**< By organisation id. */
+    std::vector<RequestRecord> records;
+    std::uint32_t freeRecord = noIndex;
+    RequestIndex index;
+    std::vector<std::uint32_t> waitingAdapters; /**< Adapter ids with waiting requests, in no order. */
+    std::array<PrefixEntry, prefixEntries> prefixes{};
+
+    std::uint32_t waiting = 0;
+    std::uint32_t loadsInFlight = 0;
+    double loadTokens = 0;
+    std::uint32_t wantedLoadTokens = 0; /**< How many tokens of the fleet-wide load budget the pool could use now. */
+    double loadSeconds = 0.25; /**< Moving average of the time that a load takes. */
+    double serviceSeconds = 1; /**< Moving average of the time that a grant is held. */
+    double servedFloor = 0; /**< Token counter of the organisation that was served last. */
+    double loadsFloor = 0;
+    std::uint64_t nextGrant = 1;
+    std::uint64_t nextOrder = 1;
+    std::uint64_t random = 0; /**< State of the generator that breaks ties. */
+    TimePoint popularityOrigin;
+    TimePoint unknownUntil; /**< Grants of earlier owners have expired by then. */
+    TimePoint ordersFrom; /**< For servers that ignore fencing numbers. */
+    TimePoint ownedSince;
+    std::vector<InstanceId> unreconciled; /**< Entry instances that have not reported their grants. */
+    bool unknownUse = false; /**< Grants of earlier owners may exist. */
+};
+
+/** An empty state with its storage reserved. */
+[[nodiscard]] PoolState makePool(PoolId pool, const SchedulingSettings &settings, TimePoint now);
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/poolsummary.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace mimosahollow::scheduling {
+
+/** What other instances need to know about a pool to choose one. */
+struct PoolSummary
+{
+    PoolId pool{};
+    FencingNumber fencing = 0;
+    bool inService = false; /**< At least one server takes new work. */
+    std::uint32_t freeSlots = 0;
+    std::uint32_t totalSlots = 0; /**< Sum of the limits of the servers in service. */
+    std::uint32_t waiting = 0;
+    Duration expectedWait{}; /**< For a request whose adapter is resident. */
+    Duration expectedLoadWait{}; /**< Until a load that is asked for now is finished. */
+    std::vector<AdapterId> adapters; /**< Resident or being loaded, in ascending order. */
+};
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/release.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+
+#include <cstdint>
+
+namespace mimosahollow::scheduling {
+
+/** How a granted request ended, as seen by the entry instance. */
+enum class ReleaseOutcome : std::uint8_t {
+    Completed,
+    Cancelled, /**< By the caller or at the deadline. */
+    Failed, /**< The server answered with an error. */
+    ConnectionReset,
+    ConnectionRefused,
+    NotSent, /**< The entry instance did not use the grant. */
+};
+
+/** An entry instance returns a grant. */
+struct Release
+{
+    RequestId id;
+    std::uint64_t grant = 0;
+    FencingNumber fencing = 0; /**< Of the grant. */
+    ReleaseOutcome outcome{};
+    std::uint32_t tokensUsed = 0; /**< Prompt and output. */
+    Duration firstTokenLatency{}; /**< From sending the request; 0 when no token came. */
+};
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/request.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+
+#include <cstdint>
+
+namespace mimosahollow::scheduling {
+
+/** An entry instance asks the pool owner for a server. */
+struct AcquireRequest
+{
+    RequestId id;
+    InstanceId entry{};
+    OrganisationId organisation{};
+    double weight = 1; /**< Of the organisation, above 0. */
+    AdapterId adapter{}; /**< 0: the base model or a plain service. */
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maximumOutputTokens = 0;
+    std::uint64_t prefixHash = 0; /**< Of organisation and conversation; 0: none. */
+    TimePoint deadline;
+    bool repeatable = true;
+};
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/include/mimosahollow/scheduling/requestindex.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "mimosahollow/core/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace mimosahollow::scheduling {
+
+/** Open-addressing map from request id to record index: unlike std::unordered_map it allocates only when it grows. */
+class RequestIndex
+{
+public:
+    static constexpr std::uint32_t none = 0xffffffffU;
+
+    void reserve(std::size_t entries);
+    [[nodiscard]] std::uint32_t find(const RequestId &id) const noexcept;
+    void insert(const RequestId &id, std::uint32_t record);
+    void erase(const RequestId &id) noexcept;
+    [[nodiscard]] std::size_t size() const noexcept;
+
+private:
+    struct Entry
+    {
+        RequestId id;
+        std::uint32_t record = none;
+    };
+
+    [[nodiscard]] std::size_t home(const RequestId &id) const noexcept;
+    void rehash(std::size_t capacity);
+
+    std::vector<Entry> m_entries; // a power of two, at most half full
+    std::size_t m_size = 0;
+};
+
+} // namespace mimosahollow::scheduling
