--- /dev/null
+++ b/include/mimosahollow/membership/renewalstate.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "mimosahollow/membership/leasetime.h"
+#include "mimosahollow/membership/renewal.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace mimosahollow::membership {
+
+/** A request that the instance sent upstream and whose reply may still come. */
+struct SentRenewal
+{
+    std::uint64_t sequence = 0;
+    TimePoint sentAt{};
+    std::map<InstanceId, std::uint64_t> downstreamSequences; /**< Newest request of each direct follower that it contains. */
+};
+
+/** A direct follower of a relay. */
+struct Downstream
+{
+    RenewRequest request; /**< Its newest request. */
+    TimePoint heardAt{};
+};
+
+/**
+ * Renewals of one instance, follower or relay. A follower is a relay without followers of its own.
+ *
+ * Owned by the control thread.
+ */
+struct RenewalState
+{
+    InstanceId self{};
+    std::uint64_t incarnation = 0;
+    Version applied = 0;
+    LeaderStamp echo;
+    std::uint64_t nextSequence = 1;
+    std::deque<SentRenewal> sent;
+    TimePoint freshUntil = neverTime;
+    std::vector<InstanceId> covered; /**< Followers that the present lease may be passed on to. */
+    std::map<InstanceId, Downstream> downstream;
+};
+
+/** What a reply from upstream leads to. */
+struct RenewalOutcome
+{
+    std::vector<PoolRenewal> ownPools; /**< Renewed leases of this instance. */
+    TimePoint ownPoolsFrom = neverTime; /**< The leases run from here for the pool lease time. */
+    std::vector<std::pair<InstanceId, RenewReply>> replies; /**< To direct followers. */
+};
+
+/** Time between two renewal requests of an instance: a tenth of the freshness time, 0.1 to 0.5 s. */
+[[nodiscard]] Duration renewalInterval(Duration freshnessTime) noexcept;
+
+/** Builds the next request upstream. @p ownPools are the pools that this instance owns. */
+[[nodiscard]] RenewRequest makeRenewRequest(RenewalState &state, std::span<const PoolRenewal> ownPools, TimePoint now);
+
+/** Handles the request of a direct follower. Returns the reply, or nothing when this instance has no lease to pass on to it. */
+[[nodiscard]] std::optional<RenewReply> onDownstreamRequest(RenewalState &state, const RenewRequest &request, TimePoint now);
+
+/** Handles the reply of the upstream instance. */
+[[nodiscard]] RenewalOutcome onRenewReply(RenewalState &state, const RenewReply &reply, TimePoint now);
+
+/** Collects what a relay passes upstream after an index was applied here or a follower confirmed one. */
+[[nodiscard]] Confirm makeConfirm(const RenewalState &state, std::span<const FollowerEntry> followers);
+
+/** Whether the instance may serve routes that need a key. */
+[[nodiscard]] bool isFresh(const RenewalState &state, TimePoint now) noexcept;
+
+} // namespace mimosahollow::membership
