Declare the interfaces of control state and log storage

Cause: the control thread, the links and the admin listener are written at the same time as the replicated log and need its types.

--- a/include/mimosahollow/control/adapter.h
+++ b/include/mimosahollow/control/adapter.h
@@ -16,6 +16,8 @@
     std::string version;
     bool isDefault = false; /**< Used when a request names no version. */
     std::vector<OrganisationId> organisations; /**< Who may use it. */
+
+    friend bool operator==(const Adapter &, const Adapter &) = default;
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/apikey.h
+++ b/include/mimosahollow/control/apikey.h
@@ -13,6 +13,8 @@
     std::string name; /**< For operators and logs; not secret. */
     KeyHash hash{};
     OrganisationId organisation{};
+
+    friend bool operator==(const ApiKey &, const ApiKey &) = default;
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/backendserver.h
+++ b/include/mimosahollow/control/backendserver.h
@@ -15,6 +15,8 @@
     std::string kind; /**< Name of the base model or of the plain service. */
     std::string address; /**< "IP:port". */
     bool out = false; /**< Taken out of service by an operator. */
+
+    friend bool operator==(const BackendServer &, const BackendServer &) = default;
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/failuredomain.h
+++ b/include/mimosahollow/control/failuredomain.h
@@ -13,6 +13,8 @@
     std::string name;
     double share = 0; /**< Part of rates, bursts and budgets; the sum over all failure domains is at most 1. */
     bool out = false; /**< Taken out of service by an operator. */
+
+    friend bool operator==(const FailureDomain &, const FailureDomain &) = default;
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/organisation.h
+++ b/include/mimosahollow/control/organisation.h
@@ -14,6 +14,8 @@
     double rate = 0; /**< Tokens per second. */
     double burst = 0; /**< Tokens. */
     double weight = 1; /**< Relative share under overload. */
+
+    friend bool operator==(const Organisation &, const Organisation &) = default;
 };
 
 } // namespace mimosahollow::control
--- a/include/mimosahollow/control/route.h
+++ b/include/mimosahollow/control/route.h
@@ -17,6 +17,8 @@
     bool open = false; /**< Whether calls need no key. */
     Duration deadline = seconds(30);
     std::vector<OrganisationId> organisations; /**< Empty: every organisation. */
+
+    friend bool operator==(const Route &, const Route &) = default;
 };
 
 } // namespace mimosahollow::control
--- /dev/null
+++ b/include/mimosahollow/control/voter.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::control {
+
+/** Identifies a voter; set by its settings file and never given to another machine. 0 means "none". */
+enum class VoterId : std::uint32_t {};
+
+/** One member of the replicated log. */
+struct Member
+{
+    VoterId id{};
+    std::string address; /**< "IP:port" of its link listener. */
+    bool learner = false; /**< Receives the log and has no vote yet. */
+
+    friend bool operator==(const Member &, const Member &) = default;
+};
+
+/** All members, in the order in which they joined. */
+using Membership = std::vector<Member>;
+
+} // namespace mimosahollow::control
