--- /dev/null
+++ b/include/mimosahollow/serving/call.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "mimosahollow/control/command.h"
+#include "mimosahollow/core/ids.h"
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/gateway/servingrequest.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::serving
+{
+
+enum class CallStage : std::uint8_t {
+    Recording, /**< The idempotency record is being committed. */
+    AwaitingTokens,
+    AwaitingGrant,
+    Running,
+};
+
+/** A call that entered the fleet at this instance. */
+struct Call
+{
+    gateway::ServingRequest request;
+    CallStage stage = CallStage::AwaitingTokens;
+    OrganisationId organisation{}; /**< 0 on an open route without a key. */
+    AdapterId adapter{};
+    std::string kind; /**< Base model or plain service. */
+    std::string served; /**< "base:name@version" for model calls. */
+    std::string adapterName;
+    TimePoint deadline{};
+    double reserved = 0; /**< Tokens taken from the organisation's quota. */
+    bool repeatable = false;
+    bool recorded = false; /**< An idempotency record exists. */
+    control::CallKey callKey;
+    control::CommandId begin;
+    std::uint32_t attempts = 0; /**< Grants used. */
+    std::uint32_t searches = 0; /**< Pools that refused since the last attempt. */
+    PoolId pool{}; /**< Asked or running there. */
+    InstanceId owner{}; /**< Of the pool when it was asked. */
+    std::uint64_t grant = 0;
+    FencingNumber fencing = 0;
+    ServerId server{};
+    TimePoint grantedAt{};
+};
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/attempts.cpp
@@ -0,0 +1,100 @@
+#include "internal.h"
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+using gateway::AttemptOutcome;
+using scheduling::ReleaseOutcome;
+
+// Each attempt may cost a slot of another server, so a call that fails everywhere must not walk through the whole fleet.
+constexpr std::uint32_t maximumAttempts = 3;
+constexpr unsigned firstServerError = 500;
+
+bool wasNotSent(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::AdapterMissing;
+}
+
+ReleaseOutcome releaseOutcome(const gateway::ServingResult &result)
+{
+    switch (result.outcome) {
+    case AttemptOutcome::Completed:
+        return result.status >= firstServerError ? ReleaseOutcome::Failed : ReleaseOutcome::Completed;
+    case AttemptOutcome::ConnectionRefused:
+        return ReleaseOutcome::ConnectionRefused;
+    case AttemptOutcome::FailedBeforeAnswer:
+    case AttemptOutcome::FailedDuringAnswer:
+        return ReleaseOutcome::ConnectionReset;
+    case AttemptOutcome::AdapterMissing:
+        return ReleaseOutcome::Failed;
+    case AttemptOutcome::CallerLeft:
+    case AttemptOutcome::DeadlineExceeded:
+        return ReleaseOutcome::Cancelled;
+    }
+    return ReleaseOutcome::Failed;
+}
+
+std::uint64_t usedTokens(const Call &call, const gateway::ServingResult &result)
+{
+    if (wasNotSent(result.outcome)) {
+        return 0;
+    }
+    return std::uint64_t{call.request.promptTokens} + result.outputTokens;
+}
+
+scheduling::Release makeRelease(const Call &call, const gateway::ServingResult &result)
+{
+    scheduling::Release release;
+    release.id = result.id;
+    release.grant = call.grant;
+    release.fencing = call.fencing;
+    release.outcome = releaseOutcome(result);
+    release.tokensUsed = static_cast<std::uint32_t>(usedTokens(call, result));
+    // The gateway counts from the arrival of the call; the server is not responsible for the time before the grant.
+    const Duration beforeGrant = call.grantedAt - call.request.arrival;
+    release.firstTokenLatency = result.firstTokenLatency > beforeGrant ? result.firstTokenLatency - beforeGrant : Duration::zero();
+    return release;
+}
+
+bool mayRetry(ServingState &state, const Call &call, const gateway::ServingResult &result, TimePoint now)
+{
+    const bool safe = call.repeatable || wasNotSent(result.outcome);
+    return safe && now < call.deadline && call.attempts < maximumAttempts && admission::takeRetry(state.retries);
+}
+
+} // namespace
+
+void handle(ServingState &state, const gateway::ServingResult &result, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(result.id);
+    if (found == state.calls.end() || found->second.stage != CallStage::Running || found->second.grant != result.grant) {
+        return;
+    }
+    Call &call = found->second;
+    const scheduling::Release release = makeRelease(call, result);
+    const PoolId pool = call.pool;
+    const std::uint64_t used = usedTokens(call, result);
+    if (!result.awaitsReply) {
+        if (call.recorded && result.outcome == AttemptOutcome::Completed) {
+            completeRecord(call, result, actions);
+        }
+        finishCall(state, result.id, used, now, actions);
+    } else if (mayRetry(state, call, result, now)) {
+        actions.push_back(LogDecision{"retry", result.id, "", call.adapterName, 0, "", "attempt-failed"});
+        call.searches = 0;
+        // Returned first, so that the pool's owner sees the failure before it chooses again.
+        returnGrant(state, pool, release, now, actions);
+        acquire(state, call, now, actions);
+        return;
+    } else {
+        const CallOutcome outcome = wasNotSent(result.outcome) ? CallOutcome::NotRun : CallOutcome::Unknown;
+        const RefusalReason reason = now >= call.deadline ? RefusalReason::DeadlineExceeded : RefusalReason::BackendFailed;
+        refuseCall(state, result.id, reason, outcome, {}, now, actions);
+    }
+    returnGrant(state, pool, release, now, actions);
+}
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/calls.cpp
@@ -0,0 +1,331 @@
+#include "internal.h"
+
+#include "mimosahollow/control/configuration.h"
+
+#include <algorithm>
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+// Longer than the change of a pool's owner, so that a crash of an owner delays calls instead of refusing them.
+constexpr Duration poolPatience = seconds(5);
+constexpr Duration retryAfterNoCapacity = seconds(1);
+// A call asks this many pools before it waits for a change.
+constexpr std::uint32_t maximumSearches = 3;
+// A running call whose end was not reported this long after its deadline is forgotten.
+constexpr Duration reportGrace = seconds(5);
+
+struct Resolved
+{
+    routing::Resolution resolution;
+    std::optional<OrganisationId> organisation;
+};
+
+std::variant<Resolved, RefusalReason> resolve(const ServingState &state, const gateway::ServingRequest &request, TimePoint now)
+{
+    if (!state.index.configuration) {
+        return RefusalReason::ConfigurationStale;
+    }
+    const bool fresh = now < state.freshUntil;
+    // A key that was withdrawn must not be accepted, so without fresh configuration no key counts.
+    std::optional<OrganisationId> organisation;
+    if (fresh && request.keyHash) {
+        organisation = admission::findKey(state.keys, *request.keyHash);
+    }
+    if (request.kind == gateway::CallKind::Model && !organisation) {
+        return fresh ? RefusalReason::InvalidKey : RefusalReason::ConfigurationStale;
+    }
+    const auto result = request.kind == gateway::CallKind::Model ? routing::resolveModel(state.routes, request.target, *organisation)
+                                                                 : routing::resolvePath(state.routes, request.target, organisation);
+    if (const auto *reason = std::get_if<RefusalReason>(&result)) {
+        return *reason == RefusalReason::InvalidKey && !fresh ? RefusalReason::ConfigurationStale : *reason;
+    }
+    return Resolved{std::get<routing::Resolution>(result), organisation};
+}
+
+Call makeCall(gateway::ServingRequest request, const Resolved &resolved)
+{
+    Call call;
+    call.organisation = resolved.organisation.value_or(OrganisationId{});
+    call.kind = std::string(resolved.resolution.kind);
+    call.deadline = request.deadline;
+    if (const control::Route *route = resolved.resolution.route) {
+        call.repeatable = route->repeatable || request.safeMethod;
+        call.deadline = std::min(call.deadline, request.arrival + route->deadline);
+        if (!call.repeatable && !request.idempotencyKey.empty()) {
+            call.callKey = {call.organisation, route->prefix, request.idempotencyKey};
+        }
+    } else {
+        call.repeatable = true;
+        call.served = call.kind;
+    }
+    if (const control::Adapter *adapter = resolved.resolution.adapter) {
+        call.adapter = adapter->id;
+        call.adapterName = adapter->name + "@" + adapter->version;
+        call.served += ":" + call.adapterName;
+    }
+    call.request = std::move(request);
+    return call;
+}
+
+bool kindHasPool(const ServingState &state, const Call &call)
+{
+    return std::any_of(state.summaries.begin(), state.summaries.end(), [&](const routing::PoolSummary &summary) {
+        return summary.kind == call.kind;
+    });
+}
+
+std::string organisationName(const ServingState &state, OrganisationId id)
+{
+    const control::Organisation *organisation = state.index.configuration ? findOrganisation(state.index, id) : nullptr;
+    return organisation != nullptr ? organisation->name : "-";
+}
+
+std::string_view reasonText(routing::PoolReason reason)
+{
+    switch (reason) {
+    case routing::PoolReason::Local:
+        return "local";
+    case routing::PoolReason::SpilledOver:
+        return "shorter-wait";
+    case routing::PoolReason::LocalAbsent:
+        return "local-absent";
+    }
+    return "";
+}
+
+} // namespace
+
+void handle(ServingState &state, gateway::ServingRequest request, TimePoint now, Actions &actions)
+{
+    if (state.draining) {
+        refuseRequest(request, RefusalReason::ShuttingDown, actions);
+        return;
+    }
+    const auto resolved = resolve(state, request, now);
+    if (const auto *reason = std::get_if<RefusalReason>(&resolved)) {
+        refuseRequest(request, *reason, actions);
+        return;
+    }
+    const RequestId id = request.id;
+    admission::countRequest(state.retries);
+    Call &call = state.calls[id] = makeCall(std::move(request), std::get<Resolved>(resolved));
+    if (!kindHasPool(state, call)) {
+        refuseCall(state, id, RefusalReason::NoCapacity, CallOutcome::NotRun, retryAfterNoCapacity, now, actions);
+    } else if (!call.callKey.key.empty()) {
+        recordCall(state, call, actions);
+    } else {
+        reserveTokens(state, call, now, actions);
+    }
+}
+
+void refuseRequest(const gateway::ServingRequest &request, RefusalReason reason, Actions &actions)
+{
+    actions.push_back(LogDecision{"refuse", request.id, "-", "", 0, "", toString(reason)});
+    actions.push_back(ReplyToCall{request.gatewayThread, {request.id, gateway::ServingRefusal{reason, CallOutcome::NotRun, {}}}});
+}
+
+void refuseCall(ServingState &state, const RequestId &id, RefusalReason reason, CallOutcome outcome, Duration retryAfter, TimePoint now, Actions &actions)
+{
+    const Call &call = state.calls.at(id);
+    actions.push_back(LogDecision{"refuse", id, organisationName(state, call.organisation), call.adapterName, 0, "", toString(reason)});
+    actions.push_back(ReplyToCall{call.request.gatewayThread, {id, gateway::ServingRefusal{reason, outcome, retryAfter}}});
+    if (call.recorded && outcome == CallOutcome::NotRun) {
+        actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+    }
+    finishCall(state, id, 0, now, actions);
+}
+
+void finishCall(ServingState &state, const RequestId &id, std::uint64_t usedTokens, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(id);
+    const double reserved = found->second.reserved;
+    const OrganisationId organisation = found->second.organisation;
+    state.calls.erase(found);
+    if (reserved > 0) {
+        admission::refund(state.quotas, admission::accountOf(organisation), reserved, static_cast<double>(usedTokens));
+        tickTokens(state, now, actions);
+    }
+}
+
+void reserveTokens(ServingState &state, Call &call, TimePoint now, Actions &actions)
+{
+    if (call.request.kind == gateway::CallKind::PlainService) {
+        acquire(state, call, now, actions);
+        return;
+    }
+    const double cost = static_cast<double>(call.request.promptTokens) + call.request.maximumOutputTokens;
+    const RequestId id = call.request.id;
+    call.stage = CallStage::AwaitingTokens;
+    call.reserved = cost;
+    admission::LeaseActions decided;
+    const auto admission = admission::admit(state.quotas, admission::accountOf(call.organisation), {id, cost, now, call.deadline}, now, decided);
+    if (admission != admission::Admission::Run) {
+        call.reserved = 0; // taken when the call runs
+    }
+    if (admission == admission::Admission::Run) {
+        acquire(state, call, now, actions);
+    }
+    carryOut(state, decided, now, actions);
+}
+
+void acquire(ServingState &state, Call &call, TimePoint now, Actions &actions)
+{
+    call.stage = CallStage::AwaitingGrant;
+    call.pool = PoolId{};
+    const routing::PoolQuery query{call.kind, call.adapter, state.home};
+    const auto choice = call.searches < maximumSearches ? routing::choosePool(state.summaries, query, state.random) : std::nullopt;
+    if (!choice) {
+        return; // tickCalls() tries again
+    }
+    const routing::PoolSummary &pool = state.summaries[choice->pool];
+    call.pool = pool.pool;
+    call.owner = pool.owner;
+    if (choice->reason != routing::PoolReason::Local) {
+        const control::FailureDomain *domain = findDomain(state.index, pool.domain);
+        actions.push_back(LogDecision{"spill",
+                                      call.request.id,
+                                      organisationName(state, call.organisation),
+                                      call.adapterName,
+                                      choice->candidates,
+                                      domain != nullptr ? domain->name : "-",
+                                      reasonText(choice->reason)});
+    }
+    const control::Organisation *organisation = findOrganisation(state.index, call.organisation);
+    scheduling::AcquireRequest request;
+    request.id = call.request.id;
+    request.entry = state.self;
+    request.organisation = call.organisation;
+    request.weight = organisation != nullptr ? organisation->weight : 1;
+    request.adapter = call.adapter;
+    request.promptTokens = call.request.promptTokens;
+    request.maximumOutputTokens = call.request.maximumOutputTokens;
+    request.prefixHash = call.request.prefixHash;
+    request.deadline = call.deadline;
+    request.repeatable = call.repeatable;
+    sendToOwner(state, pool.pool, pool.owner, request, now, actions);
+}
+
+void onGrant(ServingState &state, PoolId pool, const scheduling::Grant &grant, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(grant.id);
+    const control::BackendServer *server = findServer(state.index, grant.server);
+    const bool wanted = found != state.calls.end() && found->second.stage == CallStage::AwaitingGrant && found->second.pool == pool;
+    if (!wanted || server == nullptr) {
+        returnGrant(state, pool, {grant.id, grant.grant, grant.fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, actions);
+        return;
+    }
+    Call &call = found->second;
+    call.stage = CallStage::Running;
+    call.grant = grant.grant;
+    call.fencing = grant.fencing;
+    call.server = grant.server;
+    call.grantedAt = now;
+    ++call.attempts;
+    gateway::ServingGrant reply;
+    reply.grant = grant.grant;
+    reply.address = server->address;
+    reply.adapter = call.adapterName;
+    reply.served = call.served;
+    reply.fencing = grant.fencing;
+    reply.deadline = call.deadline;
+    reply.repeatable = call.repeatable;
+    actions.push_back(ReplyToCall{call.request.gatewayThread, {grant.id, std::move(reply)}});
+}
+
+void onRefusal(ServingState &state, PoolId pool, const scheduling::Refusal &refusal, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(refusal.id);
+    if (found == state.calls.end() || found->second.stage != CallStage::AwaitingGrant || found->second.pool != pool) {
+        return;
+    }
+    Call &call = found->second;
+    const bool elsewhere = refusal.reason == RefusalReason::NoCapacity || refusal.reason == RefusalReason::Overloaded || refusal.reason == RefusalReason::LoadFailed;
+    if (elsewhere && ++call.searches < maximumSearches) {
+        acquire(state, call, now, actions);
+    } else if (refusal.reason == RefusalReason::NoCapacity) {
+        call.pool = PoolId{}; // waits for a usable pool
+    } else {
+        refuseCall(state, refusal.id, refusal.reason, CallOutcome::NotRun, refusal.retryAfter, now, actions);
+    }
+}
+
+void peerLost(ServingState &state, InstanceId peer, TimePoint now, Actions &actions)
+{
+    for (routing::PoolSummary &summary : state.summaries) {
+        if (summary.owner == peer) {
+            summary.reachable = false;
+        }
+    }
+    for (auto &[pool, reported] : state.reportedFencing) {
+        const routing::PoolSummary *summary = findSummary(state, pool);
+        if (summary != nullptr && summary->owner == peer) {
+            reported = 0; // the report may be lost; the owner gets it again
+        }
+    }
+    std::vector<RequestId> waiting;
+    for (const auto &[id, call] : state.calls) {
+        if (call.stage == CallStage::AwaitingGrant && call.owner == peer && call.pool != PoolId{}) {
+            waiting.push_back(id);
+        }
+    }
+    for (const RequestId &id : waiting) {
+        acquire(state, state.calls.at(id), now, actions);
+    }
+    for (auto &[pool, owned] : state.pools) {
+        std::vector<RequestId> orphaned;
+        for (const scheduling::RequestRecord &record : owned.state.records) {
+            if (record.phase == scheduling::RequestPhase::Waiting && record.request.entry == peer) {
+                orphaned.push_back(record.request.id);
+            }
+        }
+        for (const RequestId &id : orphaned) {
+            onCancel(state, pool, id, now, actions);
+        }
+    }
+}
+
+void tickCalls(ServingState &state, TimePoint now, Actions &actions)
+{
+    std::vector<RequestId> expired;
+    std::vector<RequestId> searching;
+    for (const auto &[id, call] : state.calls) {
+        const Duration grace = call.stage == CallStage::Running ? reportGrace : Duration::zero();
+        if (now >= call.deadline + grace) {
+            expired.push_back(id);
+        } else if (call.stage == CallStage::AwaitingGrant && call.pool == PoolId{}) {
+            searching.push_back(id);
+        }
+    }
+    for (const RequestId &id : expired) {
+        const Call &call = state.calls.at(id);
+        if (call.stage == CallStage::AwaitingGrant && call.pool != PoolId{}) {
+            sendToOwner(state, call.pool, call.owner, CancelRequest{id}, now, actions);
+        } else if (call.stage == CallStage::Running) {
+            returnGrant(state, call.pool, {id, call.grant, call.fencing, scheduling::ReleaseOutcome::Cancelled, 0, {}}, now, actions);
+        } else if (call.stage == CallStage::AwaitingTokens) {
+            admission::cancel(state.quotas, admission::accountOf(call.organisation), id, now);
+        }
+        if (state.calls.contains(id)) {
+            const CallOutcome outcome = call.stage == CallStage::Running ? CallOutcome::Unknown : CallOutcome::NotRun;
+            refuseCall(state, id, RefusalReason::DeadlineExceeded, outcome, {}, now, actions);
+        }
+    }
+    for (const RequestId &id : searching) {
+        const auto found = state.calls.find(id);
+        if (found == state.calls.end()) {
+            continue;
+        }
+        if (now >= found->second.request.arrival + poolPatience) {
+            refuseCall(state, id, RefusalReason::NoCapacity, CallOutcome::NotRun, retryAfterNoCapacity, now, actions);
+        } else {
+            found->second.searches = 0;
+            acquire(state, found->second, now, actions);
+        }
+    }
+}
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/pools.cpp
@@ -0,0 +1,299 @@
+#include "internal.h"
+
+#include "mimosahollow/control/configuration.h"
+#include "mimosahollow/scheduling/pool.h"
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+std::string_view decisionName(scheduling::DecisionReason reason)
+{
+    switch (reason) {
+    case scheduling::DecisionReason::LeastLoaded:
+    case scheduling::DecisionReason::PrefixAffinity:
+        return "route";
+    case scheduling::DecisionReason::LoadOnDemand:
+    case scheduling::DecisionReason::LoadReplica:
+    case scheduling::DecisionReason::LoadAhead:
+        return "load";
+    case scheduling::DecisionReason::EvictLeastUseful:
+        return "evict";
+    case scheduling::DecisionReason::Refused:
+        return "refuse";
+    }
+    return "";
+}
+
+std::string_view reasonName(const scheduling::DecisionRecord &record)
+{
+    switch (record.reason) {
+    case scheduling::DecisionReason::LeastLoaded:
+        return "least-loaded";
+    case scheduling::DecisionReason::PrefixAffinity:
+        return "prefix-affinity";
+    case scheduling::DecisionReason::LoadOnDemand:
+        return "on-demand";
+    case scheduling::DecisionReason::LoadReplica:
+        return "replica";
+    case scheduling::DecisionReason::LoadAhead:
+        return "ahead";
+    case scheduling::DecisionReason::EvictLeastUseful:
+        return "least-useful";
+    case scheduling::DecisionReason::Refused:
+        return toString(record.refusal);
+    }
+    return "";
+}
+
+LogDecision describe(const ServingState &state, const scheduling::DecisionRecord &record)
+{
+    const control::Organisation *organisation = findOrganisation(state.index, record.organisation);
+    const control::Adapter *adapter = findAdapter(state.index, record.adapter);
+    const control::BackendServer *server = findServer(state.index, record.choice);
+    LogDecision line;
+    line.decision = decisionName(record.reason);
+    line.request = record.request;
+    line.organisation = organisation != nullptr ? organisation->name : "-";
+    line.adapter = adapter != nullptr ? adapter->name + "@" + adapter->version : "-";
+    line.candidates = record.candidates;
+    line.choice = server != nullptr ? server->name : "-";
+    line.reason = reasonName(record);
+    return line;
+}
+
+/** Turns the pool's order into one for the server's address; false when the configuration no longer has the server. */
+bool sendOrder(ServingState &state, PoolId pool, const scheduling::Order &order, Actions &actions)
+{
+    const control::BackendServer *server = findServer(state.index, order.server);
+    const control::Adapter *adapter = findAdapter(state.index, order.adapter);
+    if (server == nullptr || adapter == nullptr) {
+        return false;
+    }
+    gateway::BackendOrder message;
+    message.order = state.nextOrder++;
+    message.kind = order.kind == scheduling::OrderKind::Load ? gateway::OrderKind::Load : gateway::OrderKind::Unload;
+    message.address = server->address;
+    message.adapter = adapter->name + "@" + adapter->version;
+    message.fencing = order.fencing;
+    message.timeout = order.timeout;
+    state.orders[message.order] = {pool, order.order};
+    actions.push_back(std::move(message));
+    return true;
+}
+
+scheduling::OrderOutcome toOrderOutcome(gateway::OrderOutcome outcome)
+{
+    switch (outcome) {
+    case gateway::OrderOutcome::Done:
+        return scheduling::OrderOutcome::Done;
+    case gateway::OrderOutcome::Refused:
+        return scheduling::OrderOutcome::Refused;
+    case gateway::OrderOutcome::StaleFencing:
+        return scheduling::OrderOutcome::StaleFencing;
+    case gateway::OrderOutcome::NotSent:
+        return scheduling::OrderOutcome::NotSent;
+    case gateway::OrderOutcome::Unknown:
+        return scheduling::OrderOutcome::Unknown;
+    }
+    return scheduling::OrderOutcome::Unknown;
+}
+
+/** Delivers a grant, or takes it back when the lease has run out since the request was queued. */
+void deliverGrant(ServingState &state, PoolId pool, const scheduling::Grant &grant, scheduling::Actions &followUp, TimePoint now, Actions &actions)
+{
+    if (!ownsPool(state, pool, now)) {
+        scheduling::release(state.pools.at(pool).state, {grant.id, grant.grant, grant.fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, followUp);
+        followUp.push_back(scheduling::Refusal{grant.id, grant.entry, RefusalReason::NoCapacity, {}});
+    } else if (grant.entry == state.self) {
+        onGrant(state, pool, grant, now, actions);
+    } else {
+        actions.push_back(SendToPeer{grant.entry, PoolMessage{pool, grant}});
+    }
+}
+
+void deliver(ServingState &state, PoolId pool, const scheduling::Action &action, scheduling::Actions &followUp, TimePoint now, Actions &actions)
+{
+    if (const auto *grant = std::get_if<scheduling::Grant>(&action)) {
+        deliverGrant(state, pool, *grant, followUp, now, actions);
+    } else if (const auto *refusal = std::get_if<scheduling::Refusal>(&action)) {
+        if (refusal->entry == state.self) {
+            onRefusal(state, pool, *refusal, now, actions);
+        } else {
+            actions.push_back(SendToPeer{refusal->entry, PoolMessage{pool, *refusal}});
+        }
+    } else if (const auto *order = std::get_if<scheduling::Order>(&action)) {
+        if (!ownsPool(state, pool, now) || !sendOrder(state, pool, *order, actions)) {
+            scheduling::orderFinished(state.pools.at(pool).state, order->order, scheduling::OrderOutcome::NotSent, now, followUp);
+        }
+    } else {
+        actions.push_back(describe(state, std::get<scheduling::DecisionRecord>(action)));
+    }
+}
+
+} // namespace
+
+bool ownsPool(const ServingState &state, PoolId pool, TimePoint now) noexcept
+{
+    const auto found = state.pools.find(pool);
+    return found != state.pools.end() && now < found->second.ownedUntil;
+}
+
+routing::PoolSummary *findSummary(ServingState &state, PoolId pool) noexcept
+{
+    for (routing::PoolSummary &summary : state.summaries) {
+        if (summary.pool == pool) {
+            return &summary;
+        }
+    }
+    return nullptr;
+}
+
+void carryOut(ServingState &state, PoolId pool, scheduling::Actions &decided, TimePoint now, Actions &actions)
+{
+    // Delivering may change the pool again, for example when a grant is returned at once.
+    while (!decided.empty()) {
+        scheduling::Actions followUp;
+        for (const scheduling::Action &action : decided) {
+            if (state.pools.contains(pool)) {
+                deliver(state, pool, action, followUp, now, actions);
+            }
+        }
+        decided.swap(followUp);
+    }
+}
+
+void onCancel(ServingState &state, PoolId pool, const RequestId &id, TimePoint now, Actions &actions)
+{
+    scheduling::Actions decided;
+    scheduling::cancel(state.pools.at(pool).state, id, now, decided);
+    carryOut(state, pool, decided, now, actions);
+}
+
+void returnGrant(ServingState &state, PoolId pool, const scheduling::Release &release, TimePoint now, Actions &actions)
+{
+    const routing::PoolSummary *summary = findSummary(state, pool);
+    if (summary != nullptr) {
+        sendToOwner(state, pool, summary->owner, release, now, actions);
+    }
+}
+
+void sendToOwner(ServingState &state, PoolId pool, InstanceId owner, PoolMessageBody body, TimePoint now, Actions &actions)
+{
+    PoolMessage message{pool, std::move(body)};
+    if (owner == state.self) {
+        handlePoolMessage(state, state.self, std::move(message), now, actions);
+    } else if (owner != InstanceId{}) {
+        actions.push_back(SendToPeer{owner, std::move(message)});
+    }
+}
+
+void reportGrants(ServingState &state, PoolId pool, InstanceId owner, TimePoint now, Actions &actions)
+{
+    scheduling::GrantReport report;
+    report.entry = state.self;
+    for (const auto &[id, call] : state.calls) {
+        if (call.stage == CallStage::Running && call.pool == pool) {
+            const std::uint32_t tokens = call.request.promptTokens + call.request.maximumOutputTokens;
+            report.grants.push_back({id, call.grant, call.fencing, call.server, call.organisation, call.adapter, tokens, call.deadline});
+        }
+    }
+    sendToOwner(state, pool, owner, std::move(report), now, actions);
+}
+
+namespace
+{
+
+void refuseNotOwner(ServingState &state, InstanceId from, PoolId pool, const RequestId &id, TimePoint now, Actions &actions)
+{
+    const scheduling::Refusal refusal{id, from, RefusalReason::NoCapacity, {}};
+    if (from == state.self) {
+        onRefusal(state, pool, refusal, now, actions);
+    } else {
+        actions.push_back(SendToPeer{from, PoolMessage{pool, refusal}});
+    }
+}
+
+void takeSummary(ServingState &state, InstanceId from, const scheduling::PoolSummary &content, TimePoint now, Actions &actions)
+{
+    routing::PoolSummary *summary = findSummary(state, content.pool);
+    if (summary == nullptr || summary->owner != from) {
+        return;
+    }
+    summary->reachable = true;
+    summary->inService = content.inService;
+    summary->expectedWait = content.expectedWait;
+    summary->expectedLoad = content.expectedLoadWait;
+    summary->freeCapacity = content.freeSlots;
+    summary->resident = content.adapters;
+    FencingNumber &reported = state.reportedFencing[content.pool];
+    if (reported != content.fencing) {
+        reported = content.fencing;
+        reportGrants(state, content.pool, from, now, actions);
+    }
+}
+
+/** Events that only the owner of the pool handles. */
+void handleAsOwner(ServingState &state, InstanceId from, const PoolMessage &message, TimePoint now, Actions &actions)
+{
+    scheduling::PoolState &pool = state.pools.at(message.pool).state;
+    scheduling::Actions decided;
+    if (const auto *acquire = std::get_if<scheduling::AcquireRequest>(&message.body)) {
+        scheduling::AcquireRequest request = *acquire;
+        request.entry = from;
+        scheduling::submit(pool, request, now, decided);
+    } else if (const auto *cancel = std::get_if<CancelRequest>(&message.body)) {
+        scheduling::cancel(pool, cancel->id, now, decided);
+    } else if (const auto *release = std::get_if<scheduling::Release>(&message.body)) {
+        scheduling::release(pool, *release, now, decided);
+    } else if (const auto *report = std::get_if<scheduling::GrantReport>(&message.body)) {
+        scheduling::GrantReport checked = *report;
+        checked.entry = from;
+        scheduling::reconcileGrants(pool, checked, now, decided);
+    } else if (const auto *announcement = std::get_if<scheduling::ServerAnnouncement>(&message.body)) {
+        scheduling::announceServer(pool, *announcement, now, decided);
+    } else if (const auto *load = std::get_if<scheduling::ServerReport>(&message.body)) {
+        scheduling::applyReport(pool, *load, now, decided);
+    }
+    carryOut(state, message.pool, decided, now, actions);
+    requestLoadTokens(state, now, actions);
+}
+
+} // namespace
+
+void handlePoolMessage(ServingState &state, InstanceId from, PoolMessage message, TimePoint now, Actions &actions)
+{
+    if (const auto *grant = std::get_if<scheduling::Grant>(&message.body)) {
+        onGrant(state, message.pool, *grant, now, actions);
+    } else if (const auto *refusal = std::get_if<scheduling::Refusal>(&message.body)) {
+        onRefusal(state, message.pool, *refusal, now, actions);
+    } else if (const auto *summary = std::get_if<scheduling::PoolSummary>(&message.body)) {
+        takeSummary(state, from, *summary, now, actions);
+    } else if (ownsPool(state, message.pool, now)) {
+        handleAsOwner(state, from, message, now, actions);
+    } else if (const auto *acquire = std::get_if<scheduling::AcquireRequest>(&message.body)) {
+        refuseNotOwner(state, from, message.pool, acquire->id, now, actions);
+    }
+}
+
+void handle(ServingState &state, const gateway::BackendOrderResult &result, TimePoint now, Actions &actions)
+{
+    const auto found = state.orders.find(result.order);
+    if (found == state.orders.end()) {
+        return;
+    }
+    const PendingOrder pending = found->second;
+    state.orders.erase(found);
+    const auto pool = state.pools.find(pending.pool);
+    if (pool == state.pools.end()) {
+        return;
+    }
+    scheduling::Actions decided;
+    scheduling::orderFinished(pool->second.state, pending.order, toOrderOutcome(result.outcome), now, decided);
+    carryOut(state, pending.pool, decided, now, actions);
+    requestLoadTokens(state, now, actions);
+}
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/records.cpp
@@ -0,0 +1,96 @@
+#include "internal.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+// Command ids of one call: begin, complete, abandon. The request's sequence is spread to leave room for them.
+constexpr std::uint64_t commandsPerCall = 4;
+
+control::Digest requestDigest(const gateway::ServingRequest &request)
+{
+    const std::uint64_t target = XXH3_64bits(request.target.data(), request.target.size());
+    control::Digest digest{};
+    std::memcpy(digest.data(), &request.bodyHash, sizeof request.bodyHash);
+    std::memcpy(digest.data() + sizeof request.bodyHash, &target, sizeof target);
+    return digest;
+}
+
+void refuseRecorded(ServingState &state, const CommitResult &result, TimePoint now, Actions &actions)
+{
+    const auto refuse = [&](RefusalReason reason, CallOutcome outcome) {
+        refuseCall(state, result.call, reason, outcome, {}, now, actions);
+    };
+    switch (result.result.outcome) {
+    case control::CommandOutcome::CallInProgress:
+        refuse(RefusalReason::InProgress, CallOutcome::Unknown);
+        return;
+    case control::CommandOutcome::CallUnknown:
+        refuse(RefusalReason::BackendFailed, CallOutcome::Unknown);
+        return;
+    case control::CommandOutcome::CallConflict:
+        refuse(RefusalReason::IdempotencyConflict, CallOutcome::NotRun);
+        return;
+    case control::CommandOutcome::TooManyCalls:
+        refuse(RefusalReason::Overloaded, CallOutcome::NotRun);
+        return;
+    default:
+        refuse(RefusalReason::InvalidRequest, CallOutcome::NotRun);
+        return;
+    }
+}
+
+} // namespace
+
+void recordCall(ServingState &state, Call &call, Actions &actions)
+{
+    call.stage = CallStage::Recording;
+    call.begin = {call.request.id.process, call.request.id.sequence * commandsPerCall};
+    actions.push_back(CommitCommand{call.request.id, call.begin, control::BeginCall{call.callKey, requestDigest(call.request), state.self}});
+}
+
+void completeRecord(const Call &call, const gateway::ServingResult &result, Actions &actions)
+{
+    control::CompleteCall complete;
+    complete.call = call.callKey;
+    complete.begin = call.begin;
+    complete.status = static_cast<std::uint16_t>(result.status);
+    complete.contentType = result.answerContentType;
+    complete.answer = result.answerBody;
+    actions.push_back(CommitCommand{call.request.id, {call.begin.high, call.begin.low + 1}, std::move(complete)});
+}
+
+void handle(ServingState &state, const CommitResult &result, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(result.call);
+    if (found == state.calls.end() || found->second.stage != CallStage::Recording) {
+        return;
+    }
+    Call &call = found->second;
+    if (!result.committed) {
+        // The call itself was not sent, so "not run" is true; a record that was committed after all must not block a resend.
+        call.recorded = result.sent;
+        refuseCall(state, result.call, RefusalReason::NoQuorum, CallOutcome::NotRun, seconds(1), now, actions);
+        return;
+    }
+    if (result.result.outcome == control::CommandOutcome::RunCall) {
+        call.recorded = true;
+        reserveTokens(state, call, now, actions);
+        return;
+    }
+    if (result.result.outcome == control::CommandOutcome::StoredAnswer) {
+        gateway::StoredAnswer answer{static_cast<unsigned>(result.result.number), result.result.message, result.result.answer};
+        actions.push_back(ReplyToCall{call.request.gatewayThread, {result.call, std::move(answer)}});
+        finishCall(state, result.call, 0, now, actions);
+        return;
+    }
+    refuseRecorded(state, result, now, actions);
+}
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/serving.cpp
@@ -0,0 +1,260 @@
+#include "mimosahollow/serving/serving.h"
+
+#include "internal.h"
+#include "mimosahollow/control/configuration.h"
+#include "mimosahollow/scheduling/pool.h"
+
+#include <algorithm>
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+// Grants of earlier owners end at the deadline of their requests, which is at most this far away (docs/design.md, section 15).
+constexpr Duration maximumRequestDeadline = seconds(600);
+constexpr Duration summaryInterval = milliseconds(250);
+// Round trip to an instance of another failure domain, and within the same one.
+constexpr Duration remoteDistance = milliseconds(2);
+constexpr Duration localDistance = milliseconds(0);
+
+scheduling::PoolDeclaration declarationOf(const ServingState &state, const control::Pool &pool)
+{
+    const control::FailureDomain *domain = findDomain(state.index, pool.domain);
+    scheduling::PoolDeclaration declaration;
+    declaration.domain = domain == nullptr || domain->out ? scheduling::ServiceState::Out : scheduling::ServiceState::InService;
+    for (const control::BackendServer &server : state.index.configuration->servers) {
+        if (server.domain == pool.domain && server.kind == pool.kind) {
+            declaration.servers.push_back({server.id, server.out ? scheduling::ServiceState::Out : scheduling::ServiceState::InService});
+        }
+    }
+    return declaration;
+}
+
+const control::Pool *findPool(const ServingState &state, PoolId id)
+{
+    const auto &pools = state.index.configuration->pools;
+    const auto found = std::find_if(pools.begin(), pools.end(), [id](const control::Pool &pool) {
+        return pool.id == id;
+    });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+/** Keeps what is known of pools that the new configuration still has under the same owner. */
+void rebuildSummaries(ServingState &state)
+{
+    std::vector<routing::PoolSummary> before;
+    before.swap(state.summaries);
+    for (const control::Pool &pool : state.index.configuration->pools) {
+        const auto known = std::find_if(before.begin(), before.end(), [&](const routing::PoolSummary &summary) {
+            return summary.pool == pool.id && summary.owner == pool.owner;
+        });
+        routing::PoolSummary summary;
+        if (known != before.end()) {
+            summary = std::move(*known);
+        } else {
+            summary.reachable = false; // until its owner has published a summary
+        }
+        const control::FailureDomain *domain = findDomain(state.index, pool.domain);
+        summary.pool = pool.id;
+        summary.domain = pool.domain;
+        summary.owner = pool.owner;
+        summary.kind = pool.kind;
+        summary.distance = pool.domain == state.home ? localDistance : remoteDistance;
+        if (domain == nullptr || domain->out) {
+            summary.inService = false; // the owner's next summary says when it is back
+        }
+        state.summaries.push_back(std::move(summary));
+    }
+}
+
+/** Each pool gets its part of the loads in flight, in proportion to its servers and at least one. */
+std::uint32_t loadsInFlightOf(const ServingState &state, const control::Pool &pool)
+{
+    const control::Configuration &configuration = *state.index.configuration;
+    std::size_t all = 0;
+    std::size_t own = 0;
+    for (const control::BackendServer &server : configuration.servers) {
+        const bool isModel = std::find(configuration.baseModels.begin(), configuration.baseModels.end(), server.kind) != configuration.baseModels.end();
+        all += isModel ? 1 : 0;
+        own += isModel && server.domain == pool.domain && server.kind == pool.kind ? 1 : 0;
+    }
+    return all == 0 ? 1 : std::max(1U, static_cast<std::uint32_t>(configuration.loadsInFlight * own / all));
+}
+
+void applyToPools(ServingState &state, TimePoint now, Actions &actions)
+{
+    std::vector<PoolId> gone;
+    for (auto &[id, owned] : state.pools) {
+        const control::Pool *pool = findPool(state, id);
+        if (pool == nullptr || pool->owner != state.self) {
+            owned.ownedUntil = now; // assigned to another instance
+            gone.push_back(id);
+            continue;
+        }
+        owned.state.settings.loadsInFlight = loadsInFlightOf(state, *pool);
+        owned.state.settings.loadsPerSecond = state.index.configuration->loadRate;
+        scheduling::Actions decided;
+        scheduling::setDeclaration(owned.state, declarationOf(state, *pool), now, decided);
+        carryOut(state, id, decided, now, actions);
+    }
+    for (const PoolId id : gone) {
+        // Waiting requests are refused as not run, so that their entry instances ask the new owner.
+        scheduling::Actions decided;
+        scheduling::setDeclaration(state.pools.at(id).state, {scheduling::ServiceState::Out, {}}, now, decided);
+        carryOut(state, id, decided, now, actions);
+        state.pools.erase(id);
+    }
+}
+
+void publishSummaries(ServingState &state, TimePoint now, Actions &actions)
+{
+    for (auto &[id, owned] : state.pools) {
+        if (now >= owned.ownedUntil) {
+            continue;
+        }
+        const scheduling::PoolSummary summary = scheduling::summarise(owned.state, now);
+        for (const control::Instance &instance : state.index.configuration->instances) {
+            if (instance.id != state.self) {
+                actions.push_back(SendToPeer{instance.id, PoolMessage{id, summary}});
+            }
+        }
+    }
+}
+
+void refreshOwnSummaries(ServingState &state, TimePoint now, Actions &actions)
+{
+    for (auto &[id, owned] : state.pools) {
+        if (now < owned.ownedUntil) {
+            handlePoolMessage(state, state.self, {id, scheduling::summarise(owned.state, now)}, now, actions);
+        } else if (routing::PoolSummary *summary = findSummary(state, id)) {
+            summary->reachable = false;
+        }
+    }
+}
+
+} // namespace
+
+ServingState makeServingState(std::uint64_t process, std::uint64_t seed)
+{
+    ServingState state;
+    state.process = process;
+    state.quotas.process = process;
+    state.random.seed(seed);
+    return state;
+}
+
+void setConfiguration(ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions)
+{
+    state.self = self;
+    state.home = home;
+    state.quotas.self = self;
+    state.quotas.home = home;
+    state.buckets.domain = home;
+    // The routing index and the summaries point into the configuration, so the old one stays alive until both are replaced.
+    const auto previous = state.index.configuration;
+    state.index = buildConfigurationIndex(std::move(configuration));
+    const control::Configuration &current = *state.index.configuration;
+    state.keys = admission::buildKeyTable(current);
+    state.routes = routing::buildRoutingIndex(current);
+    admission::applyConfiguration(state.quotas, current, now);
+    admission::applyConfiguration(state.buckets, current, now);
+    for (const control::BucketOwner &owner : current.bucketOwners) {
+        const control::FailureDomain *domain = findDomain(state.index, owner.domain);
+        admission::setOwner(state.quotas, owner.domain, owner.owner, owner.fencing, domain != nullptr ? domain->share : 0);
+        if (owner.domain == home && owner.owner != self && state.buckets.epoch != 0) {
+            static_cast<void>(admission::stopOwnership(state.buckets, now)); // the balance of a lost lease is not handed over
+        }
+    }
+    rebuildSummaries(state);
+    applyToPools(state, now, actions);
+}
+
+void setFreshness(ServingState &state, TimePoint freshUntil) noexcept
+{
+    state.freshUntil = freshUntil;
+}
+
+void setPoolLease(ServingState &state, const PoolLease &lease, TimePoint now, Actions &actions)
+{
+    const control::Pool *pool = state.index.configuration ? findPool(state, lease.pool) : nullptr;
+    if (pool == nullptr || pool->owner != state.self) {
+        return;
+    }
+    const auto found = state.pools.find(lease.pool);
+    if (found != state.pools.end() && found->second.state.fencing == lease.fencing) {
+        found->second.ownedUntil = lease.ownedUntil;
+        return;
+    }
+    scheduling::SchedulingSettings settings;
+    settings.seed = state.random();
+    settings.expectedAdapters = state.index.configuration->adapters.size() + 1;
+    settings.loadsInFlight = loadsInFlightOf(state, *pool);
+    settings.loadsPerSecond = state.index.configuration->loadRate;
+    OwnedPool owned;
+    owned.state = scheduling::makePool(lease.pool, settings, now);
+    owned.ownedUntil = lease.ownedUntil;
+    scheduling::Ownership ownership;
+    ownership.fencing = lease.fencing;
+    for (const control::Instance &instance : state.index.configuration->instances) {
+        ownership.instances.push_back(instance.id);
+    }
+    ownership.unknownUntil = now + maximumRequestDeadline;
+    ownership.ordersFrom = lease.ordersFrom;
+    scheduling::beginOwnership(owned.state, ownership, now);
+    state.pools.insert_or_assign(lease.pool, std::move(owned));
+    scheduling::Actions decided;
+    scheduling::setDeclaration(state.pools.at(lease.pool).state, declarationOf(state, *pool), now, decided);
+    carryOut(state, lease.pool, decided, now, actions);
+    state.nextSummaries = now; // tells the other instances at once
+}
+
+void handlePeerMessage(ServingState &state, InstanceId from, PeerMessage message, TimePoint now, Actions &actions)
+{
+    if (!state.index.configuration) {
+        return;
+    }
+    if (auto *pool = std::get_if<PoolMessage>(&message)) {
+        handlePoolMessage(state, from, std::move(*pool), now, actions);
+    } else {
+        handleTokenMessage(state, std::move(message), now, actions);
+    }
+}
+
+void tickPools(ServingState &state, TimePoint now, Actions &actions)
+{
+    for (auto &[id, owned] : state.pools) {
+        scheduling::Actions decided;
+        scheduling::tick(owned.state, now, decided);
+        carryOut(state, id, decided, now, actions);
+    }
+    requestLoadTokens(state, now, actions);
+    refreshOwnSummaries(state, now, actions);
+    if (now >= state.nextSummaries) {
+        state.nextSummaries = now + summaryInterval;
+        publishSummaries(state, now, actions);
+    }
+}
+
+void beginDrain(ServingState &state, TimePoint now, Actions &actions)
+{
+    state.draining = true;
+    admission::LeaseActions decided;
+    if (state.calls.empty()) {
+        admission::close(state.quotas, now, decided);
+    }
+    carryOut(state, decided, now, actions);
+}
+
+void tick(ServingState &state, TimePoint now, Actions &actions)
+{
+    if (!state.index.configuration) {
+        return;
+    }
+    tickTokens(state, now, actions);
+    tickPools(state, now, actions);
+    tickCalls(state, now, actions);
+}
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/src/serving/tokens.cpp
@@ -0,0 +1,154 @@
+#include "internal.h"
+
+#include "mimosahollow/scheduling/pool.h"
+
+#include <deque>
+
+namespace mimosahollow::serving
+{
+
+namespace
+{
+
+// A pool asks again on its next tick when a token was not obtained in this time.
+constexpr Duration loadTokenPatience = seconds(10);
+
+/** Continues what waited for tokens: a call, or a pool that wants to load an adapter. */
+void continueWith(ServingState &state, const RequestId &id, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(id);
+    if (found != state.calls.end()) {
+        Call &call = found->second;
+        call.reserved = static_cast<double>(call.request.promptTokens) + call.request.maximumOutputTokens;
+        acquire(state, call, now, actions);
+        return;
+    }
+    for (auto &[pool, owned] : state.pools) {
+        if (owned.awaitsLoadToken && owned.loadTokenId == id) {
+            owned.awaitsLoadToken = false;
+            scheduling::Actions decided;
+            scheduling::grantLoadTokens(owned.state, admission::loadCost, now, decided);
+            carryOut(state, pool, decided, now, actions);
+            return;
+        }
+    }
+}
+
+void refuseWaiting(ServingState &state, const admission::RefusedCall &refused, TimePoint now, Actions &actions)
+{
+    if (state.calls.contains(refused.id)) {
+        refuseCall(state, refused.id, refused.reason, CallOutcome::NotRun, refused.retryAfter, now, actions);
+        return;
+    }
+    for (auto &[pool, owned] : state.pools) {
+        if (owned.loadTokenId == refused.id) {
+            owned.awaitsLoadToken = false;
+        }
+    }
+}
+
+/** Delivers a token message; those to this instance itself are handled at once. */
+void deliver(ServingState &state, InstanceId to, PeerMessage message, TimePoint now, Actions &actions)
+{
+    if (to == state.self) {
+        handleTokenMessage(state, std::move(message), now, actions);
+    } else {
+        actions.push_back(SendToPeer{to, std::move(message)});
+    }
+}
+
+void deliver(ServingState &state, std::vector<admission::TokenGrant> &grants, TimePoint now, Actions &actions)
+{
+    for (admission::TokenGrant &grant : grants) {
+        const InstanceId holder = grant.session.holder;
+        deliver(state, holder, std::move(grant), now, actions);
+    }
+}
+
+} // namespace
+
+bool ownsBuckets(const ServingState &state, TimePoint now) noexcept
+{
+    return state.buckets.epoch != 0 && now < state.bucketsOwnedUntil;
+}
+
+void carryOut(ServingState &state, admission::LeaseActions &decided, TimePoint now, Actions &actions)
+{
+    for (const RequestId &id : decided.run) {
+        continueWith(state, id, now, actions);
+    }
+    for (const admission::RefusedCall &refused : decided.refused) {
+        refuseWaiting(state, refused, now, actions);
+    }
+    for (admission::OutgoingTokenMessage &outgoing : decided.messages) {
+        std::visit(
+            [&](auto &message) {
+                deliver(state, outgoing.to, std::move(message), now, actions);
+            },
+            outgoing.message);
+    }
+}
+
+void handleTokenMessage(ServingState &state, PeerMessage message, TimePoint now, Actions &actions)
+{
+    std::vector<admission::TokenGrant> grants;
+    if (const auto *grant = std::get_if<admission::TokenGrant>(&message)) {
+        admission::LeaseActions decided;
+        admission::handle(state.quotas, *grant, now, decided);
+        carryOut(state, decided, now, actions);
+        return;
+    }
+    if (!ownsBuckets(state, now)) {
+        return;
+    }
+    if (const auto *request = std::get_if<admission::TokenRequest>(&message)) {
+        admission::handle(state.buckets, *request, now, grants);
+    } else if (const auto *report = std::get_if<admission::TokenReport>(&message)) {
+        admission::handle(state.buckets, *report, now, grants);
+    }
+    deliver(state, grants, now, actions);
+}
+
+void tickTokens(ServingState &state, TimePoint now, Actions &actions)
+{
+    admission::LeaseActions decided;
+    admission::tick(state.quotas, now, decided);
+    carryOut(state, decided, now, actions);
+    if (ownsBuckets(state, now)) {
+        std::vector<admission::TokenGrant> grants;
+        admission::tick(state.buckets, now, grants);
+        deliver(state, grants, now, actions);
+    }
+}
+
+void requestLoadTokens(ServingState &state, TimePoint now, Actions &actions)
+{
+    for (auto &[pool, owned] : state.pools) {
+        while (owned.state.wantedLoadTokens > 0 && !owned.awaitsLoadToken && ownsPool(state, pool, now)) {
+            owned.awaitsLoadToken = true;
+            owned.loadTokenId = {0, state.nextToken++};
+            admission::LeaseActions decided;
+            const admission::WaitingCall waiting{owned.loadTokenId, admission::loadCost, now, now + loadTokenPatience};
+            const auto admission = admission::admit(state.quotas, admission::loadAccount, waiting, now, decided);
+            const std::uint32_t wanted = owned.state.wantedLoadTokens;
+            if (admission == admission::Admission::Run) {
+                continueWith(state, owned.loadTokenId, now, actions);
+            }
+            carryOut(state, decided, now, actions);
+            if (admission == admission::Admission::Refused || owned.state.wantedLoadTokens >= wanted) {
+                break;
+            }
+        }
+    }
+}
+
+void setBucketLease(ServingState &state, FencingNumber fencing, TimePoint ownedUntil, TimePoint now)
+{
+    state.bucketsOwnedUntil = ownedUntil;
+    if (fencing != 0 && state.buckets.epoch != fencing) {
+        // The lease starts only after the old owner's has run out.
+        admission::startOwnership(state.buckets, fencing, now, now);
+    }
+}
+
+} // namespace mimosahollow::serving
