--- /dev/null
+++ b/include/mimosahollow/coordination/options.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "mimosahollow/control/configuration.h"
+#include "mimosahollow/membership/leaderstate.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::coordination
+{
+
+/** What an instance knows about itself and the fleet at its start. */
+struct Options
+{
+    std::string name;
+    std::string failureDomain;
+    std::string linkAddress;
+    std::uint64_t incarnation = 0; /**< Grows with each process start. */
+    std::vector<std::string> voters; /**< Names; the position plus one is the voter's number. */
+    membership::LeaseTimes times;
+    std::uint64_t seed = 0;
+    std::shared_ptr<const control::Configuration> firstBundle; /**< Put in force by the first leader of an empty fleet; may be null. */
+};
+
+} // namespace mimosahollow::coordination
--- a/include/mimosahollow/serving/peermessage.h
+++ b/include/mimosahollow/serving/peermessage.h
@@ -2,12 +2,12 @@
 
 #include "mimosahollow/admission/tokenmessages.h"
 #include "mimosahollow/core/ids.h"
+#include "mimosahollow/gateway/backendevents.h"
 #include "mimosahollow/scheduling/actions.h"
 #include "mimosahollow/scheduling/grantreport.h"
 #include "mimosahollow/scheduling/poolsummary.h"
 #include "mimosahollow/scheduling/release.h"
 #include "mimosahollow/scheduling/request.h"
-#include "mimosahollow/scheduling/serverevents.h"
 
 #include <variant>
 
@@ -26,18 +26,16 @@
                                      scheduling::Refusal,
                                      scheduling::Release,
                                      scheduling::GrantReport,
-                                     scheduling::PoolSummary,
-                                     scheduling::ServerAnnouncement,
-                                     scheduling::ServerReport>;
+                                     scheduling::PoolSummary>;
 
 /** Message about one pool, to its owner or from it. */
 struct PoolMessage
 {
-    PoolId pool{};
+    PoolId pool{}; /**< 0 in a Grant or Refusal from another instance; the call tells the pool. */
     PoolMessageBody body;
 };
 
-/** What the serving parts of instances send to each other. */
-using PeerMessage = std::variant<PoolMessage, admission::TokenRequest, admission::TokenReport, admission::TokenGrant>;
+/** What the serving parts of instances send to each other. Announcements and reports go to the owner of the server's pool. */
+using PeerMessage = std::variant<PoolMessage, gateway::BackendAnnouncement, gateway::BackendReport, admission::TokenRequest, admission::TokenReport, admission::TokenGrant>;
 
 } // namespace mimosahollow::serving
--- /dev/null
+++ b/src/coordination/following.cpp
@@ -0,0 +1,260 @@
+#include "internal.h"
+
+#include "mimosahollow/link/controlcodec.h"
+
+#include <algorithm>
+
+namespace mimosahollow::coordination
+{
+
+namespace
+{
+
+// A relay that sends neither updates nor renewals for this long is replaced; it is four renewal intervals.
+constexpr Duration upstreamPatience = seconds(2);
+
+const control::Instance *ownRegistration(const CoordinationState &state, const control::Configuration &configuration)
+{
+    const auto &instances = configuration.instances;
+    const auto found = std::find_if(instances.begin(), instances.end(), [&](const control::Instance &instance) {
+        return instance.name == state.options.name && instance.process == state.options.incarnation;
+    });
+    return found == instances.end() ? nullptr : &*found;
+}
+
+DomainId homeDomain(const CoordinationState &state, const control::Configuration &configuration)
+{
+    for (const control::FailureDomain &domain : configuration.domains) {
+        if (domain.name == state.options.failureDomain) {
+            return domain.id;
+        }
+    }
+    return DomainId{};
+}
+
+std::string wantedUpstream(const CoordinationState &state, TimePoint now)
+{
+    if (state.voter) {
+        return state.view.leader == state.options.name ? std::string() : state.view.leader;
+    }
+    const std::string relay = membership::chooseRelay(state.view, now);
+    if (relay != state.options.name && state.peersUp.contains(relay)) {
+        return relay;
+    }
+    return membership::chooseUpstream(state.view, state.options.voters, state.upstreamFailures);
+}
+
+void subscribe(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    const bool silent = now >= state.upstreamHeardAt + upstreamPatience;
+    const std::string wanted = wantedUpstream(state, now);
+    if (wanted == state.upstream && !silent) {
+        return;
+    }
+    if (silent) {
+        ++state.upstreamFailures;
+    }
+    state.upstream = wanted;
+    state.upstreamHeardAt = now;
+    if (!wanted.empty() && !state.voter) {
+        const Version next = state.reader.applied == 0 ? 0 : state.reader.applied + 1;
+        send(state, wanted, membership::Subscribe{state.self, state.options.incarnation, next}, actions);
+    }
+}
+
+void requestRenewal(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    if (now < state.nextRenewal || state.self == InstanceId{}) {
+        return;
+    }
+    state.nextRenewal = now + membership::renewalInterval(state.options.times.freshness);
+    const auto pools = membership::poolsToRenew(state.holder);
+    membership::RenewRequest request = membership::makeRenewRequest(state.renewal, pools, now);
+    if (isLeader(state)) {
+        static_cast<void>(membership::onRenewRequest(*state.voter->leader, state.options.name, std::move(request), now));
+    } else if (!state.upstream.empty()) {
+        send(state, state.upstream, std::move(request), actions);
+    }
+}
+
+void reportFreshness(CoordinationState &state, Actions &actions)
+{
+    if (state.renewal.freshUntil != state.freshReported) {
+        state.freshReported = state.renewal.freshUntil;
+        actions.push_back(FreshnessChanged{state.renewal.freshUntil});
+    }
+}
+
+void resubscribe(CoordinationState &state, Version next, Actions &actions)
+{
+    send(state, state.upstream, membership::Subscribe{state.self, state.options.incarnation, next}, actions);
+}
+
+/** Applies one increment of the feed; false when it does not continue the configuration in force here. */
+bool applyIncrement(CoordinationState &state, const membership::Increment &increment, TimePoint now, Actions &actions)
+{
+    if (increment.payload.empty()) {
+        return true; // an entry that changed no configuration
+    }
+    const auto decoded = link::decodeIncrement(increment.payload);
+    const auto *change = std::get_if<control::Increment>(&decoded);
+    if (change == nullptr || !state.configuration) {
+        return false;
+    }
+    auto next = control::applyIncrement(*state.configuration, *change);
+    auto *configuration = std::get_if<std::shared_ptr<const control::Configuration>>(&next);
+    if (configuration == nullptr) {
+        return false;
+    }
+    adopt(state, std::move(*configuration), now, actions);
+    return true;
+}
+
+bool applySnapshot(CoordinationState &state, const membership::ApplySnapshot &snapshot, TimePoint now, Actions &actions)
+{
+    auto decoded = link::decodeConfiguration(snapshot.payload);
+    auto *configuration = std::get_if<std::shared_ptr<const control::Configuration>>(&decoded);
+    if (configuration == nullptr) {
+        return false;
+    }
+    membership::setSnapshot(state.feed, snapshot.index, snapshot.payload);
+    // A relay that restarted may be behind; what is in force here never reverts.
+    if (!state.configuration || (*configuration)->logIndex >= state.configuration->logIndex) {
+        adopt(state, std::move(*configuration), now, actions);
+    }
+    return true;
+}
+
+} // namespace
+
+std::string upstreamPeer(const CoordinationState &state)
+{
+    const std::string &leader = state.view.leader;
+    return !leader.empty() && state.peersUp.contains(leader) ? leader : state.upstream;
+}
+
+void adopt(CoordinationState &state, std::shared_ptr<const control::Configuration> configuration, TimePoint now, Actions &actions)
+{
+    state.configuration = std::move(configuration);
+    const control::Configuration &current = *state.configuration;
+    const control::Instance *own = ownRegistration(state, current);
+    state.self = own != nullptr ? own->id : InstanceId{};
+    state.home = homeDomain(state, current);
+    state.renewal.self = state.self;
+    state.holder.self = state.self;
+    const auto registered = registeredInstances(current);
+    const auto assignments = poolAssignments(state, current);
+    membership::applyControlState(state.holder, state.home, registered, assignments, now);
+    actions.push_back(ConfigurationChanged{state.configuration, state.self, state.home});
+}
+
+void applied(CoordinationState &state, Version index, TimePoint now, Actions &actions)
+{
+    state.renewal.applied = index;
+    state.reader.applied = index;
+    if (isLeader(state)) {
+        membership::onConfirm(*state.voter->leader, membership::makeConfirm(state.renewal, {}));
+        answerForced(state, now, actions);
+    } else if (!state.upstream.empty() && state.self != InstanceId{}) {
+        send(state, state.upstream, membership::makeConfirm(state.renewal, {}), actions);
+    }
+    pumpFeed(state, actions);
+}
+
+void pumpFeed(CoordinationState &state, Actions &actions)
+{
+    if (membership::needsSnapshot(state.feed) && state.configuration) {
+        membership::setSnapshot(state.feed, state.reader.applied, link::encode(*state.configuration));
+    }
+    std::vector<std::string> peers;
+    for (const auto &[peer, subscriber] : state.feed.subscribers) {
+        peers.push_back(peer);
+    }
+    for (const std::string &peer : peers) {
+        while (auto update = membership::nextUpdate(state.feed, peer, state.view.leader)) {
+            membership::markSent(state.feed, peer, *update);
+            send(state, peer, std::move(*update), actions);
+        }
+    }
+}
+
+void onSubscribe(CoordinationState &state, const std::string &peer, const membership::Subscribe &subscribe, Actions &actions)
+{
+    membership::onSubscribe(state.feed, peer, subscribe);
+    pumpFeed(state, actions);
+}
+
+void onUpdate(CoordinationState &state, const std::string &peer, membership::Update update, TimePoint now, Actions &actions)
+{
+    if (peer != state.upstream || state.voter) {
+        return;
+    }
+    if (!update.leader.empty()) {
+        state.view.leader = update.leader;
+    }
+    membership::ReadResult result = membership::onUpdate(state.reader, std::move(update));
+    if (const auto *snapshot = std::get_if<membership::ApplySnapshot>(&result)) {
+        if (!applySnapshot(state, *snapshot, now, actions)) {
+            resubscribe(state, 0, actions);
+            return;
+        }
+        applied(state, snapshot->index, now, actions);
+    } else if (auto *increments = std::get_if<membership::ApplyIncrements>(&result)) {
+        for (membership::Increment &increment : increments->increments) {
+            if (!applyIncrement(state, increment, now, actions)) {
+                state.reader = {};
+                resubscribe(state, 0, actions);
+                return;
+            }
+            if (!membership::append(state.feed, increment)) {
+                membership::setSnapshot(state.feed, increment.index, link::encode(*state.configuration));
+            }
+        }
+        applied(state, increments->lastIndex, now, actions);
+    } else if (const auto *gap = std::get_if<membership::Resubscribe>(&result)) {
+        resubscribe(state, gap->nextIndex, actions);
+    }
+}
+
+void onRenewRequest(CoordinationState &state, const std::string &peer, membership::RenewRequest request, TimePoint now, Actions &actions)
+{
+    if (isLeader(state)) {
+        static_cast<void>(membership::onRenewRequest(*state.voter->leader, peer, std::move(request), now));
+    } else if (auto reply = membership::onDownstreamRequest(state.renewal, request, now)) {
+        send(state, peer, std::move(*reply), actions);
+    }
+}
+
+void onRenewReply(CoordinationState &state, const membership::RenewReply &reply, TimePoint now, Actions &actions)
+{
+    membership::RenewalOutcome outcome = membership::onRenewReply(state.renewal, reply, now);
+    membership::onLeaderRenewal(state.holder, outcome.ownPools, outcome.ownPoolsFrom);
+    for (auto &[instance, downstreamReply] : outcome.replies) {
+        for (const control::Instance &candidate : state.configuration->instances) {
+            if (candidate.id == instance) {
+                send(state, candidate.name, std::move(downstreamReply), actions);
+                break;
+            }
+        }
+    }
+    reportFreshness(state, actions);
+    tickLeases(state, now, actions);
+}
+
+void onConfirm(CoordinationState &state, const membership::Confirm &confirm, Actions &actions)
+{
+    if (isLeader(state)) {
+        membership::onConfirm(*state.voter->leader, confirm);
+    } else if (!state.upstream.empty()) {
+        send(state, state.upstream, confirm, actions);
+    }
+}
+
+void tickFollowing(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    subscribe(state, now, actions);
+    requestRenewal(state, now, actions);
+    pumpFeed(state, actions);
+}
+
+} // namespace mimosahollow::coordination
--- /dev/null
+++ b/src/coordination/leader.cpp
@@ -0,0 +1,179 @@
+#include "internal.h"
+
+#include "mimosahollow/membership/assignment.h"
+
+#include <algorithm>
+
+namespace mimosahollow::coordination
+{
+
+namespace
+{
+
+constexpr Duration assignmentInterval = milliseconds(100);
+
+/** Whether @p command is acknowledged only when it is in force everywhere. Records of calls concern no configuration. */
+bool mustBeInForce(const control::Command &command)
+{
+    return !std::holds_alternative<control::BeginCall>(command.body) && !std::holds_alternative<control::CompleteCall>(command.body)
+        && !std::holds_alternative<control::AbandonCall>(command.body) && !std::holds_alternative<control::RegisterInstance>(command.body)
+        && !std::holds_alternative<control::RemoveInstance>(command.body) && !std::holds_alternative<control::AssignPool>(command.body)
+        && !std::holds_alternative<control::AssignBucketOwner>(command.body);
+}
+
+void proposeFirstBundle(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    const bool empty = state.voter->control.configuration.version == 0;
+    if (!empty || !state.options.firstBundle) {
+        return;
+    }
+    control::Command command;
+    // The same id from every leader, so that a second leader of a new fleet cannot apply the bundle again.
+    command.id = {0, 1};
+    command.sender = "bootstrap";
+    command.body = control::ApplyBundle{0, state.options.firstBundle, "bootstrap", "bootstrap", {}};
+    static_cast<void>(proposeCommand(state, std::move(command), now, actions));
+}
+
+void assignPools(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    const auto assignments = poolAssignments(state, voter.control.configuration);
+    for (const membership::PlannedAssignment &planned : membership::planAssignments(*voter.leader, assignments, now)) {
+        if (planned.step != membership::AssignmentStep::Assign || voter.assigning.contains(planned.pool)) {
+            continue;
+        }
+        const auto present = std::find_if(assignments.begin(), assignments.end(), [&](const membership::PoolAssignment &assignment) {
+            return assignment.pool == planned.pool;
+        });
+        control::Command command;
+        command.id = makeCommandId(state);
+        command.sender = state.options.name;
+        if (planned.pool == bucketPool(present->domain)) {
+            command.body = control::AssignBucketOwner{present->domain, planned.owner, present->fencing};
+        } else {
+            command.body = control::AssignPool{planned.pool, planned.owner, present->fencing};
+        }
+        voter.assigning.insert(planned.pool);
+        if (!proposeCommand(state, std::move(command), now, actions)) {
+            voter.assigning.erase(planned.pool);
+            return;
+        }
+    }
+}
+
+} // namespace
+
+control::CommandId makeCommandId(CoordinationState &state)
+{
+    return {state.random(), state.random()};
+}
+
+void becomeLeader(CoordinationState &state, control::Term term, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    const auto registered = registeredInstances(voter.control.configuration);
+    const auto assignments = poolAssignments(state, voter.control.configuration);
+    voter.leader = membership::becomeLeader(term, state.options.times, voter.control.applied, registered, assignments, now);
+    voter.assigning.clear();
+    state.view.leader = state.options.name;
+    actions.push_back(Notice{"leads the replicated log in term " + std::to_string(term)});
+    proposeFirstBundle(state, now, actions);
+}
+
+void loseLeadership(CoordinationState &state)
+{
+    VoterState &voter = *state.voter;
+    voter.leader.reset();
+    // The senders of these commands send them again, under the same command ids, to the next leader.
+    voter.proposals.clear();
+    voter.awaitedForce.clear();
+    voter.reads.clear();
+    voter.assigning.clear();
+    if (state.view.leader == state.options.name) {
+        state.view.leader.clear();
+    }
+}
+
+void confirmRead(CoordinationState &state, std::uint64_t read, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    const auto found = voter.reads.find(read);
+    if (found == voter.reads.end() || !voter.leader) {
+        return;
+    }
+    const TimePoint startedAt = found->second;
+    voter.reads.erase(found);
+    const auto assignments = poolAssignments(state, voter.control.configuration);
+    for (membership::AnsweredRenewal &answer : membership::answerRenewals(*voter.leader, assignments, startedAt, now)) {
+        if (answer.to == state.options.name) {
+            onRenewReply(state, answer.reply, now, actions);
+        } else {
+            send(state, answer.to, std::move(answer.reply), actions);
+        }
+    }
+}
+
+void onApplied(CoordinationState &state, control::LogIndex index, control::Term term, const control::Command &command, const control::CommandResult &result, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    if (!voter.leader) {
+        return;
+    }
+    if (const auto *pool = std::get_if<control::AssignPool>(&command.body)) {
+        voter.assigning.erase(pool->pool);
+    } else if (const auto *buckets = std::get_if<control::AssignBucketOwner>(&command.body)) {
+        voter.assigning.erase(bucketPool(buckets->domain));
+    }
+    membership::setRegistered(*voter.leader, registeredInstances(voter.control.configuration));
+    const auto found = voter.proposals.find(index);
+    if (found == voter.proposals.end()) {
+        return;
+    }
+    const AwaitedProposal awaited = found->second;
+    voter.proposals.erase(found);
+    if (awaited.term != term) {
+        return; // another leader's entry stands at this place; the sender sends its command again
+    }
+    if (result.outcome == control::CommandOutcome::Accepted && mustBeInForce(command)) {
+        voter.awaitedForce.push_back({index, awaited.peer, awaited.sequence, result});
+        answerForced(state, now, actions);
+    } else {
+        replyToCommand(state, awaited.peer, awaited.sequence, result, false, actions);
+    }
+}
+
+void answerForced(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    while (voter.leader && !voter.awaitedForce.empty() && membership::isInForce(*voter.leader, voter.awaitedForce.front().index, now)) {
+        const AwaitedForce done = std::move(voter.awaitedForce.front());
+        voter.awaitedForce.pop_front();
+        replyToCommand(state, done.peer, done.sequence, done.result, true, actions);
+    }
+}
+
+void tickLeader(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    if (!voter.leader) {
+        return;
+    }
+    membership::updateReachability(*voter.leader, now);
+    if (!voter.leader->pending.empty() && voter.reads.empty()) {
+        control::ConsensusActions decided;
+        const std::uint64_t read = control::requestRead(voter.consensus, decided);
+        voter.reads[read] = now;
+        carryOut(state, decided, now, actions);
+    }
+    if (!voter.leader) {
+        return;
+    }
+    answerForced(state, now, actions);
+    if (now >= state.nextAssignment) {
+        state.nextAssignment = now + assignmentInterval;
+        assignPools(state, now, actions);
+    }
+}
+
+} // namespace mimosahollow::coordination
--- /dev/null
+++ b/src/coordination/voter.cpp
@@ -0,0 +1,176 @@
+#include "internal.h"
+
+#include "mimosahollow/control/snapshot.h"
+#include "mimosahollow/link/controlcodec.h"
+
+namespace mimosahollow::coordination
+{
+
+namespace
+{
+
+// A snapshot of 93,000 adapters takes tens of milliseconds, and a log of this length is read back in about as long.
+constexpr control::LogIndex snapshotInterval = 4096;
+
+void applyCommand(CoordinationState &state, const control::LogEntry &entry, TimePoint now, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    std::vector<std::uint8_t> increment;
+    const auto decoded = entry.payload ? link::decodeCommand(*entry.payload) : link::Decoded<control::Command>(link::CodecError{});
+    if (const auto *command = std::get_if<control::Command>(&decoded); command != nullptr && entry.kind == control::EntryKind::Command) {
+        const control::CommandResult result = control::apply(voter.control, entry.index, *command);
+        if (voter.control.configuration.logIndex == entry.index && !voter.control.increments.empty()) {
+            increment = link::encode(voter.control.increments.back());
+        }
+        if (isLeader(state)) {
+            membership::onCommitted(*voter.leader, entry.index, now);
+        }
+        if (voter.control.configuration.logIndex == entry.index) {
+            adopt(state, control::sharedConfiguration(voter.control), now, actions);
+        }
+        onApplied(state, entry.index, entry.term, *command, result, now, actions);
+    } else {
+        control::skipTo(voter.control, entry.index);
+    }
+    if (!membership::append(state.feed, {entry.index, std::move(increment)})) {
+        membership::setSnapshot(state.feed, voter.control.applied, link::encode(voter.control.configuration));
+    }
+}
+
+void takeSnapshot(CoordinationState &state, Actions &actions)
+{
+    VoterState &voter = *state.voter;
+    if (voter.control.applied < voter.snapshotIndex + snapshotInterval) {
+        return;
+    }
+    voter.snapshotIndex = voter.control.applied;
+    auto data = std::make_shared<const control::Bytes>(control::encodeSnapshot(voter.control));
+    StoreSnapshot store{0, control::snapshotPoint(voter.consensus, voter.control.applied), std::move(data), false};
+    actions.push_back(StorageOrder(std::move(store)));
+}
+
+void install(CoordinationState &state, control::InstallSnapshot &snapshot, TimePoint now, Actions &actions)
+{
+    auto decoded = control::decodeSnapshot(*snapshot.data);
+    if (const auto *error = std::get_if<control::SnapshotError>(&decoded)) {
+        actions.push_back(Notice{"snapshot of the leader is damaged: " + error->message});
+        control::snapshotRefused(state.voter->consensus);
+        return;
+    }
+    VoterState &voter = *state.voter;
+    voter.control = std::get<control::ControlState>(std::move(decoded));
+    voter.snapshotIndex = snapshot.point.index;
+    membership::setSnapshot(state.feed, voter.control.applied, link::encode(voter.control.configuration));
+    adopt(state, control::sharedConfiguration(voter.control), now, actions);
+    applied(state, voter.control.applied, now, actions);
+    actions.push_back(StorageOrder(StoreSnapshot{snapshot.write, snapshot.point, std::move(snapshot.data), true}));
+}
+
+struct ConsensusCarrier
+{
+    CoordinationState &state;
+    TimePoint now;
+    Actions &actions;
+
+    void operator()(control::SendToVoter &message) const
+    {
+        const std::string name = voterName(state, message.to);
+        send(state, name, std::move(message.message), actions);
+    }
+    void operator()(control::SaveVote &order) const
+    {
+        actions.push_back(StorageOrder(order));
+    }
+    void operator()(control::AppendLog &order) const
+    {
+        actions.push_back(StorageOrder(std::move(order)));
+    }
+    void operator()(control::TruncateLog &order) const
+    {
+        actions.push_back(StorageOrder(order));
+    }
+    void operator()(control::CompactLog &order) const
+    {
+        actions.push_back(StorageOrder(order));
+    }
+    void operator()(control::InstallSnapshot &snapshot) const
+    {
+        install(state, snapshot, now, actions);
+    }
+    void operator()(const control::ApplyEntries &apply) const
+    {
+        for (const control::LogEntry &entry : apply.entries) {
+            applyCommand(state, entry, now, actions);
+        }
+        if (!apply.entries.empty()) {
+            applied(state, apply.entries.back().index, now, actions);
+            takeSnapshot(state, actions);
+        }
+    }
+    void operator()(const control::BecameLeader &event) const
+    {
+        becomeLeader(state, event.term, now, actions);
+    }
+    void operator()(const control::LostLeadership &) const
+    {
+        actions.push_back(Notice{"lost the leadership of the replicated log"});
+        loseLeadership(state);
+    }
+    void operator()(const control::ReadConfirmed &event) const
+    {
+        confirmRead(state, event.read, now, actions);
+    }
+    void operator()(const control::ReadRejected &event) const
+    {
+        state.voter->reads.erase(event.read);
+    }
+};
+
+} // namespace
+
+void carryOut(CoordinationState &state, control::ConsensusActions &decided, TimePoint now, Actions &actions)
+{
+    const ConsensusCarrier carrier{state, now, actions};
+    for (control::ConsensusAction &action : decided) {
+        std::visit(carrier, action);
+    }
+    const control::VoterId leader = state.voter->consensus.leader;
+    if (leader != control::VoterId{}) {
+        state.view.leader = voterName(state, leader);
+    }
+}
+
+std::optional<control::ProposalAccepted> proposeCommand(CoordinationState &state, control::Command command, TimePoint now, Actions &actions)
+{
+    if (!isLeader(state)) {
+        return std::nullopt;
+    }
+    command.time = state.wallClock;
+    const control::SharedBytes payload = std::make_shared<const control::Bytes>(link::encode(command));
+    control::ConsensusActions decided;
+    const control::ProposalResult result = control::propose(state.voter->consensus, {&payload, 1}, now, decided);
+    const auto *accepted = std::get_if<control::ProposalAccepted>(&result);
+    const std::optional<control::ProposalAccepted> place = accepted != nullptr ? std::optional(*accepted) : std::nullopt;
+    carryOut(state, decided, now, actions);
+    return place;
+}
+
+void storageSynced(CoordinationState &state, control::WriteNumber write, TimePoint now, Actions &actions)
+{
+    control::ConsensusActions decided;
+    control::logSynced(state.voter->consensus, write, now, decided);
+    carryOut(state, decided, now, actions);
+}
+
+void snapshotStored(CoordinationState &state, control::LogIndex index, bool replacesLog, control::SharedBytes data, TimePoint now, Actions &actions)
+{
+    control::ConsensusActions decided;
+    if (replacesLog) {
+        control::snapshotInstalled(state.voter->consensus, index, now, decided);
+    } else {
+        control::snapshotTaken(state.voter->consensus, index, std::move(data), decided);
+    }
+    carryOut(state, decided, now, actions);
+}
+
+} // namespace mimosahollow::coordination
--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -59,6 +59,21 @@
     return release;
 }
 
+/** The caller left before the call was sent to a server. */
+void abandonWaiting(ServingState &state, const Call &call, TimePoint now, Actions &actions)
+{
+    const RequestId id = call.request.id;
+    if (call.stage == CallStage::AwaitingTokens) {
+        admission::cancel(state.quotas, admission::accountOf(call.organisation), id, now);
+    } else if (call.stage == CallStage::AwaitingGrant && call.pool != PoolId{}) {
+        sendToOwner(state, call.pool, call.owner, CancelRequest{id}, now, actions);
+    }
+    if (call.recorded) {
+        actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+    }
+    finishCall(state, id, 0, now, actions);
+}
+
 bool mayRetry(ServingState &state, const Call &call, const gateway::ServingResult &result, TimePoint now)
 {
     const bool safe = call.repeatable || wasNotSent(result.outcome);
@@ -70,7 +85,16 @@
 void handle(ServingState &state, const gateway::ServingResult &result, TimePoint now, Actions &actions)
 {
     const auto found = state.calls.find(result.id);
-    if (found == state.calls.end() || found->second.stage != CallStage::Running || found->second.grant != result.grant) {
+    if (found == state.calls.end()) {
+        return;
+    }
+    if (found->second.stage != CallStage::Running) {
+        if (result.outcome == AttemptOutcome::CallerLeft) {
+            abandonWaiting(state, found->second, now, actions);
+        }
+        return;
+    }
+    if (found->second.grant != result.grant) {
         return;
     }
     Call &call = found->second;
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -26,7 +26,8 @@
 
 std::variant<Resolved, RefusalReason> resolve(const ServingState &state, const gateway::ServingRequest &request, TimePoint now)
 {
-    if (!state.index.configuration) {
+    // Before the first renewal the configuration may be one from before a restart.
+    if (!state.index.configuration || state.freshUntil == TimePoint{}) {
         return RefusalReason::ConfigurationStale;
     }
     const bool fresh = now < state.freshUntil;
--- a/src/serving/internal.h
+++ b/src/serving/internal.h
@@ -54,6 +54,9 @@
 void tickPools(ServingState &state, TimePoint now, Actions &actions);
 void tickCalls(ServingState &state, TimePoint now, Actions &actions);
 
+/** Pool that the server belongs to; PoolId{} when the configuration has none. */
+[[nodiscard]] PoolId poolOfServer(const ServingState &state, ServerId server) noexcept;
+
 [[nodiscard]] routing::PoolSummary *findSummary(ServingState &state, PoolId pool) noexcept;
 
 } // namespace mimosahollow::serving
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -141,6 +141,19 @@
     return found != state.pools.end() && now < found->second.ownedUntil;
 }
 
+PoolId poolOfServer(const ServingState &state, ServerId id) noexcept
+{
+    const control::BackendServer *server = findServer(state.index, id);
+    if (server != nullptr) {
+        for (const routing::PoolSummary &summary : state.summaries) {
+            if (summary.domain == server->domain && summary.kind == server->kind) {
+                return summary.pool;
+            }
+        }
+    }
+    return PoolId{};
+}
+
 routing::PoolSummary *findSummary(ServingState &state, PoolId pool) noexcept
 {
     for (routing::PoolSummary &summary : state.summaries) {
@@ -252,10 +265,6 @@
         scheduling::GrantReport checked = *report;
         checked.entry = from;
         scheduling::reconcileGrants(pool, checked, now, decided);
-    } else if (const auto *announcement = std::get_if<scheduling::ServerAnnouncement>(&message.body)) {
-        scheduling::announceServer(pool, *announcement, now, decided);
-    } else if (const auto *load = std::get_if<scheduling::ServerReport>(&message.body)) {
-        scheduling::applyReport(pool, *load, now, decided);
     }
     carryOut(state, message.pool, decided, now, actions);
     requestLoadTokens(state, now, actions);
@@ -266,9 +275,12 @@
 void handlePoolMessage(ServingState &state, InstanceId from, PoolMessage message, TimePoint now, Actions &actions)
 {
     if (const auto *grant = std::get_if<scheduling::Grant>(&message.body)) {
-        onGrant(state, message.pool, *grant, now, actions);
+        onGrant(state, poolOfServer(state, grant->server), *grant, now, actions);
     } else if (const auto *refusal = std::get_if<scheduling::Refusal>(&message.body)) {
-        onRefusal(state, message.pool, *refusal, now, actions);
+        const auto call = state.calls.find(refusal->id);
+        if (call != state.calls.end() && call->second.owner == from) {
+            onRefusal(state, call->second.pool, *refusal, now, actions);
+        }
     } else if (const auto *summary = std::get_if<scheduling::PoolSummary>(&message.body)) {
         takeSummary(state, from, *summary, now, actions);
     } else if (ownsPool(state, message.pool, now)) {
--- a/src/serving/servers.cpp
+++ b/src/serving/servers.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include "mimosahollow/control/configuration.h"
+#include "mimosahollow/scheduling/pool.h"
 
 #include <algorithm>
 
@@ -25,15 +26,22 @@
     return ids;
 }
 
-/** Passes an event of a server on to the owner of its pool. */
-void sendToPool(ServingState &state, const control::BackendServer &server, PoolMessageBody body, TimePoint now, Actions &actions)
+/** Passes an event of a server on to the owner of its pool. Returns the pool when this instance owns it. */
+template<typename Event>
+scheduling::PoolState *ownPoolOrForward(ServingState &state, const control::BackendServer &server, const Event &event, TimePoint now, Actions &actions)
 {
-    for (const routing::PoolSummary &summary : state.summaries) {
-        if (summary.domain == server.domain && summary.kind == server.kind) {
-            sendToOwner(state, summary.pool, summary.owner, std::move(body), now, actions);
-            return;
-        }
+    const PoolId pool = poolOfServer(state, server.id);
+    const routing::PoolSummary *summary = findSummary(state, pool);
+    if (summary == nullptr) {
+        return nullptr;
+    }
+    if (summary->owner == state.self) {
+        return ownsPool(state, pool, now) ? &state.pools.at(pool).state : nullptr;
     }
+    if (summary->owner != InstanceId{}) {
+        actions.push_back(SendToPeer{summary->owner, event});
+    }
+    return nullptr;
 }
 
 } // namespace
@@ -47,6 +55,10 @@
     if (server == nullptr) {
         return; // no work for undeclared servers
     }
+    scheduling::PoolState *pool = ownPoolOrForward(state, *server, announcement, now, actions);
+    if (pool == nullptr) {
+        return;
+    }
     scheduling::ServerAnnouncement message;
     message.server = server->id;
     message.incarnation = announcement.incarnation;
@@ -56,7 +68,9 @@
     message.checksFencing = announcement.checksFencing;
     message.leaving = announcement.leaving;
     message.adapters = adapterIds(state, announcement.kind, announcement.adapters);
-    sendToPool(state, *server, std::move(message), now, actions);
+    scheduling::Actions decided;
+    scheduling::announceServer(*pool, message, now, decided);
+    carryOut(state, pool->pool, decided, now, actions);
 }
 
 void handle(ServingState &state, const gateway::BackendReport &report, TimePoint now, Actions &actions)
@@ -71,13 +85,19 @@
     if (server == servers.end()) {
         return;
     }
+    scheduling::PoolState *pool = ownPoolOrForward(state, *server, report, now, actions);
+    if (pool == nullptr) {
+        return;
+    }
     scheduling::ServerReport message;
     message.server = server->id;
     message.incarnation = report.incarnation;
     message.running = report.running;
     message.queued = report.queued;
     message.adapters = adapterIds(state, server->kind, report.adapters);
-    sendToPool(state, *server, std::move(message), now, actions);
+    scheduling::Actions decided;
+    scheduling::applyReport(*pool, message, now, decided);
+    carryOut(state, pool->pool, decided, now, actions);
 }
 
 } // namespace mimosahollow::serving
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -123,6 +123,19 @@
     }
 }
 
+/** An event of a server that another instance passed on. It is not passed on again, so that it cannot circulate. */
+template<typename Event>
+void handleForwarded(ServingState &state, const Event &event, TimePoint now, Actions &actions)
+{
+    const std::size_t before = actions.size();
+    handle(state, event, now, actions);
+    const auto isForward = [](const Action &action) {
+        const auto *send = std::get_if<SendToPeer>(&action);
+        return send != nullptr && std::holds_alternative<Event>(send->message);
+    };
+    actions.erase(std::remove_if(actions.begin() + static_cast<std::ptrdiff_t>(before), actions.end(), isForward), actions.end());
+}
+
 void refreshOwnSummaries(ServingState &state, TimePoint now, Actions &actions)
 {
     for (auto &[id, owned] : state.pools) {
@@ -217,6 +230,10 @@
     }
     if (auto *pool = std::get_if<PoolMessage>(&message)) {
         handlePoolMessage(state, from, std::move(*pool), now, actions);
+    } else if (const auto *announcement = std::get_if<gateway::BackendAnnouncement>(&message)) {
+        handleForwarded(state, *announcement, now, actions);
+    } else if (const auto *report = std::get_if<gateway::BackendReport>(&message)) {
+        handleForwarded(state, *report, now, actions);
     } else {
         handleTokenMessage(state, std::move(message), now, actions);
     }
