--- a/include/mimosahollow/rings/boundedring.h
+++ b/include/mimosahollow/rings/boundedring.h
@@ -66,11 +66,22 @@
     {
         std::unique_lock lock(m_mutex);
         m_notEmpty.wait_for(lock, timeout, [this] {
-            return !m_elements.empty();
+            return !m_elements.empty() || m_woken;
         });
+        m_woken = false;
         moveAll(out);
     }
 
+    /** Ends a present or the next wait of the consumer early, for example because another ring has elements for it. */
+    void wake()
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_woken = true;
+        }
+        m_notEmpty.notify_one();
+    }
+
 private:
     void moveAll(std::vector<T> &out)
     {
@@ -84,6 +95,7 @@
     std::condition_variable m_notEmpty;
     boost::circular_buffer_space_optimized<T> m_elements;
     std::function<void()> m_wake;
+    bool m_woken = false;
 };
 
 } // namespace mimosahollow
--- a/include/mimosahollow/serving/serving.h
+++ b/include/mimosahollow/serving/serving.h
@@ -45,6 +45,9 @@
 /** The link to an instance broke; calls that wait for its grants look elsewhere. */
 void peerLost(ServingState &state, InstanceId peer, TimePoint now, Actions &actions);
 
+/** The link could not take a message for @p peer. */
+void sendFailed(ServingState &state, InstanceId peer, const PeerMessage &message, TimePoint now, Actions &actions);
+
 /** A new configuration is in force. @p self is the number of this instance in it. */
 void setConfiguration(ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions);
 
--- /dev/null
+++ b/src/app/voterstorage.cpp
@@ -0,0 +1,84 @@
+#include "voterstorage.h"
+
+#include "mimosahollow/storage/logstore.h"
+
+namespace mimosahollow::app
+{
+
+namespace
+{
+
+constexpr std::size_t ringOrders = 4096;
+
+storage::StorageOrder toStorage(coordination::StorageOrder &&order)
+{
+    return std::visit(
+        [](auto &content) -> storage::StorageOrder {
+            if constexpr (std::is_same_v<std::decay_t<decltype(content)>, coordination::StoreSnapshot>) {
+                return storage::StoreSnapshot{content.write, content.point, std::move(content.data), content.replacesLog};
+            } else {
+                return std::move(content);
+            }
+        },
+        order);
+}
+
+/** What a disk would report for @p order, for a fleet of one that keeps nothing. */
+storage::StorageEvent syncedAtOnce(const storage::StorageOrder &order)
+{
+    return std::visit(
+        [](const auto &content) -> storage::StorageEvent {
+            if constexpr (std::is_same_v<std::decay_t<decltype(content)>, storage::StoreSnapshot>) {
+                return storage::SnapshotStored{content.point.index, content.replacesLog, content.data};
+            } else {
+                return storage::StorageSynced{content.write};
+            }
+        },
+        order);
+}
+
+} // namespace
+
+VoterStorage::VoterStorage(std::string dataFolder, std::function<void(storage::StorageEvent)> report)
+    : m_dataFolder(std::move(dataFolder))
+    , m_report(std::move(report))
+{
+}
+
+VoterStorage::~VoterStorage() = default;
+
+std::variant<control::DurableLog, std::string> VoterStorage::open()
+{
+    if (m_dataFolder.empty()) {
+        return control::DurableLog{};
+    }
+    m_files = storage::posixFileSystem();
+    auto opened = storage::LogStore::open(*m_files, m_dataFolder);
+    if (const auto *error = std::get_if<storage::StorageError>(&opened)) {
+        return error->message;
+    }
+    auto &log = std::get<storage::OpenedLog>(opened);
+    control::DurableLog content = std::move(log.content);
+    m_writer = std::make_unique<storage::LogWriter>(std::move(log.store), ringOrders, m_report);
+    return content;
+}
+
+void VoterStorage::write(coordination::StorageOrder order)
+{
+    storage::StorageOrder converted = toStorage(std::move(order));
+    if (!m_writer) {
+        m_report(syncedAtOnce(converted));
+        return;
+    }
+    m_kept.push_back(std::move(converted));
+    flush();
+}
+
+void VoterStorage::flush()
+{
+    while (!m_kept.empty() && m_writer->tryPush(m_kept.front())) {
+        m_kept.pop_front();
+    }
+}
+
+} // namespace mimosahollow::app
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -290,6 +290,29 @@
     }
 }
 
+void sendFailed(ServingState &state, InstanceId peer, const PeerMessage &message, TimePoint now, Actions &actions)
+{
+    const auto *pool = std::get_if<PoolMessage>(&message);
+    if (pool == nullptr) {
+        return; // token messages are repeated, and announcements come again
+    }
+    if (const auto *acquire = std::get_if<scheduling::AcquireRequest>(&pool->body)) {
+        if (routing::PoolSummary *summary = findSummary(state, pool->pool)) {
+            summary->reachable = false; // until its next summary arrives
+        }
+        onRefusal(state, pool->pool, {acquire->id, state.self, RefusalReason::NoCapacity, {}}, now, actions);
+    } else if (const auto *grant = std::get_if<scheduling::Grant>(&pool->body)) {
+        if (state.pools.contains(pool->pool)) {
+            scheduling::Actions decided;
+            scheduling::release(state.pools.at(pool->pool).state, {grant->id, grant->grant, grant->fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, decided);
+            carryOut(state, pool->pool, decided, now, actions);
+        }
+    } else if (std::holds_alternative<scheduling::GrantReport>(pool->body)) {
+        state.reportedFencing[pool->pool] = 0;
+    }
+    static_cast<void>(peer);
+}
+
 void handle(ServingState &state, const gateway::BackendOrderResult &result, TimePoint now, Actions &actions)
 {
     const auto found = state.orders.find(result.order);
