--- a/include/mimosahollow/settings/settings.h
+++ b/include/mimosahollow/settings/settings.h
@@ -28,6 +28,9 @@
     Duration freshnessTime{};
     std::string keySecretFile; /**< File with the fleet secret for key hashes. */
 
+    // [admin]
+    std::string operatorsFile;
+
     // [tls]
     std::string certificateFile;
     std::string privateKeyFile;
--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -96,6 +96,12 @@
     return m_ring.tryPush(event);
 }
 
+bool ControlThread::inspect(std::function<void(const control::ControlState *)> look)
+{
+    Event event(Inspect{std::move(look)});
+    return m_ring.tryPush(event);
+}
+
 ControlStatus ControlThread::status() const
 {
     const std::scoped_lock lock(m_statusMutex);
@@ -137,6 +143,8 @@
         const std::uint64_t ticket = m_nextTicket++;
         m_callbacks[ticket] = std::move(submitted->done);
         coordination::submit(*m_state, ticket, std::move(submitted->command), submitted->patience, now, m_actions);
+    } else if (const auto *inspect = std::get_if<Inspect>(&event)) {
+        inspect->look(m_state->voter ? &m_state->voter->control : nullptr);
     } else {
         coordination::leave(*m_state, now, m_actions);
     }
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -62,6 +62,9 @@
     /** Gives up pools and the registration; @p done is called when the fleet knows. */
     [[nodiscard]] bool leave();
 
+    /** Runs @p look on the control thread with the state machine, or with null on an instance that is no voter. */
+    [[nodiscard]] bool inspect(std::function<void(const control::ControlState *)> look);
+
     [[nodiscard]] ControlStatus status() const;
 
 private:
@@ -74,7 +77,11 @@
     struct Leave
     {
     };
-    using Event = std::variant<link::LinkEvent, storage::StorageEvent, SubmitCommand, Leave>;
+    struct Inspect
+    {
+        std::function<void(const control::ControlState *)> look;
+    };
+    using Event = std::variant<link::LinkEvent, storage::StorageEvent, SubmitCommand, Leave, Inspect>;
 
     void run();
     void handle(Event &event, TimePoint now);
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -1,5 +1,7 @@
 #include "instance.h"
 
+#include "commandline.h"
+#include "fleetstatus.h"
 #include "mimosahollow/control/configuration.h"
 #include "mimosahollow/observability/log.h"
 #include "mimosahollow/settings/bundle.h"
@@ -10,8 +12,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -43,23 +43,12 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-std::string readText(const std::string &file)
-{
-    const std::ifstream input(file, std::ios::binary);
-    if (!input) {
-        throw std::runtime_error("cannot open " + file);
-    }
-    std::ostringstream text;
-    text << input.rdbuf();
-    return text.str();
-}
-
 std::shared_ptr<const control::Configuration> readFirstBundle(const settings::Settings &settings)
 {
     if (settings.bundleFile.empty()) {
         return nullptr;
     }
-    auto result = settings::parseBundle(readText(settings.bundleFile));
+    auto result = settings::parseBundle(readFile(settings.bundleFile));
     if (const auto *problems = std::get_if<std::vector<settings::SettingsProblem>>(&result)) {
         std::string message = "the bundle is not valid:";
         for (const settings::SettingsProblem &problem : *problems) {
@@ -70,6 +59,28 @@
     return std::make_shared<control::Configuration>(std::get<control::Configuration>(std::move(result)));
 }
 
+std::vector<admin::OperatorRecord> readOperators(const settings::Settings &settings)
+{
+    auto result = admin::parseOperators(readFile(settings.operatorsFile));
+    if (const auto *problem = std::get_if<std::string>(&result)) {
+        throw std::runtime_error(settings.operatorsFile + ": " + *problem);
+    }
+    return std::get<std::vector<admin::OperatorRecord>>(std::move(result));
+}
+
+admin::CommandEnd toCommandEnd(coordination::CommandState state)
+{
+    switch (state) {
+    case coordination::CommandState::NotSent:
+        return admin::CommandEnd::NotSent;
+    case coordination::CommandState::Unknown:
+        return admin::CommandEnd::Unknown;
+    case coordination::CommandState::Done:
+        return admin::CommandEnd::Done;
+    }
+    return admin::CommandEnd::Unknown;
+}
+
 coordination::Options coordinationOptions(const settings::Settings &settings)
 {
     coordination::Options options;
@@ -106,6 +117,7 @@
 Instance::~Instance()
 {
     // The order matters: no thread may call into one that is gone.
+    m_admin.reset();
     if (m_links) {
         m_links->stop();
     }
@@ -152,6 +164,10 @@
         throw std::runtime_error(error);
     }
     m_gateway->start();
+    if (!m_settings.adminAddress.empty()) {
+        m_admin = std::make_unique<admin::AdminServer>(m_settings.adminAddress, readOperators(m_settings), adminPorts());
+        m_admin->start();
+    }
 }
 
 bool Instance::drain()
@@ -252,6 +268,31 @@
     return ports;
 }
 
+admin::AdminPorts Instance::adminPorts()
+{
+    admin::AdminPorts ports;
+    ports.submit = [this](control::Command command, Duration patience, std::function<void(admin::CommandReport)> done) {
+        return m_control->submit(std::move(command), patience, [done = std::move(done)](const coordination::CommandDone &end) {
+            done({toCommandEnd(end.state), end.result, end.inForceEverywhere});
+        });
+    };
+    ports.statusJson = [this] {
+        return fleetStatusJson(*this);
+    };
+    ports.auditJson = [this](std::function<void(std::string)> done) {
+        return m_control->inspect([done = std::move(done)](const control::ControlState *state) {
+            done(state != nullptr ? auditJson(state->audit) : std::string(R"({"error":"this instance is no voter; ask one that is"})") + "\n");
+        });
+    };
+    ports.configuration = [this] {
+        return m_control->status().configuration;
+    };
+    ports.hashKey = [this](std::string_view key) {
+        return settings::hashKey(m_secret, key);
+    };
+    return ports;
+}
+
 bool Instance::commit(serving::CommitCommand &&command)
 {
     const RequestId call = command.call;
--- a/src/app/instance.h
+++ b/src/app/instance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controlthread.h"
+#include "mimosahollow/admin/adminserver.h"
 #include "mimosahollow/gateway/gateway.h"
 #include "mimosahollow/gateway/ordersender.h"
 #include "mimosahollow/link/linknetwork.h"
@@ -37,6 +38,7 @@
     [[nodiscard]] gateway::GatewayPorts gatewayPorts();
     [[nodiscard]] ServingPorts servingPorts();
     [[nodiscard]] ControlPorts controlPorts();
+    [[nodiscard]] admin::AdminPorts adminPorts();
     [[nodiscard]] bool commit(serving::CommitCommand &&command);
 
     settings::Settings m_settings;
@@ -46,6 +48,7 @@
     std::unique_ptr<link::LinkNetwork> m_links;
     std::unique_ptr<gateway::OrderSender> m_orders;
     std::unique_ptr<gateway::Gateway> m_gateway;
+    std::unique_ptr<admin::AdminServer> m_admin;
 };
 
 } // namespace mimosahollow::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "commandline.h"
 #include "exitcodes.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/settings/keysecret.h"
@@ -5,10 +6,10 @@
 #include "mimosahollow/settings/settings.h"
 #include "mimosahollow/settings/settingsproblem.h"
 #include "mimosahollow/standin/engine.h"
+#include "operatorcommands.h"
 #include "serve.h"
+#include "waitforsignal.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <sodium.h>
 
@@ -24,27 +25,12 @@
 using namespace mimosahollow;
 using Arguments = std::vector<std::string>;
 
-/** Parses @p arguments; prints the help and returns false when it is asked for. */
-bool parse(const options::options_description &description,
-           const options::positional_options_description &positional,
-           const Arguments &arguments,
-           options::variables_map &values)
-{
-    options::store(options::command_line_parser(arguments).options(description).positional(positional).run(), values);
-    if (values.count("help") != 0) {
-        std::cout << description << '\n';
-        return false;
-    }
-    options::notify(values);
-    return true;
-}
-
 int runServe(const Arguments &arguments)
 {
     options::options_description description("mimosahollow serve: runs an instance until SIGTERM");
     description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>()->required(), "settings file (TOML)");
     options::variables_map values;
-    if (!parse(description, {}, arguments, values)) {
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
         return app::Success;
     }
     return app::serve(values["settings"].as<std::string>());
@@ -62,7 +48,7 @@
         return app::Success;
     }
     options::variables_map values;
-    if (!parse(description, positional, arguments, values)) {
+    if (!app::parseCommandLine(description, positional, arguments, values)) {
         return app::Success;
     }
     const auto file = values["file"].as<std::string>();
@@ -94,17 +80,14 @@
         "token-us", options::value(&tokenMicroseconds), "microseconds for each token")(
         "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load");
     options::variables_map values;
-    if (!parse(description, {}, arguments, values)) {
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
         return app::Success;
     }
     engineOptions.tokenTime = std::chrono::microseconds(tokenMicroseconds);
     engineOptions.loadTime = milliseconds(loadMilliseconds);
     standin::Engine engine(std::move(engineOptions));
     engine.start();
-    boost::asio::io_context context(1);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](const boost::system::error_code &, int) {});
-    context.run();
+    app::waitForSignal();
     return app::Success;
 }
 
@@ -119,6 +102,12 @@
     Subcommand{"serve", "runs an instance", runServe},
     Subcommand{"check", "checks a settings file", runCheck},
     Subcommand{"engine", "runs a stand-in backend server", runEngine},
+    Subcommand{"bundle", "packs, signs, checks and submits configuration bundles", app::runBundle},
+    Subcommand{"key", "makes, grants and withdraws API keys", app::runKey},
+    Subcommand{"domain", "takes a failure domain out of service or returns it", app::runDomain},
+    Subcommand{"backend", "takes a backend server out of service or returns it", app::runBackend},
+    Subcommand{"operator", "makes the keys of an operator", app::runOperator},
+    Subcommand{"status", "shows the fleet", app::runStatus},
 };
 
 void printUsage(std::ostream &output)
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -194,6 +194,9 @@
     if (!isLoopbackAddress(settings.linkAddress) && !hasCertificate) {
         checker.report(nullptr, "listen.links", "is not a loopback address, so the tls section is required");
     }
+    if (!settings.adminAddress.empty() && settings.operatorsFile.empty()) {
+        checker.report(nullptr, "admin.operators_file", "is required because listen.admin is set");
+    }
     if (!settings.seeds.empty() && settings.linkAddress.empty()) {
         checker.report(nullptr, "listen.links", "is required because fleet.seeds names other instances");
     }
