--- a/src/settings/table.cpp
+++ b/src/settings/table.cpp
@@ -31,6 +31,8 @@
     SettingEntry{
         "fleet", "key_secret_file", Optional, TextRule{&Settings::keySecretFile, "", {}}, "File with the fleet secret for key hashes (64 hexadecimal digits)."},
 
+    SettingEntry{"admin", "operators_file", Optional, TextRule{&Settings::operatorsFile, "", {}}, "File with the operators; required with listen.admin."},
+
     SettingEntry{
         "tls", "certificate_file", Optional, TextRule{&Settings::certificateFile, "", {}}, "Certificate of this instance (PEM); required off loopback."},
     SettingEntry{"tls", "private_key_file", Optional, TextRule{&Settings::privateKeyFile, "", {}}, "Private key of this instance (PEM)."},
