--- a/include/mimosahollow/admission/quotaleases.h
+++ b/include/mimosahollow/admission/quotaleases.h
@@ -18,8 +18,10 @@
     LeaseUse use;
     LeaseUse sent; /**< As last sent. */
     Tokens granted = 0;
-    Tokens wished = 0; /**< Target as last sent. */
-    Tokens needed = 0; /**< Need as last sent. */
+    Tokens askedNeed = 0; /**< Total grant that the last sent need asks for. */
+    Tokens askedTarget = 0; /**< Total grant that the last sent target asks for. */
+    TimePoint askedAt{}; /**< Last request that contained the account. */
+    Tokens extra = 0; /**< Wanted for waiting calls on top of what is held. */
     Tokens reachable = 0; /**< As last answered. */
     Tokens unmet = 0; /**< As last answered. */
     TimePoint answeredAt{};
@@ -38,8 +40,9 @@
     std::uint64_t session = 0; /**< 0: none open. */
     std::uint64_t sequence = 0;
     TimePoint expiresAt{};
-    TimePoint sentAt{};
-    TimePoint askedAt{}; /**< First request without an answer. */
+    TimePoint sentAt{}; /**< Last message. */
+    TimePoint requestedAt{}; /**< Last request. */
+    TimePoint unansweredSince{}; /**< First request after the last answer. */
     bool asking = false; /**< A request is without an answer. */
     std::deque<std::pair<std::uint64_t, TimePoint>> sendTimes; /**< Sequence and time of recent requests. */
     std::unordered_map<AccountId, Lease> leases;
@@ -61,6 +64,9 @@
     double demand = 0; /**< Tokens per second, exponentially decayed. */
     TimePoint demandAt{};
     Tokens pendingRefund = 0; /**< Not yet sent in any session. */
+    std::uint64_t priority = 0; /**< Of the first waiting call; 0: none waits. */
+    TimePoint shortUntil{}; /**< The home bucket was short; until then tokens are asked ahead in other failure domains too. */
+    Version loweredAt = 0; /**< Last configuration that lowered the capacity. */
     std::deque<WaitingCall> waiting; /**< First come, first served. */
 };
 
@@ -71,6 +77,7 @@
     DomainId home{};
     std::uint64_t process = 0; /**< Random start number of this process. */
     std::uint64_t lastSession = 0;
+    Version configuration = 0;
     std::vector<LeaseSource> sources; /**< The home domain's current owner first. */
     std::unordered_map<AccountId, LeaseAccount> accounts;
     std::vector<AccountId> active; /**< Accounts with waiting calls. */
--- a/include/mimosahollow/admission/tokenmessages.h
+++ b/include/mimosahollow/admission/tokenmessages.h
@@ -81,6 +81,7 @@
 {
     LeaseSession session;
     Duration validFor = quotaLease;
+    Version configuration = 0; /**< Of the bucket owner; tokens granted before a capacity was lowered are not used after it. */
     std::vector<GrantItem> items;
 
     friend bool operator==(const TokenGrant &, const TokenGrant &) = default;
--- a/include/mimosahollow/routing/routingindex.h
+++ b/include/mimosahollow/routing/routingindex.h
@@ -16,8 +16,8 @@
 struct RoutingIndex
 {
     const control::Configuration *configuration = nullptr;
-    std::vector<std::uint32_t> adapterSlots; /**< Open addressing: position in `adapters` + 1, or 0. Each version, and each default. */
-    std::vector<std::uint32_t> routeOrder; /**< Positions of routes, longest prefix first within the same first segment. */
+    std::vector<std::uint32_t> adapterSlots; /**< Hash table of versions and defaults: position in `adapters` + 1, or 0. */
+    std::vector<std::uint32_t> routeOrder; /**< Positions in `routes`, sorted by prefix. */
 };
 
 /** A resolved call. Pointers into the configuration. */
--- /dev/null
+++ b/src/admission/bucketowner.cpp
@@ -0,0 +1,296 @@
+#include "mimosahollow/admission/bucketowner.h"
+
+#include "bucketinternal.h"
+
+#include <algorithm>
+
+namespace mimosahollow::admission {
+
+namespace {
+
+// A holder that was silent for longer than any request may run has no refund left to report.
+constexpr Duration forgetHolderAfter = seconds(600);
+
+void settleShare(BucketOwner &owner, TimePoint now)
+{
+    if (owner.raisedShare <= owner.share || now < owner.raiseAt) {
+        return;
+    }
+    for (auto &[account, bucket] : owner.buckets) {
+        refill(owner, bucket, owner.raiseAt);
+    }
+    owner.share = owner.raisedShare;
+}
+
+void applyShare(BucketOwner &owner, double share, TimePoint now)
+{
+    const bool first = owner.configuration == 0;
+    if (first || share <= owner.share) {
+        owner.share = share;
+        owner.raisedShare = share;
+    } else if (share != owner.raisedShare) {
+        owner.raisedShare = share;
+        owner.raiseAt = now + shareRaiseDelay;
+    }
+}
+
+void applyLimits(BucketOwner &owner, AccountId account, Tokens rate, Tokens burst, double oldShare, TimePoint now)
+{
+    Bucket &bucket = owner.buckets.try_emplace(account, Bucket{.filledAt = std::max(now, owner.startsAt)}).first->second;
+    const Tokens oldCapacity = bucket.burst * oldShare;
+    bucket.rate = rate;
+    bucket.burst = burst;
+    const Tokens newCapacity = capacity(owner, bucket);
+    if (newCapacity < oldCapacity) {
+        // In proportion, like the leases of the holders, so that all of them together fit the new capacity.
+        bucket.level *= newCapacity / oldCapacity;
+    }
+}
+
+/** Replies to requests of an earlier ownership carry another epoch and are not accepted. */
+void forgetTransfers(BucketOwner &owner)
+{
+    for (BucketPeer &peer : owner.peers) {
+        peer.pending.clear();
+        peer.askSequence = 0;
+        peer.answeredSequence = 0;
+        peer.silentUntil = {};
+    }
+    owner.transferAt = owner.startsAt;
+}
+
+void endSession(BucketOwner &owner, Holder &holder, TimePoint now)
+{
+    for (auto &[account, lease] : holder.accounts) {
+        const auto bucket = owner.buckets.find(account);
+        if (bucket != owner.buckets.end()) {
+            refill(owner, bucket->second, now);
+            bucket->second.outstanding = std::max(0.0, bucket->second.outstanding - held(lease));
+        }
+    }
+    // A change that is still noted for the session finds no account and is dropped.
+    holder.accounts.clear();
+    holder.open = false;
+}
+
+/** The holder's session when @p session is newer than everything seen; null for a late or duplicated message. */
+Holder *accept(BucketOwner &owner, const LeaseSession &session, TimePoint now)
+{
+    if (owner.epoch == 0 || session.epoch != owner.epoch || session.domain != owner.domain || session.process == 0) {
+        return nullptr;
+    }
+    Holder &holder = owner.holders[session.process];
+    if (holder.open && now >= holder.expiresAt) {
+        endSession(owner, holder, now);
+    }
+    if (session.session > holder.session.session) {
+        // The holder opens a session only after it has given up the earlier one.
+        endSession(owner, holder, now);
+        holder.open = true;
+        holder.expiresAt = now + quotaLease + quotaLeaseMargin;
+    } else if (session.session < holder.session.session || !holder.open || session.sequence <= holder.session.sequence) {
+        return nullptr;
+    }
+    holder.session = session;
+    return &holder;
+}
+
+void applyUse(const BucketOwner &owner, Bucket &bucket, HolderAccount &lease, const LeaseUse &use)
+{
+    LeaseUse &known = lease.wish.use;
+    const Tokens spent = std::clamp(use.spent - known.spent, 0.0, std::max(0.0, held(lease)));
+    known.spent += spent;
+    const Tokens returned = std::clamp(use.returned - known.returned, 0.0, std::max(0.0, held(lease)));
+    known.returned += returned;
+    bucket.outstanding = std::max(0.0, bucket.outstanding - spent - returned);
+    const Tokens room = std::max(0.0, capacity(owner, bucket) - bucket.outstanding - bucket.expected - bucket.level);
+    // Above the capacity only after it was lowered; the returned tokens are lost then.
+    bucket.level += std::min(returned, room);
+    const Tokens refunded = std::max(0.0, use.refunded - known.refunded);
+    const Tokens credited = std::min(refunded, std::max(0.0, capacity(owner, bucket) - bucket.outstanding - bucket.expected - bucket.level));
+    known.refunded += refunded;
+    bucket.level += credited;
+    bucket.refundsCredited += credited;
+}
+
+} // namespace
+
+Tokens capacity(const BucketOwner &owner, const Bucket &bucket)
+{
+    return bucket.burst * owner.share;
+}
+
+Tokens held(const HolderAccount &lease)
+{
+    return lease.granted - lease.wish.use.spent - lease.wish.use.returned;
+}
+
+void refill(const BucketOwner &owner, Bucket &bucket, TimePoint now)
+{
+    if (now <= bucket.filledAt) {
+        return;
+    }
+    const Tokens room = std::max(0.0, capacity(owner, bucket) - bucket.outstanding - bucket.expected);
+    if (owner.epoch != 0) {
+        bucket.level += bucket.rate * owner.share * toSeconds(now - bucket.filledAt);
+    }
+    bucket.level = std::min(bucket.level, room);
+    bucket.filledAt = now;
+}
+
+void applyConfiguration(BucketOwner &owner, const control::Configuration &configuration, TimePoint now)
+{
+    settleShare(owner, now);
+    for (auto &[account, bucket] : owner.buckets) {
+        refill(owner, bucket, now);
+    }
+    const auto domain = std::find_if(configuration.domains.begin(), configuration.domains.end(), [&owner](const control::FailureDomain &candidate) {
+        return candidate.id == owner.domain;
+    });
+    const double oldShare = owner.share;
+    applyShare(owner, domain == configuration.domains.end() ? 0 : domain->share, now);
+    std::unordered_map<AccountId, Bucket> old;
+    old.swap(owner.buckets);
+    const auto keep = [&](AccountId account, Tokens rate, Tokens burst) {
+        if (auto node = old.extract(account)) {
+            owner.buckets.insert(std::move(node));
+        }
+        applyLimits(owner, account, rate, burst, oldShare, now);
+    };
+    keep(loadAccount, configuration.loadRate * loadCost, configuration.loadsInFlight * loadCost);
+    for (const control::Organisation &organisation : configuration.organisations) {
+        keep(accountOf(organisation.id), organisation.rate, organisation.burst);
+    }
+    owner.configuration = configuration.version;
+}
+
+void startOwnership(BucketOwner &owner, FencingNumber epoch, TimePoint oldLeaseEnd, TimePoint now)
+{
+    owner.epoch = epoch;
+    owner.startsAt = std::max(now, oldLeaseEnd + quotaLease + quotaLeaseMargin);
+    owner.holders.clear();
+    forgetTransfers(owner);
+    for (auto &[account, bucket] : owner.buckets) {
+        bucket.level = 0;
+        bucket.outstanding = 0;
+        bucket.expected = 0;
+        bucket.waiting = false;
+        bucket.filledAt = owner.startsAt;
+    }
+}
+
+void startOwnership(BucketOwner &owner, FencingNumber epoch, const BucketHandover &handover, TimePoint now)
+{
+    startOwnership(owner, epoch, now - quotaLease - quotaLeaseMargin, now);
+    // Leases of the old owner run out at their holders; until then process number 0 stands for all of them.
+    Holder &rest = owner.holders[0];
+    rest.open = true;
+    rest.expiresAt = now + quotaLease + quotaLeaseMargin;
+    for (const BucketHandover::Item &item : handover.items) {
+        const auto found = owner.buckets.find(item.account);
+        if (found == owner.buckets.end()) {
+            continue;
+        }
+        Bucket &bucket = found->second;
+        rest.accounts[item.account].granted = item.outstanding;
+        bucket.outstanding = item.outstanding;
+        bucket.level = std::min(item.level, std::max(0.0, capacity(owner, bucket) - item.outstanding));
+    }
+}
+
+BucketHandover stopOwnership(BucketOwner &owner, TimePoint now)
+{
+    settleShare(owner, now);
+    BucketHandover handover;
+    handover.domain = owner.domain;
+    for (auto &[account, bucket] : owner.buckets) {
+        refill(owner, bucket, now);
+        handover.items.push_back({account, bucket.level, bucket.outstanding});
+        bucket.level = 0;
+        bucket.outstanding = 0;
+        bucket.expected = 0;
+        bucket.waiting = false;
+    }
+    owner.holders.clear();
+    forgetTransfers(owner);
+    owner.epoch = 0;
+    return handover;
+}
+
+void handle(BucketOwner &owner, const TokenRequest &request, TimePoint now, BucketActions &out)
+{
+    settleShare(owner, now);
+    Holder *holder = accept(owner, request.session, now);
+    if (holder == nullptr) {
+        return;
+    }
+    holder->expiresAt = now + quotaLease + quotaLeaseMargin;
+    for (const LeaseWish &wish : request.wishes) {
+        const auto found = owner.buckets.find(wish.use.account);
+        if (found == owner.buckets.end()) {
+            continue;
+        }
+        Bucket &bucket = found->second;
+        HolderAccount &lease = holder->accounts[wish.use.account];
+        refill(owner, bucket, now);
+        applyUse(owner, bucket, lease, wish.use);
+        const LeaseUse known = lease.wish.use;
+        lease.wish = wish;
+        lease.wish.use = known;
+        noteChange(owner, request.session.process, wish.use.account, lease);
+        serveRequest(owner, *found, lease, now);
+    }
+    sendChanges(owner, holder, out.grants);
+}
+
+void handle(BucketOwner &owner, const TokenReport &report, TimePoint now, BucketActions &out)
+{
+    settleShare(owner, now);
+    Holder *holder = accept(owner, report.session, now);
+    if (holder == nullptr) {
+        return;
+    }
+    for (const LeaseUse &use : report.uses) {
+        const auto found = owner.buckets.find(use.account);
+        if (found == owner.buckets.end()) {
+            continue;
+        }
+        Bucket &bucket = found->second;
+        refill(owner, bucket, now);
+        applyUse(owner, bucket, holder->accounts[use.account], use);
+    }
+    if (report.closing) {
+        endSession(owner, *holder, now);
+    }
+    for (const LeaseUse &use : report.uses) {
+        const auto found = owner.buckets.find(use.account);
+        if (found != owner.buckets.end() && found->second.waiting) {
+            serveWaiting(owner, *found, true, now);
+        }
+    }
+    sendChanges(owner, nullptr, out.grants);
+}
+
+void tick(BucketOwner &owner, TimePoint now, BucketActions &out)
+{
+    settleShare(owner, now);
+    if (owner.epoch == 0) {
+        return;
+    }
+    for (auto holder = owner.holders.begin(); holder != owner.holders.end();) {
+        if (holder->second.open && now >= holder->second.expiresAt) {
+            endSession(owner, holder->second, now);
+        }
+        holder = !holder->second.open && now >= holder->second.expiresAt + forgetHolderAfter ? owner.holders.erase(holder) : std::next(holder);
+    }
+    for (auto &entry : owner.buckets) {
+        if (entry.second.waiting) {
+            refill(owner, entry.second, now);
+            serveWaiting(owner, entry, false, now);
+        }
+    }
+    sendChanges(owner, nullptr, out.grants);
+    balance(owner, now, out);
+}
+
+} // namespace mimosahollow::admission
--- /dev/null
+++ b/src/admission/leaseplan.cpp
@@ -0,0 +1,196 @@
+#include "leaseinternal.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace mimosahollow::admission {
+
+namespace {
+
+// Time constant of the demand estimate: long enough to smooth single calls, short enough to follow traffic that moves away.
+constexpr double demandSeconds = 0.3;
+
+// Asked ahead: a few times the request interval and round trip, and far less than the lease time that a crash would lose.
+constexpr double aheadSeconds = 0.4;
+
+// One instance asks ahead for at most this part of a bucket, so that the other instances find tokens.
+constexpr double aheadPart = 0.5;
+
+// Width of the first age class of waiting calls. Classes double, so that priorities change rarely.
+constexpr Duration ageClass = milliseconds(50);
+
+// A home bucket without an answer for this time does not hold up the requests to other failure domains.
+constexpr Duration homePatience = milliseconds(20);
+
+std::uint64_t ageClassOf(const WaitingCall &call, TimePoint now)
+{
+    const auto age = std::max<Duration::rep>(0, (now - call.since) / ageClass);
+    return static_cast<std::uint64_t>(std::bit_width(static_cast<std::uint64_t>(age))) + 1;
+}
+
+// Calls of the first call's age class only, so that a long queue at one instance does not overtake older calls at others.
+Tokens urgentNeed(const LeaseAccount &account, TimePoint now)
+{
+    Tokens need = 0;
+    const std::uint64_t first = ageClassOf(account.waiting.front(), now);
+    for (const WaitingCall &call : account.waiting) {
+        if (ageClassOf(call, now) != first) {
+            break;
+        }
+        need += call.cost;
+    }
+    return need;
+}
+
+Tokens capacityOf(const LeaseSource &source, const LeaseAccount &account)
+{
+    return account.burst * source.share;
+}
+
+Tokens reachableIn(const LeaseSource &source, AccountId id, const LeaseAccount &account, TimePoint now)
+{
+    const Tokens capacity = capacityOf(source, account);
+    const auto lease = source.leases.find(id);
+    if (lease == source.leases.end() || !lease->second.answered) {
+        return capacity;
+    }
+    return std::min(capacity, lease->second.reachable + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
+}
+
+void setExtra(LeaseSource &source, AccountId id, Tokens extra)
+{
+    const auto found = source.leases.find(id);
+    if (found == source.leases.end() && extra <= tokenTolerance) {
+        return;
+    }
+    Lease &lease = leaseOf(source, id);
+    lease.extra = extra;
+    const Tokens used = lease.use.spent + lease.use.returned;
+    const Tokens wanted = used + (extra > tokenTolerance ? availableIn(lease) + extra : 0);
+    const bool more = extra > tokenTolerance && wanted > lease.askedNeed + tokenTolerance;
+    const bool less = lease.unmet > tokenTolerance && wanted < lease.askedNeed - tokenTolerance;
+    if (more || less) {
+        listChange(source, id, lease);
+    }
+}
+
+Tokens missingAtHome(const LeaseSource &home, AccountId id, Tokens missing, Tokens homeExtra, TimePoint now)
+{
+    const auto lease = home.leases.find(id);
+    const bool shortOfTokens = lease != home.leases.end() && lease->second.unmet > tokenTolerance;
+    const bool late = home.asking && now - home.unansweredSince > homePatience;
+    return shortOfTokens || late ? missing : missing - homeExtra;
+}
+
+void askOthers(QuotaLeases &leases, AccountId id, const LeaseAccount &account, Tokens missing, TimePoint now)
+{
+    struct Candidate
+    {
+        LeaseSource *source;
+        Tokens reachable;
+        bool silent;
+    };
+    std::vector<Candidate> candidates;
+    for (LeaseSource &source : leases.sources) {
+        if (!source.retired && source.domain != leases.home) {
+            candidates.push_back({&source, reachableIn(source, id, account, now), silent(source, now)});
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    // Instances start at different places among equal candidates.
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(leases.process % candidates.size()), candidates.end());
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return left.silent != right.silent ? right.silent : left.reachable > right.reachable;
+    });
+    Tokens covered = 0;
+    for (const Candidate &candidate : candidates) {
+        const auto lease = candidate.source->leases.find(id);
+        const Tokens heldThere = lease == candidate.source->leases.end() ? 0 : availableIn(lease->second);
+        const Tokens room = std::max(0.0, capacityOf(*candidate.source, account) - heldThere);
+        const bool wanted = missing > tokenTolerance && covered < missing;
+        setExtra(*candidate.source, id, wanted ? std::min(missing, room) : 0);
+        if (!candidate.silent) {
+            covered += std::min(room, candidate.reachable);
+        }
+    }
+}
+
+} // namespace
+
+double demandAt(const LeaseAccount &account, TimePoint now)
+{
+    return account.demand * std::exp(-toSeconds(now - account.demandAt) / demandSeconds);
+}
+
+void countDemand(LeaseAccount &account, Tokens cost, TimePoint now)
+{
+    account.demand = demandAt(account, now) + cost / demandSeconds;
+    account.demandAt = now;
+}
+
+Tokens aheadIn(const QuotaLeases &leases, const LeaseSource &source, const LeaseAccount &account, TimePoint now)
+{
+    const double demand = demandAt(account, now);
+    const Tokens ahead = demand < 1 ? 0 : std::min(demand * aheadSeconds, capacityOf(source, account) * aheadPart);
+    if (isHome(leases, source)) {
+        return ahead;
+    }
+    return now < account.shortUntil ? ahead / static_cast<double>(leases.sources.size()) : 0;
+}
+
+void plan(QuotaLeases &leases, AccountId id, LeaseAccount &account, TimePoint now)
+{
+    if (account.waiting.empty() && account.priority == 0) {
+        return;
+    }
+    account.priority = 0;
+    Tokens missing = 0;
+    if (!account.waiting.empty()) {
+        // Ends with bits of the process number, so that every bucket orders calls of the same age class alike.
+        account.priority = ageClassOf(account.waiting.front(), now) << 32U | (leases.process & 0xFFFFFFFFU);
+        missing = std::max(0.0, urgentNeed(account, now) - available(leases, id, now));
+    }
+    Tokens missingElsewhere = missing;
+    for (LeaseSource &source : leases.sources) {
+        if (isHome(leases, source)) {
+            const auto lease = source.leases.find(id);
+            const Tokens heldThere = lease == source.leases.end() ? 0 : availableIn(lease->second);
+            const Tokens extra = std::min(missing, std::max(0.0, capacityOf(source, account) - heldThere));
+            missingElsewhere = missingAtHome(source, id, missing, extra, now);
+            setExtra(source, id, extra);
+        }
+    }
+    askOthers(leases, id, account, missingElsewhere, now);
+}
+
+std::optional<Duration> timeToReach(const QuotaLeases &leases, AccountId id, const LeaseAccount &account, Tokens cost, Tokens needed, TimePoint now)
+{
+    Tokens reachable = available(leases, id, now);
+    Tokens capacity = 0;
+    double fill = 0;
+    bool known = false;
+    for (const LeaseSource &source : leases.sources) {
+        // A silent owner at home has crashed and is replaced; calls wait for its successor. Others are cut off.
+        const bool unreachable = silent(source, now) && !isHome(leases, source);
+        known = known || !source.retired;
+        if (source.retired || unreachable) {
+            continue;
+        }
+        reachable += reachableIn(source, id, account, now);
+        capacity += capacityOf(source, account);
+        fill += account.rate * source.share;
+    }
+    if (!known) {
+        // No bucket owner is known yet; the call waits for one.
+        return Duration::zero();
+    }
+    if (cost > capacity + tokenTolerance || (needed > reachable && fill <= 0)) {
+        return std::nullopt;
+    }
+    return needed <= reachable ? Duration::zero() : fromSeconds((needed - reachable) / fill);
+}
+
+} // namespace mimosahollow::admission
--- /dev/null
+++ b/src/admission/quotaleases.cpp
@@ -0,0 +1,370 @@
+#include "mimosahollow/admission/quotaleases.h"
+
+#include "leaseinternal.h"
+
+#include <algorithm>
+
+namespace mimosahollow::admission {
+
+namespace {
+
+// Bounds the memory of calls that wait for tokens, like the queue of an organisation at a pool.
+constexpr std::size_t maximumWaiting = 1024;
+
+// Hint for calls whose wait cannot be estimated, because the buckets they need are unreachable.
+constexpr Duration unknownRetryAfter = seconds(1);
+
+// Other failure domains are asked ahead for this time after the home bucket was short.
+constexpr Duration shortageMemory = seconds(1);
+
+// Use is reported at this interval; the bucket refills for spent tokens only once it knows of them.
+constexpr Duration reportInterval = milliseconds(100);
+
+// A request or its answer may have been lost; waiting calls ask again after this time.
+constexpr Duration resendInterval = milliseconds(150);
+
+// Spacing of requests for tokens ahead of one account.
+constexpr Duration aheadInterval = milliseconds(50);
+
+void refuse(LeaseActions &out, RequestId id, RefusalReason reason, std::optional<Duration> retryAfter)
+{
+    out.refused.push_back({id, reason, retryAfter.value_or(unknownRetryAfter)});
+}
+
+void runWaiting(QuotaLeases &leases, AccountId id, LeaseAccount &account, TimePoint now, LeaseActions &out)
+{
+    while (!account.waiting.empty() && take(leases, id, account.waiting.front().cost, now)) {
+        out.run.push_back(account.waiting.front().id);
+        account.waiting.pop_front();
+    }
+}
+
+void refuseLate(const QuotaLeases &leases, AccountId id, LeaseAccount &account, TimePoint now, LeaseActions &out)
+{
+    Tokens ahead = 0;
+    for (auto call = account.waiting.begin(); call != account.waiting.end();) {
+        if (call->cost > account.burst + tokenTolerance) {
+            refuse(out, call->id, RefusalReason::CostAboveBurst, Duration::zero());
+            call = account.waiting.erase(call);
+        } else if (now >= call->deadline) {
+            refuse(out, call->id, RefusalReason::RateLimited, timeToReach(leases, id, account, call->cost, ahead + call->cost, now));
+            call = account.waiting.erase(call);
+        } else {
+            ahead += call->cost;
+            ++call;
+        }
+    }
+}
+
+void serveActive(QuotaLeases &leases, TimePoint now, LeaseActions &out)
+{
+    for (const AccountId id : leases.active) {
+        LeaseAccount &account = leases.accounts[id];
+        refuseLate(leases, id, account, now, out);
+        runWaiting(leases, id, account, now, out);
+        const std::uint64_t priority = account.priority;
+        plan(leases, id, account, now);
+        for (LeaseSource &source : leases.sources) {
+            const auto lease = source.leases.find(id);
+            const bool asked = lease != source.leases.end() && lease->second.extra > tokenTolerance;
+            if (asked && (priority != account.priority || now - source.requestedAt >= resendInterval)) {
+                listChange(source, id, lease->second);
+            }
+        }
+    }
+    std::erase_if(leases.active, [&leases](AccountId id) {
+        return leases.accounts[id].waiting.empty();
+    });
+}
+
+void review(const QuotaLeases &leases, LeaseSource &source, AccountId id, Lease &lease, TimePoint now)
+{
+    const auto found = leases.accounts.find(id);
+    if (found == leases.accounts.end()) {
+        return;
+    }
+    const LeaseAccount &account = found->second;
+    if (account.waiting.empty()) {
+        const Tokens held = availableIn(lease);
+        const Tokens ahead = aheadIn(leases, source, account, now);
+        const bool spaced = now - lease.askedAt >= aheadInterval;
+        if (held > 2 * ahead + tokenTolerance && spaced) {
+            lease.use.returned += held - ahead;
+            listChange(source, id, lease);
+        } else if (held < ahead / 2 && spaced) {
+            listChange(source, id, lease);
+        }
+    }
+    const LeaseUse &use = lease.use;
+    const bool unreported = use.spent != lease.sent.spent || use.returned != lease.sent.returned || use.refunded != lease.sent.refunded;
+    if (unreported && now - source.sentAt >= reportInterval) {
+        listChange(source, id, lease);
+    }
+}
+
+void returnAll(LeaseSource &source, AccountId id, Lease &lease)
+{
+    const Tokens held = availableIn(lease);
+    if (held > 0) {
+        lease.use.returned += held;
+    }
+    listChange(source, id, lease);
+}
+
+void apply(QuotaLeases &leases, LeaseSource &source, const TokenGrant &grant, const GrantItem &item, TimePoint now)
+{
+    const auto account = leases.accounts.find(item.account);
+    const auto found = source.leases.find(item.account);
+    if (account == leases.accounts.end() || found == source.leases.end()) {
+        return;
+    }
+    Lease &lease = found->second;
+    const Tokens added = item.granted - lease.granted;
+    if (added > 0) {
+        lease.granted = item.granted;
+        if (grant.configuration < account->second.loweredAt) {
+            // Granted under a larger capacity than the one in force here.
+            lease.use.returned += added;
+            listChange(source, item.account, lease);
+        }
+    }
+    lease.reachable = item.reachable;
+    lease.unmet = item.unmet;
+    lease.answeredAt = now;
+    lease.answered = true;
+    if (isHome(leases, source) && item.unmet > tokenTolerance) {
+        account->second.shortUntil = now + shortageMemory;
+    }
+    const bool waitsLonger = !account->second.waiting.empty() && account->second.priority > item.recall;
+    if (item.recall != 0 && !waitsLonger) {
+        returnAll(source, item.account, lease);
+    }
+}
+
+void setLimits(QuotaLeases &leases, AccountId id, Tokens rate, Tokens burst, const std::vector<double> &newShares, Version version)
+{
+    LeaseAccount &account = leases.accounts[id];
+    for (std::size_t i = 0; i < leases.sources.size(); ++i) {
+        LeaseSource &source = leases.sources[i];
+        const Tokens before = account.burst * source.share;
+        const Tokens after = burst * newShares[i];
+        if (after >= before) {
+            continue;
+        }
+        account.loweredAt = version;
+        const auto lease = source.leases.find(id);
+        if (lease != source.leases.end()) {
+            lease->second.use.returned += std::max(0.0, availableIn(lease->second)) * (1 - after / before);
+            listChange(source, id, lease->second);
+        }
+    }
+    account.rate = rate;
+    account.burst = burst;
+}
+
+} // namespace
+
+void applyConfiguration(QuotaLeases &leases, const control::Configuration &configuration, TimePoint)
+{
+    std::vector<double> shares;
+    for (const LeaseSource &source : leases.sources) {
+        const auto domain = std::find_if(configuration.domains.begin(), configuration.domains.end(), [&source](const control::FailureDomain &candidate) {
+            return candidate.id == source.domain;
+        });
+        shares.push_back(domain == configuration.domains.end() ? 0 : domain->share);
+    }
+    std::vector<AccountId> removed;
+    for (const auto &[id, account] : leases.accounts) {
+        removed.push_back(id);
+    }
+    const auto set = [&](AccountId id, Tokens rate, Tokens burst) {
+        setLimits(leases, id, rate, burst, shares, configuration.version);
+        std::erase(removed, id);
+    };
+    set(loadAccount, configuration.loadRate * loadCost, configuration.loadsInFlight * loadCost);
+    for (const control::Organisation &organisation : configuration.organisations) {
+        set(accountOf(organisation.id), organisation.rate, organisation.burst);
+    }
+    for (const AccountId id : removed) {
+        // Kept without limits; calls that wait are refused by the next tick.
+        setLimits(leases, id, 0, 0, shares, configuration.version);
+    }
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        leases.sources[i].share = shares[i];
+    }
+    leases.configuration = configuration.version;
+}
+
+void setOwner(QuotaLeases &leases, DomainId domain, InstanceId owner, FencingNumber epoch, double share)
+{
+    for (LeaseSource &source : leases.sources) {
+        if (source.domain != domain || source.retired) {
+            continue;
+        }
+        if (epoch <= source.epoch) {
+            source.owner = epoch == source.epoch ? owner : source.owner;
+            return;
+        }
+        source.retired = true;
+    }
+    LeaseSource source;
+    source.domain = domain;
+    source.owner = owner;
+    source.epoch = epoch;
+    source.share = share;
+    leases.sources.insert(domain == leases.home ? leases.sources.begin() : leases.sources.end(), std::move(source));
+}
+
+Tokens available(const QuotaLeases &leases, AccountId account, TimePoint now)
+{
+    Tokens sum = 0;
+    for (const LeaseSource &source : leases.sources) {
+        const auto lease = source.leases.find(account);
+        if (lease != source.leases.end() && spendable(source, now)) {
+            sum += std::max(0.0, availableIn(lease->second));
+        }
+    }
+    return sum;
+}
+
+bool take(QuotaLeases &leases, AccountId account, Tokens cost, TimePoint now)
+{
+    if (available(leases, account, now) + tokenTolerance < cost) {
+        return false;
+    }
+    for (LeaseSource &source : leases.sources) {
+        const auto lease = source.leases.find(account);
+        if (cost > 0 && lease != source.leases.end() && spendable(source, now)) {
+            const Tokens part = std::min(cost, std::max(0.0, availableIn(lease->second)));
+            lease->second.use.spent += part;
+            cost -= part;
+        }
+    }
+    return true;
+}
+
+Admission admit(QuotaLeases &leases, AccountId id, const WaitingCall &call, TimePoint now, LeaseActions &out)
+{
+    const auto found = leases.accounts.find(id);
+    if (found == leases.accounts.end() || call.cost > found->second.burst + tokenTolerance) {
+        refuse(out, call.id, RefusalReason::CostAboveBurst, Duration::zero());
+        return Admission::Refused;
+    }
+    LeaseAccount &account = found->second;
+    if (account.waiting.empty() && take(leases, id, call.cost, now)) {
+        countDemand(account, call.cost, now);
+        return Admission::Run;
+    }
+    if (account.waiting.size() >= maximumWaiting) {
+        refuse(out, call.id, RefusalReason::Overloaded, unknownRetryAfter);
+        return Admission::Refused;
+    }
+    Tokens needed = call.cost;
+    for (const WaitingCall &earlier : account.waiting) {
+        needed += earlier.cost;
+    }
+    const std::optional<Duration> wait = timeToReach(leases, id, account, call.cost, needed, now);
+    if (!wait || now + *wait >= call.deadline) {
+        refuse(out, call.id, RefusalReason::RateLimited, wait);
+        return Admission::Refused;
+    }
+    countDemand(account, call.cost, now);
+    if (account.waiting.empty()) {
+        leases.active.push_back(id);
+    }
+    account.waiting.push_back(call);
+    plan(leases, id, account, now);
+    flush(leases, now, out);
+    return Admission::Wait;
+}
+
+bool cancel(QuotaLeases &leases, AccountId id, RequestId call, TimePoint now)
+{
+    const auto found = leases.accounts.find(id);
+    if (found == leases.accounts.end()) {
+        return false;
+    }
+    const std::size_t removed = std::erase_if(found->second.waiting, [&call](const WaitingCall &waiting) {
+        return waiting.id == call;
+    });
+    plan(leases, id, found->second, now);
+    return removed > 0;
+}
+
+Tokens refund(QuotaLeases &leases, AccountId id, Tokens reserved, Tokens used)
+{
+    const auto found = leases.accounts.find(id);
+    Tokens rest = std::clamp(reserved - used, 0.0, std::max(0.0, reserved));
+    if (found == leases.accounts.end() || rest <= 0) {
+        return 0;
+    }
+    Tokens credited = 0;
+    for (LeaseSource &source : leases.sources) {
+        const auto lease = source.leases.find(id);
+        if (lease == source.leases.end()) {
+            continue;
+        }
+        // The owner still counts use that it has not been told of as outstanding, so that this much may be spent again.
+        const Tokens part = std::min(rest, std::max(0.0, lease->second.use.spent - lease->second.sent.spent));
+        lease->second.use.spent -= part;
+        credited += part;
+        rest -= part;
+    }
+    if (rest > 0) {
+        found->second.pendingRefund += rest;
+        if (!leases.sources.empty() && isHome(leases, leases.sources.front())) {
+            listChange(leases.sources.front(), id, leaseOf(leases.sources.front(), id));
+        }
+    }
+    return credited;
+}
+
+void handle(QuotaLeases &leases, const TokenGrant &grant, TimePoint now, LeaseActions &out)
+{
+    const auto source = std::find_if(leases.sources.begin(), leases.sources.end(), [&grant](const LeaseSource &candidate) {
+        return candidate.domain == grant.session.domain && candidate.epoch == grant.session.epoch;
+    });
+    const bool own = grant.session.process == leases.process && grant.session.holder == leases.self;
+    if (!own || source == leases.sources.end() || source->session != grant.session.session || !spendable(*source, now)) {
+        return;
+    }
+    const auto sent = std::find_if(source->sendTimes.begin(), source->sendTimes.end(), [&grant](const auto &entry) {
+        return entry.first == grant.session.sequence;
+    });
+    if (sent != source->sendTimes.end()) {
+        source->expiresAt = std::max(source->expiresAt, sent->second + std::min(grant.validFor, quotaLease));
+    }
+    source->asking = false;
+    for (const GrantItem &item : grant.items) {
+        apply(leases, *source, grant, item, now);
+    }
+    for (const GrantItem &item : grant.items) {
+        const auto account = leases.accounts.find(item.account);
+        if (account != leases.accounts.end()) {
+            runWaiting(leases, item.account, account->second, now, out);
+            plan(leases, item.account, account->second, now);
+        }
+    }
+    flush(leases, now, out);
+}
+
+void tick(QuotaLeases &leases, TimePoint now, LeaseActions &out)
+{
+    for (LeaseSource &source : leases.sources) {
+        if (source.session != 0 && now >= source.expiresAt) {
+            lapse(source);
+        }
+    }
+    std::erase_if(leases.sources, [](const LeaseSource &source) {
+        return source.retired && source.session == 0;
+    });
+    serveActive(leases, now, out);
+    for (LeaseSource &source : leases.sources) {
+        for (auto &[id, lease] : source.leases) {
+            review(leases, source, id, lease, now);
+        }
+    }
+    flush(leases, now, out);
+}
+
+} // namespace mimosahollow::admission
--- /dev/null
+++ b/src/admission/retrybudget.cpp
@@ -0,0 +1,23 @@
+#include "mimosahollow/admission/retrybudget.h"
+
+#include <algorithm>
+
+namespace mimosahollow::admission {
+
+void countRequest(RetryBudget &budget) noexcept
+{
+    budget.balance = std::min(retryReserve, budget.balance + budget.ratio);
+}
+
+bool takeRetry(RetryBudget &budget) noexcept
+{
+    // The tolerance absorbs the rounding of ten additions of 0.1.
+    constexpr double tolerance = 1e-9;
+    if (budget.balance < 1 - tolerance) {
+        return false;
+    }
+    budget.balance = std::max(0.0, budget.balance - 1);
+    return true;
+}
+
+} // namespace mimosahollow::admission
