--- a/include/mimosahollow/admission/bucketowner.h
+++ b/include/mimosahollow/admission/bucketowner.h
@@ -92,6 +92,7 @@
         Tokens outstanding = 0;
     };
     DomainId domain{};
+    Duration untilStart{}; /**< Rest of the old owner's own wait for leases of its predecessor. */
     std::vector<Item> items;
 };
 
--- a/src/admission/bucketowner.cpp
+++ b/src/admission/bucketowner.cpp
@@ -95,7 +95,7 @@
     return &holder;
 }
 
-void applyUse(const BucketOwner &owner, Bucket &bucket, HolderAccount &lease, const LeaseUse &use)
+void applyUse(const BucketOwner &owner, Bucket &bucket, HolderAccount &lease, const LeaseUse &use, TimePoint now)
 {
     LeaseUse &known = lease.wish.use;
     const Tokens spent = std::clamp(use.spent - known.spent, 0.0, std::max(0.0, held(lease)));
@@ -109,6 +109,10 @@
     const Tokens refunded = std::max(0.0, use.refunded - known.refunded);
     const Tokens credited = std::min(refunded, std::max(0.0, capacity(owner, bucket) - bucket.outstanding - bucket.expected - bucket.level));
     known.refunded += refunded;
+    if (now < owner.startsAt) {
+        // Leases of the old owner may still fill the capacity; the refund is lost.
+        return;
+    }
     bucket.level += credited;
     bucket.refundsCredited += credited;
 }
@@ -181,7 +185,7 @@
 
 void startOwnership(BucketOwner &owner, FencingNumber epoch, const BucketHandover &handover, TimePoint now)
 {
-    startOwnership(owner, epoch, now - quotaLease - quotaLeaseMargin, now);
+    startOwnership(owner, epoch, now + handover.untilStart - quotaLease - quotaLeaseMargin, now);
     // Leases of the old owner run out at their holders; until then process number 0 stands for all of them.
     Holder &rest = owner.holders[0];
     rest.open = true;
@@ -203,6 +207,7 @@
     settleShare(owner, now);
     BucketHandover handover;
     handover.domain = owner.domain;
+    handover.untilStart = std::max(Duration::zero(), owner.startsAt - now);
     for (auto &[account, bucket] : owner.buckets) {
         refill(owner, bucket, now);
         handover.items.push_back({account, bucket.level, bucket.outstanding});
@@ -233,7 +238,7 @@
         Bucket &bucket = found->second;
         HolderAccount &lease = holder->accounts[wish.use.account];
         refill(owner, bucket, now);
-        applyUse(owner, bucket, lease, wish.use);
+        applyUse(owner, bucket, lease, wish.use, now);
         const LeaseUse known = lease.wish.use;
         lease.wish = wish;
         lease.wish.use = known;
@@ -257,7 +262,7 @@
         }
         Bucket &bucket = found->second;
         refill(owner, bucket, now);
-        applyUse(owner, bucket, holder->accounts[use.account], use);
+        applyUse(owner, bucket, holder->accounts[use.account], use, now);
     }
     if (report.closing) {
         endSession(owner, *holder, now);
--- a/src/admission/bucketserve.cpp
+++ b/src/admission/bucketserve.cpp
@@ -12,6 +12,10 @@
 // A recall is answered within a round trip; more frequent ones would only repeat it.
 constexpr Duration recallInterval = milliseconds(100);
 
+// A holder of little is asked less often, as its tokens hardly shorten the wait.
+constexpr Duration smallRecallInterval = milliseconds(400);
+constexpr double smallPart = 0.05;
+
 void give(Bucket &bucket, HolderAccount &lease, Tokens amount)
 {
     lease.granted += amount;
@@ -40,7 +44,8 @@
             continue;
         }
         const bool waitsLonger = unmetNeed(lease->second) > 0 && lease->second.wish.priority > first.priority;
-        if (waitsLonger || now < lease->second.recalledAt + recallInterval) {
+        const bool small = held(lease->second) < smallPart * unmetNeed(*first.lease);
+        if (waitsLonger || now < lease->second.recalledAt + (small ? smallRecallInterval : recallInterval)) {
             continue;
         }
         lease->second.recall = first.priority;
--- a/src/admission/leaseplan.cpp
+++ b/src/admission/leaseplan.cpp
@@ -23,6 +23,12 @@
 // A home bucket without an answer for this time does not hold up the requests to other failure domains.
 constexpr Duration homePatience = milliseconds(20);
 
+// Spacing of requests to a bucket owner that is short; below the shortest deadlines, above the round trip.
+constexpr Duration shortAskInterval = milliseconds(50);
+
+// Another failure domain is asked when it can give at least this part. Smaller amounts arrive by balancing, with fewer messages.
+constexpr double worthPart = 0.5;
+
 std::uint64_t ageClassOf(const WaitingCall &call, TimePoint now)
 {
     const auto age = std::max<Duration::rep>(0, (now - call.since) / ageClass);
@@ -58,7 +64,7 @@
     return std::min(capacity, lease->second.reachable + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
 }
 
-void setExtra(LeaseSource &source, AccountId id, Tokens extra)
+void setExtra(LeaseSource &source, AccountId id, Tokens extra, TimePoint now)
 {
     const auto found = source.leases.find(id);
     if (found == source.leases.end() && extra <= tokenTolerance) {
@@ -70,7 +76,9 @@
     const Tokens wanted = used + (extra > tokenTolerance ? availableIn(lease) + extra : 0);
     const bool more = extra > tokenTolerance && wanted > lease.askedNeed + tokenTolerance;
     const bool less = lease.unmet > tokenTolerance && wanted < lease.askedNeed - tokenTolerance;
-    if (more || less) {
+    // An owner that is known to be short gains nothing from each single new call; the next tick after the interval tells it.
+    const bool tooSoon = lease.unmet > tokenTolerance && now - lease.askedAt < shortAskInterval;
+    if ((more || less) && !tooSoon) {
         listChange(source, id, lease);
     }
 }
@@ -111,7 +119,8 @@
         const Tokens heldThere = lease == candidate.source->leases.end() ? 0 : availableIn(lease->second);
         const Tokens room = std::max(0.0, capacityOf(*candidate.source, account) - heldThere);
         const bool wanted = missing > tokenTolerance && covered < missing;
-        setExtra(*candidate.source, id, wanted ? std::min(missing, room) : 0);
+        const bool worthAsking = candidate.reachable >= worthPart * std::min(missing, room);
+        setExtra(*candidate.source, id, wanted && worthAsking ? std::min(missing, room) : 0, now);
         if (!candidate.silent) {
             covered += std::min(room, candidate.reachable);
         }
@@ -160,7 +169,7 @@
             const Tokens heldThere = lease == source.leases.end() ? 0 : availableIn(lease->second);
             const Tokens extra = std::min(missing, std::max(0.0, capacityOf(source, account) - heldThere));
             missingElsewhere = missingAtHome(source, id, missing, extra, now);
-            setExtra(source, id, extra);
+            setExtra(source, id, extra, now);
         }
     }
     askOthers(leases, id, account, missingElsewhere, now);
--- a/src/admission/quotaleases.cpp
+++ b/src/admission/quotaleases.cpp
@@ -360,6 +360,9 @@
     });
     serveActive(leases, now, out);
     for (LeaseSource &source : leases.sources) {
+        if (source.retired) {
+            continue;
+        }
         for (auto &[id, lease] : source.leases) {
             review(leases, source, id, lease, now);
         }
