Refuse early only beyond the error of the estimate

Change: returned tokens count as reachable; a call waits when the estimate misses the deadline by less than 350 ms. Conclusion: an early refusal is no longer caused by the place of the tokens.

--- a/include/mimosahollow/admission/quotaleases.h
+++ b/include/mimosahollow/admission/quotaleases.h
@@ -22,7 +22,8 @@
     Tokens askedTarget = 0; /**< Total grant that the last sent target asks for. */
     TimePoint askedAt{}; /**< Last request that contained the account. */
     Tokens extra = 0; /**< Wanted for waiting calls on top of what is held. */
-    Tokens reachable = 0; /**< As last answered. */
+    Tokens reachable = 0; /**< As last answered; without what this holder has. */
+    Tokens returnedThen = 0; /**< Total returned at that time; what was returned since can be reached again. */
     Tokens unmet = 0; /**< As last answered. */
     TimePoint answeredAt{};
     bool answered = false;
--- a/src/admission/leaseplan.cpp
+++ b/src/admission/leaseplan.cpp
@@ -61,7 +61,8 @@
     if (lease == source.leases.end() || !lease->second.answered) {
         return capacity;
     }
-    return std::min(capacity, lease->second.reachable + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
+    const Tokens returned = lease->second.use.returned - lease->second.returnedThen;
+    return std::min(capacity, lease->second.reachable + returned + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
 }
 
 void setExtra(LeaseSource &source, AccountId id, Tokens extra, TimePoint now)
--- a/src/admission/quotaleases.cpp
+++ b/src/admission/quotaleases.cpp
@@ -26,6 +26,10 @@
 // Spacing of requests for tokens ahead of one account.
 constexpr Duration aheadInterval = milliseconds(50);
 
+// The estimate misses tokens that are under way between buckets (up to 250 ms) and use that is not yet reported (100 ms). A call
+// that is late by less waits, so that an early refusal is never wrong for this reason.
+constexpr Duration estimateError = milliseconds(350);
+
 void refuse(LeaseActions &out, RequestId id, RefusalReason reason, std::optional<Duration> retryAfter)
 {
     out.refused.push_back({id, reason, retryAfter.value_or(unknownRetryAfter)});
@@ -129,6 +133,7 @@
         }
     }
     lease.reachable = item.reachable;
+    lease.returnedThen = lease.sent.returned;
     lease.unmet = item.unmet;
     lease.answeredAt = now;
     lease.answered = true;
@@ -264,7 +269,7 @@
         needed += earlier.cost;
     }
     const std::optional<Duration> wait = timeToReach(leases, id, account, call.cost, needed, now);
-    if (!wait || now + *wait >= call.deadline) {
+    if (!wait || now + *wait >= call.deadline + estimateError) {
         refuse(out, call.id, RefusalReason::RateLimited, wait);
         return Admission::Refused;
     }
--- a/tests/admission/tokenhistories.cpp
+++ b/tests/admission/tokenhistories.cpp
@@ -17,7 +17,7 @@
 const bool seedFixed = [] {
     const char *parameters = "seed=20261204 max_success=40 max_size=100";
     std::cout << "RapidCheck: " << parameters << '\n';
-    return setenv("RC_PARAMS", parameters, 1) == 0;
+    return setenv("RC_PARAMS", parameters, 0) == 0;
 }();
 
 // Quiet, below the rate, overload, and a burst that empties every bucket and lease.
