--- a/include/mimosahollow/scheduling/actions.h
+++ b/include/mimosahollow/scheduling/actions.h
@@ -19,6 +19,8 @@
     FencingNumber fencing = 0;
     ServerId server{};
     AdapterId adapter{};
+
+    friend bool operator==(const Grant &, const Grant &) = default;
 };
 
 /** The request was not run. */
@@ -28,6 +30,8 @@
     InstanceId entry{};
     RefusalReason reason{};
     Duration retryAfter{};
+
+    friend bool operator==(const Refusal &, const Refusal &) = default;
 };
 
 enum class OrderKind : std::uint8_t {
--- a/include/mimosahollow/scheduling/grantreport.h
+++ b/include/mimosahollow/scheduling/grantreport.h
@@ -19,6 +19,8 @@
     AdapterId adapter{};
     std::uint32_t estimatedTokens = 0;
     TimePoint deadline;
+
+    friend bool operator==(const HeldGrant &, const HeldGrant &) = default;
 };
 
 /** All grants that an entry instance holds in one pool; sent to a new owner. */
@@ -26,6 +28,8 @@
 {
     InstanceId entry{};
     std::vector<HeldGrant> grants;
+
+    friend bool operator==(const GrantReport &, const GrantReport &) = default;
 };
 
 } // namespace mimosahollow::scheduling
--- a/include/mimosahollow/scheduling/poolsummary.h
+++ b/include/mimosahollow/scheduling/poolsummary.h
@@ -20,6 +20,8 @@
     Duration expectedWait{}; /**< For a request whose adapter is resident. */
     Duration expectedLoadWait{}; /**< Until a load that is asked for now is finished. */
     std::vector<AdapterId> adapters; /**< Resident or being loaded, in ascending order. */
+
+    friend bool operator==(const PoolSummary &, const PoolSummary &) = default;
 };
 
 } // namespace mimosahollow::scheduling
--- a/include/mimosahollow/scheduling/release.h
+++ b/include/mimosahollow/scheduling/release.h
@@ -26,6 +26,8 @@
     ReleaseOutcome outcome{};
     std::uint32_t tokensUsed = 0; /**< Prompt and output. */
     Duration firstTokenLatency{}; /**< From sending the request; 0 when no token came. */
+
+    friend bool operator==(const Release &, const Release &) = default;
 };
 
 } // namespace mimosahollow::scheduling
--- a/include/mimosahollow/scheduling/request.h
+++ b/include/mimosahollow/scheduling/request.h
@@ -20,6 +20,8 @@
     std::uint64_t prefixHash = 0; /**< Of organisation and conversation; 0: none. */
     TimePoint deadline;
     bool repeatable = true;
+
+    friend bool operator==(const AcquireRequest &, const AcquireRequest &) = default;
 };
 
 } // namespace mimosahollow::scheduling
--- a/include/mimosahollow/scheduling/requestrecord.h
+++ b/include/mimosahollow/scheduling/requestrecord.h
@@ -18,8 +18,8 @@
 {
     AcquireRequest request;
     RequestPhase phase = RequestPhase::Free;
-    bool loadCharged = false; /**< The organisation's load counter was charged for it. */
     TimePoint arrival;
+    TimePoint grantedAt;
     TimePoint priority; /**< Arrival plus a bounded handicap for long requests; lowest first within an organisation. */
     std::uint32_t next = noIndex; /**< In the adapter's waiting list, or in the free list. */
     std::uint32_t previous = noIndex;
--- a/include/mimosahollow/scheduling/serverstate.h
+++ b/include/mimosahollow/scheduling/serverstate.h
@@ -23,12 +23,22 @@
     AdapterId adapter{};
     SlotPhase phase{};
     bool unknownUse = false; /**< A grant of an earlier owner may use the adapter. */
+    bool unloadOrder = false; /**< The order is an unload; stays valid while the phase is Unknown. */
+    bool countsAsLoad = false; /**< Counted in AdapterState::loads of the adapter that is being loaded. */
+    bool holdsLoadPlace = false; /**< Counted in PoolState::loadsInFlight. */
     std::uint32_t users = 0; /**< Grants on this server for this adapter. */
     std::uint64_t order = 0; /**< Load or unload in flight. */
     AdapterId next{}; /**< To be loaded when the unload is done. */
     TimePoint since; /**< Start of the phase. */
 };
 
+/** An adapter that left a server recently; a lagging report may still list it. */
+struct ErasedAdapter
+{
+    AdapterId adapter{};
+    TimePoint at;
+};
+
 /** What the owner knows about one backend server. */
 struct ServerState
 {
@@ -44,8 +54,11 @@
     std::uint32_t unknownGrants = 0; /**< Slots that an earlier owner may have granted. */
     SlowStart slowStart;
     TimePoint ordersFrom; /**< No order before: an earlier owner's order may still arrive. */
-    TimePoint suspectUntil; /**< No loads before: the last one failed here. */
+    TimePoint grantsFrom; /**< Nothing new before: the server refused a connection. */
+    TimePoint lastSeen; /**< Last announcement or report. */
+    bool silent = false; /**< Not seen for SchedulingSettings::silence. */
     std::vector<AdapterSlot> slots; /**< Longer than adapterSlots only when the server reports more than that. */
+    std::vector<ErasedAdapter> erased;
 };
 
 } // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/link/poolmessagedecoder.cpp
@@ -0,0 +1,184 @@
+#include "poolmessagedecoder.h"
+
+#include <chrono>
+#include <cmath>
+#include <optional>
+
+namespace mimosahollow::link {
+
+namespace {
+
+using Result = std::variant<PoolMessage, PoolCodecError>;
+
+// Above the maximum request deadline of 600 s; a bound keeps arithmetic on time points from overflowing.
+constexpr std::int64_t longestDurationUs = 3'600'000'000;
+constexpr auto lastReason = static_cast<std::uint8_t>(RefusalReason::CostAboveBurst);
+constexpr auto lastOutcome = static_cast<std::uint8_t>(scheduling::ReleaseOutcome::NotSent);
+
+std::optional<Duration> duration(std::int64_t microseconds) noexcept
+{
+    if (microseconds < -longestDurationUs || microseconds > longestDurationUs) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(microseconds);
+}
+
+template<typename Table>
+RequestId requestId(const Table &table) noexcept
+{
+    return {table.process(), table.sequence()};
+}
+
+std::vector<std::string> strings(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> &vector)
+{
+    std::vector<std::string> values;
+    values.reserve(vector.size());
+    for (const flatbuffers::String *value : vector) {
+        values.push_back(value->str());
+    }
+    return values;
+}
+
+Result convertRequest(const wire::AcquireRequest &table, TimePoint now)
+{
+    const auto remaining = duration(table.deadline_us());
+    if (!remaining || !std::isfinite(table.weight()) || table.weight() <= 0) {
+        return PoolCodecError::ValueOutOfRange;
+    }
+    PoolAcquire message;
+    message.pool = PoolId{table.pool()};
+    message.request.id = requestId(table);
+    message.request.entry = InstanceId{table.entry()};
+    message.request.organisation = OrganisationId{table.organisation()};
+    message.request.weight = table.weight();
+    message.request.adapter = AdapterId{table.adapter()};
+    message.request.promptTokens = table.prompt_tokens();
+    message.request.maximumOutputTokens = table.maximum_output_tokens();
+    message.request.prefixHash = table.prefix_hash();
+    message.request.deadline = now + *remaining;
+    message.request.repeatable = table.repeatable();
+    return message;
+}
+
+Result convertReply(const wire::AcquireReply &table)
+{
+    const RequestId id = requestId(table);
+    const InstanceId entry{table.entry()};
+    if (const wire::GrantReply *grant = table.result_as_GrantReply()) {
+        return PoolAcquireReply(scheduling::Grant{id, entry, grant->grant(), grant->fencing(), ServerId{grant->server()}, AdapterId{grant->adapter()}});
+    }
+    const wire::RefusalReply *refusal = table.result_as_RefusalReply();
+    if (refusal == nullptr) {
+        return PoolCodecError::UnknownKind;
+    }
+    const auto retryAfter = duration(refusal->retry_after_us());
+    if (!retryAfter || refusal->reason() > lastReason) {
+        return PoolCodecError::ValueOutOfRange;
+    }
+    return PoolAcquireReply(scheduling::Refusal{id, entry, static_cast<RefusalReason>(refusal->reason()), *retryAfter});
+}
+
+Result convertRelease(const wire::Release &table)
+{
+    const auto latency = duration(table.first_token_latency_us());
+    if (!latency || table.outcome() > lastOutcome) {
+        return PoolCodecError::ValueOutOfRange;
+    }
+    const auto outcome = static_cast<scheduling::ReleaseOutcome>(table.outcome());
+    return PoolRelease{PoolId{table.pool()}, {requestId(table), table.grant(), table.fencing(), outcome, table.tokens_used(), *latency}};
+}
+
+Result convertGrantReport(const wire::GrantReport &table, TimePoint now)
+{
+    PoolGrantReport message;
+    message.pool = PoolId{table.pool()};
+    message.report.entry = InstanceId{table.entry()};
+    message.report.grants.reserve(table.grants()->size());
+    for (const wire::HeldGrant *held : *table.grants()) {
+        const auto remaining = duration(held->deadline_us());
+        if (!remaining) {
+            return PoolCodecError::ValueOutOfRange;
+        }
+        message.report.grants.push_back({requestId(*held),
+                                         held->grant(),
+                                         held->fencing(),
+                                         ServerId{held->server()},
+                                         OrganisationId{held->organisation()},
+                                         AdapterId{held->adapter()},
+                                         held->estimated_tokens(),
+                                         now + *remaining});
+    }
+    return message;
+}
+
+Result convertSummary(const wire::PoolSummary &table)
+{
+    const auto wait = duration(table.expected_wait_us());
+    const auto loadWait = duration(table.expected_load_wait_us());
+    if (!wait || !loadWait) {
+        return PoolCodecError::ValueOutOfRange;
+    }
+    scheduling::PoolSummary message;
+    message.pool = PoolId{table.pool()};
+    message.fencing = table.fencing();
+    message.inService = table.in_service();
+    message.freeSlots = table.free_slots();
+    message.totalSlots = table.total_slots();
+    message.waiting = table.waiting();
+    message.expectedWait = *wait;
+    message.expectedLoadWait = *loadWait;
+    message.adapters.reserve(table.adapters()->size());
+    for (const std::uint32_t adapter : *table.adapters()) {
+        message.adapters.push_back(AdapterId{adapter});
+    }
+    return message;
+}
+
+Result convertAnnouncement(const wire::ServerAnnouncement &table)
+{
+    gateway::BackendAnnouncement message;
+    message.name = table.name()->str();
+    message.address = table.address()->str();
+    message.failureDomain = table.failure_domain()->str();
+    message.kind = table.kind()->str();
+    message.incarnation = table.incarnation();
+    message.slots = table.slots();
+    message.adapterSlots = table.adapter_slots();
+    message.coldLimit = table.cold_limit();
+    message.checksFencing = table.checks_fencing();
+    message.leaving = table.leaving();
+    message.adapters = strings(*table.adapters());
+    return message;
+}
+
+Result convertReport(const wire::ServerReport &table)
+{
+    return gateway::BackendReport{table.name()->str(), table.incarnation(), table.running(), table.queued(), strings(*table.adapters())};
+}
+
+} // namespace
+
+Result convert(const wire::PoolMessage &message, TimePoint now)
+{
+    switch (message.content_type()) {
+    case wire::PoolContent_AcquireRequest:
+        return convertRequest(*message.content_as_AcquireRequest(), now);
+    case wire::PoolContent_AcquireReply:
+        return convertReply(*message.content_as_AcquireReply());
+    case wire::PoolContent_Release:
+        return convertRelease(*message.content_as_Release());
+    case wire::PoolContent_GrantReport:
+        return convertGrantReport(*message.content_as_GrantReport(), now);
+    case wire::PoolContent_PoolSummary:
+        return convertSummary(*message.content_as_PoolSummary());
+    case wire::PoolContent_ServerAnnouncement:
+        return convertAnnouncement(*message.content_as_ServerAnnouncement());
+    case wire::PoolContent_ServerReport:
+        return convertReport(*message.content_as_ServerReport());
+    case wire::PoolContent_NONE:
+        break;
+    }
+    return PoolCodecError::UnknownKind;
+}
+
+} // namespace mimosahollow::link
--- /dev/null
+++ b/src/scheduling/eviction.cpp
@@ -0,0 +1,94 @@
+#include "eviction.h"
+
+#include "lookup.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+/** Whether a load may be ordered on the server at all. */
+bool mayLoad(const PoolState &state, const ServerState &server, AdapterId adapter, TimePoint now) noexcept
+{
+    const bool ordersAllowed = server.ordersFrom <= now && server.grantsFrom <= now;
+    const bool present = std::any_of(server.slots.begin(), server.slots.end(), [adapter](const AdapterSlot &slot) {
+        return slot.adapter == adapter || slot.next == adapter;
+    });
+    return isUsable(state, server) && server.adapterSlots > 0 && ordersAllowed && !present;
+}
+
+/** Popularity of the adapter in the slot for each of its replicas. */
+double usefulness(const PoolState &state, const AdapterSlot &slot) noexcept
+{
+    const AdapterState &adapter = state.adapters[number(slot.adapter)];
+    return adapter.popularity / static_cast<double>(std::max<std::size_t>(1, adapter.holders.size()));
+}
+
+struct Victim
+{
+    std::size_t position = LoadTarget::freeSlot;
+    double usefulness = std::numeric_limits<double>::infinity();
+};
+
+Victim leastUseful(const PoolState &state, const ServerState &server) noexcept
+{
+    Victim victim;
+    for (std::size_t i = 0; i < server.slots.size(); ++i) {
+        if (isEvictable(state, server.slots[i])) {
+            const double value = usefulness(state, server.slots[i]);
+            if (value < victim.usefulness) {
+                victim = {i, value};
+            }
+        }
+    }
+    return victim;
+}
+
+/** Servers with a free request slot come first: the waiting request can start there at once. */
+double serverCost(const ServerState &server) noexcept
+{
+    return loadOf(server);
+}
+
+} // namespace
+
+bool isEvictable(const PoolState &state, const AdapterSlot &slot) noexcept
+{
+    return slot.phase == SlotPhase::Resident && !slot.unknownUse && slot.users == 0 && state.adapters[number(slot.adapter)].waiting == 0;
+}
+
+LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, double worth, TimePoint now) noexcept
+{
+    const std::uint16_t failed = state.adapters[number(adapter)].failedServer;
+    LoadTarget best;
+    bool bestFailed = true;
+    bool bestFree = false;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (std::uint32_t i = 0; i < state.servers.size(); ++i) {
+        const ServerState &server = state.servers[i];
+        if (!mayLoad(state, server, adapter, now)) {
+            continue;
+        }
+        const bool isFree = server.slots.size() < server.adapterSlots;
+        const Victim victim = isFree ? Victim{} : leastUseful(state, server);
+        if (!isFree && (victim.position == LoadTarget::freeSlot || victim.usefulness >= worth)) {
+            continue;
+        }
+        const bool isFailed = i == failed;
+        const bool full = usedSlots(server) >= server.slowStart.limit;
+        const double cost = isFree ? serverCost(server) : victim.usefulness * (full ? 4 : 1);
+        // Another server than the one that failed, then a free slot, then the cheapest.
+        const bool better = best.server == noIndex || (isFailed != bestFailed ? bestFailed : (isFree != bestFree ? isFree : cost < bestCost));
+        if (better) {
+            best = {i, victim.position};
+            bestFailed = isFailed;
+            bestFree = isFree;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/eviction.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "mimosahollow/scheduling/poolstate.h"
+
+#include <cstddef>
+
+namespace mimosahollow::scheduling {
+
+/** Where an adapter can be loaded. */
+struct LoadTarget
+{
+    static constexpr std::size_t freeSlot = static_cast<std::size_t>(-1);
+
+    std::uint32_t server = noIndex;
+    std::size_t victim = freeSlot; /**< Slot to unload first. */
+};
+
+/** True when no request runs, waits or is assigned for the adapter of the slot, and nothing about it is unknown (P2). */
+[[nodiscard]] bool isEvictable(const PoolState &state, const AdapterSlot &slot) noexcept;
+
+/**
+ * The best server for a load. Only adapters with a popularity below @p worth (scaled like AdapterState::popularity) are
+ * evicted.
+ */
+[[nodiscard]] LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, double worth, TimePoint now) noexcept;
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/loads.cpp
@@ -0,0 +1,229 @@
+#include "loads.h"
+
+#include "eviction.h"
+#include "lookup.h"
+#include "placement.h"
+#include "residency.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+// A replica must be clearly more useful than what it displaces, or replicas of two adapters would displace each other.
+constexpr double replicaAdvantage = 0.5;
+// Doublings of the retry delay beyond this exceed the longest delay by far.
+constexpr std::uint16_t mostDoublings = 16;
+
+/** An adapter that should be loaded, and the waiting request that stands for it. */
+struct LoadCandidate
+{
+    AdapterId adapter{};
+    std::uint32_t record = noIndex;
+    bool replica = false;
+    double served = std::numeric_limits<double>::infinity(); /**< Load counter of the organisation. */
+    TimePoint priority = TimePoint::max();
+};
+
+bool wantsReplica(const PoolState &state, const AdapterState &adapter, TimePoint now) noexcept
+{
+    for (std::uint32_t i = adapter.firstWaiting; i != noIndex; i = state.records[i].next) {
+        if (state.records[i].arrival + state.settings.replicaWait <= now) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** The request of the least served organisation, the oldest among them. */
+void setStandIn(const PoolState &state, const AdapterState &adapter, LoadCandidate &candidate) noexcept
+{
+    for (std::uint32_t i = adapter.firstWaiting; i != noIndex; i = state.records[i].next) {
+        const RequestRecord &record = state.records[i];
+        const double served = state.organisations[number(record.request.organisation)].servedLoads;
+        if (served < candidate.served || (served == candidate.served && record.arrival < candidate.priority)) {
+            candidate.record = i;
+            candidate.served = served;
+            candidate.priority = record.arrival;
+        }
+    }
+}
+
+bool isBetter(const LoadCandidate &left, const LoadCandidate &right) noexcept
+{
+    if (left.replica != right.replica) {
+        return right.replica;
+    }
+    return left.served < right.served || (left.served == right.served && left.priority < right.priority);
+}
+
+struct LoadDemand
+{
+    LoadCandidate best;
+    std::uint32_t adapters = 0;
+};
+
+/** Adapters that wait for a load, except those at positions before @p skipped that found no server. */
+LoadDemand findDemand(const PoolState &state, const std::vector<AdapterId> &skipped, TimePoint now)
+{
+    LoadDemand demand;
+    for (const std::uint32_t position : state.waitingAdapters) {
+        const AdapterState &adapter = state.adapters[position];
+        const AdapterId id{position};
+        if (position == 0 || adapter.loads > 0 || adapter.retryAt > now || std::find(skipped.begin(), skipped.end(), id) != skipped.end()) {
+            continue;
+        }
+        LoadCandidate candidate;
+        candidate.adapter = id;
+        candidate.replica = usableHolders(state, adapter) > 0;
+        if (candidate.replica && !wantsReplica(state, adapter, now)) {
+            continue;
+        }
+        ++demand.adapters;
+        setStandIn(state, adapter, candidate);
+        if (demand.best.record == noIndex || isBetter(candidate, demand.best)) {
+            demand.best = candidate;
+        }
+    }
+    return demand;
+}
+
+void orderLoad(PoolState &state, std::uint32_t server, AdapterSlot &slot, TimePoint now, Actions &actions)
+{
+    slot.phase = SlotPhase::Loading;
+    slot.order = state.nextOrder++;
+    slot.since = now;
+    actions.emplace_back(Order{slot.order, OrderKind::Load, state.servers[server].id, slot.adapter, state.fencing, state.settings.loadTimeout});
+}
+
+void orderUnload(PoolState &state, std::uint32_t server, AdapterSlot &slot, AdapterId next, TimePoint now, Actions &actions)
+{
+    dropHolder(state, server, slot.adapter);
+    slot.phase = SlotPhase::Unloading;
+    slot.unloadOrder = true;
+    slot.order = state.nextOrder++;
+    slot.next = next;
+    slot.since = now;
+    const ServerId id = state.servers[server].id;
+    actions.emplace_back(Order{slot.order, OrderKind::Unload, id, slot.adapter, state.fencing, state.settings.loadTimeout});
+    actions.emplace_back(DecisionRecord{{}, {}, slot.adapter, 1, id, DecisionReason::EvictLeastUseful, {}});
+}
+
+void startLoad(PoolState &state, const LoadCandidate &candidate, const LoadTarget &target, TimePoint now, Actions &actions)
+{
+    ServerState &server = state.servers[target.server];
+    const bool isFree = target.victim == LoadTarget::freeSlot;
+    AdapterSlot &slot = isFree ? addSlot(state, target.server, candidate.adapter, now) : server.slots[target.victim];
+    state.loadTokens -= 1;
+    ++state.loadsInFlight;
+    ++state.adapters[number(candidate.adapter)].loads;
+    slot.countsAsLoad = true;
+    slot.holdsLoadPlace = true;
+    if (isFree) {
+        orderLoad(state, target.server, slot, now, actions);
+    } else {
+        orderUnload(state, target.server, slot, candidate.adapter, now, actions);
+    }
+    const AcquireRequest &request = state.records[candidate.record].request;
+    OrganisationState &organisation = organisationState(state, request.organisation);
+    state.loadsFloor = std::max(state.loadsFloor, organisation.servedLoads);
+    organisation.servedLoads += 1 / organisation.weight;
+    const DecisionReason reason = candidate.replica ? DecisionReason::LoadReplica : DecisionReason::LoadOnDemand;
+    actions.emplace_back(DecisionRecord{request.id, request.organisation, candidate.adapter, 1, server.id, reason, {}});
+}
+
+/** Popularity below which other adapters give way to the candidate. */
+double worthOf(const PoolState &state, const LoadCandidate &candidate) noexcept
+{
+    if (!candidate.replica) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const AdapterState &adapter = state.adapters[number(candidate.adapter)];
+    return replicaAdvantage * adapter.popularity / static_cast<double>(adapter.holders.size() + 1);
+}
+
+} // namespace
+
+std::uint32_t usableHolders(const PoolState &state, const AdapterState &adapter) noexcept
+{
+    return static_cast<std::uint32_t>(std::count_if(adapter.holders.begin(), adapter.holders.end(), [&](std::uint16_t holder) {
+        return isUsable(state, state.servers[holder]);
+    }));
+}
+
+void planLoads(PoolState &state, TimePoint now, Actions &actions)
+{
+    std::vector<AdapterId> skipped; // stays empty, without storage, unless every adapter slot is in use
+    LoadDemand demand = findDemand(state, skipped, now);
+    while (demand.best.record != noIndex && state.loadTokens >= 1 && state.loadsInFlight < state.settings.loadsInFlight) {
+        const LoadTarget target = chooseLoadTarget(state, demand.best.adapter, worthOf(state, demand.best), now);
+        if (target.server == noIndex) {
+            skipped.push_back(demand.best.adapter);
+        } else {
+            startLoad(state, demand.best, target, now, actions);
+        }
+        demand = findDemand(state, skipped, now);
+    }
+    const double wanted = demand.adapters + state.settings.loadTokenReserve - state.loadTokens;
+    state.wantedLoadTokens = wanted > 0 ? static_cast<std::uint32_t>(std::ceil(wanted)) : 0;
+}
+
+void recordLoadFailure(PoolState &state, AdapterId adapter, std::uint32_t server, TimePoint now)
+{
+    AdapterState &failed = adapterState(state, adapter);
+    const Duration delay = state.settings.loadRetryFirst * (1U << std::min(failed.failures, mostDoublings));
+    failed.retryAt = now + std::min(delay, state.settings.loadRetryLongest);
+    failed.failures = static_cast<std::uint16_t>(std::min(failed.failures + 1, static_cast<int>(mostDoublings)));
+    failed.failedServer = static_cast<std::uint16_t>(server);
+}
+
+void expireOrders(PoolState &state, TimePoint now)
+{
+    for (std::uint32_t i = 0; i < state.servers.size(); ++i) {
+        for (AdapterSlot &slot : state.servers[i].slots) {
+            const bool ordered = slot.phase == SlotPhase::Loading || slot.phase == SlotPhase::Unloading;
+            if (ordered && slot.since + state.settings.loadTimeout <= now) {
+                const AdapterId loaded = loadedBy(slot);
+                abandonLoad(state, slot);
+                returnLoadPlace(state, slot);
+                if (number(loaded) != 0) {
+                    recordLoadFailure(state, loaded, i, now);
+                }
+                slot.phase = SlotPhase::Unknown;
+                slot.next = {};
+                slot.since = now;
+            }
+        }
+    }
+}
+
+Duration expectedLoadWait(const PoolState &state, AdapterId adapter, OrganisationId organisation, TimePoint now) noexcept
+{
+    std::uint32_t all = 0;
+    std::uint32_t own = 0;
+    for (const std::uint32_t position : state.waitingAdapters) {
+        const AdapterState &waiting = state.adapters[position];
+        if (position == 0 || position == number(adapter) || waiting.loads > 0 || usableHolders(state, waiting) > 0) {
+            continue;
+        }
+        ++all;
+        own += state.records[waiting.firstWaiting].request.organisation == organisation ? 1 : 0;
+    }
+    std::uint32_t active = 0;
+    for (const OrganisationState &other : state.organisations) {
+        active += other.waiting > 0 ? 1 : 0;
+    }
+    // Loads are shared fairly: at most as many of each other organisation as of this one go first.
+    const double ahead = std::min<double>(all, (own + 1.0) * std::max(active, 1U) - 1);
+    const double shortOfTokens = std::max(0.0, ahead + 1 - state.loadTokens);
+    Duration wait = fromSeconds(shortOfTokens / state.settings.loadsPerSecond + state.loadSeconds);
+    if (number(adapter) < state.adapters.size()) {
+        wait = std::max(wait, state.adapters[number(adapter)].retryAt - now + fromSeconds(state.loadSeconds));
+    }
+    return wait;
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/orders.cpp
@@ -0,0 +1,141 @@
+#include "mimosahollow/scheduling/pool.h"
+
+#include "loads.h"
+#include "lookup.h"
+#include "placement.h"
+#include "residency.h"
+
+#include <algorithm>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+constexpr double loadTimeWeight = 0.2; // of the newest load in the moving average
+
+struct FoundOrder
+{
+    std::uint32_t server = noIndex;
+    std::size_t slot = 0;
+};
+
+FoundOrder findOrder(const PoolState &state, std::uint64_t order) noexcept
+{
+    for (std::uint32_t i = 0; order != 0 && i < state.servers.size(); ++i) {
+        const auto &slots = state.servers[i].slots;
+        const auto found = std::find_if(slots.begin(), slots.end(), [order](const AdapterSlot &slot) {
+            return slot.order == order;
+        });
+        if (found != slots.end()) {
+            return {i, static_cast<std::size_t>(found - slots.begin())};
+        }
+    }
+    return {};
+}
+
+void becomeUnknown(AdapterSlot &slot, TimePoint now) noexcept
+{
+    slot.phase = SlotPhase::Unknown;
+    slot.next = {};
+    slot.since = now;
+}
+
+void loadDone(PoolState &state, const FoundOrder &found, TimePoint now)
+{
+    AdapterSlot &slot = state.servers[found.server].slots[found.slot];
+    if (slot.phase == SlotPhase::Loading) {
+        state.loadSeconds += loadTimeWeight * (toSeconds(now - slot.since) - state.loadSeconds);
+    }
+    abandonLoad(state, slot);
+    returnLoadPlace(state, slot);
+    AdapterState &adapter = state.adapters[number(slot.adapter)];
+    adapter.failures = 0;
+    adapter.failedServer = 0xffffU;
+    adapter.retryAt = {};
+    makeResident(state, found.server, slot, now);
+}
+
+/** The slot is free: the adapter that caused the unload takes it. */
+void unloadDone(PoolState &state, const FoundOrder &found, TimePoint now, Actions &actions)
+{
+    ServerState &server = state.servers[found.server];
+    AdapterSlot unloaded = server.slots[found.slot];
+    const bool mayLoad = unloaded.countsAsLoad && isUsable(state, server);
+    if (!mayLoad && unloaded.holdsLoadPlace) {
+        state.loadTokens += 1; // the token was not used
+    }
+    eraseSlot(state, found.server, found.slot, now);
+    if (!mayLoad) {
+        return;
+    }
+    AdapterSlot &slot = addSlot(state, found.server, unloaded.next, now);
+    slot.order = state.nextOrder++;
+    slot.countsAsLoad = true;
+    slot.holdsLoadPlace = true;
+    ++state.loadsInFlight;
+    ++state.adapters[number(slot.adapter)].loads;
+    actions.emplace_back(Order{slot.order, OrderKind::Load, server.id, slot.adapter, state.fencing, state.settings.loadTimeout});
+}
+
+void unloadFailed(PoolState &state, const FoundOrder &found, OrderOutcome outcome, TimePoint now)
+{
+    AdapterSlot &slot = state.servers[found.server].slots[found.slot];
+    if (number(slot.next) != 0) {
+        recordLoadFailure(state, slot.next, found.server, now);
+    }
+    if (slot.holdsLoadPlace) {
+        state.loadTokens += 1; // the token was not used
+    }
+    abandonLoad(state, slot);
+    returnLoadPlace(state, slot);
+    becomeUnknown(slot, now);
+    if (outcome != OrderOutcome::Unknown) {
+        makeResident(state, found.server, slot, now); // the server did not carry it out
+    }
+}
+
+void loadFailed(PoolState &state, const FoundOrder &found, OrderOutcome outcome, TimePoint now)
+{
+    AdapterSlot &slot = state.servers[found.server].slots[found.slot];
+    if (slot.phase == SlotPhase::Loading) {
+        recordLoadFailure(state, slot.adapter, found.server, now);
+    }
+    abandonLoad(state, slot);
+    returnLoadPlace(state, slot);
+    if (outcome == OrderOutcome::NotSent) {
+        ServerState &server = state.servers[found.server];
+        server.grantsFrom = std::max(server.grantsFrom, now + state.settings.refusedPause);
+    }
+    if (outcome == OrderOutcome::Unknown) {
+        becomeUnknown(slot, now);
+    } else {
+        eraseSlot(state, found.server, found.slot, now);
+    }
+}
+
+} // namespace
+
+void orderFinished(PoolState &state, std::uint64_t order, OrderOutcome outcome, TimePoint now, Actions &actions)
+{
+    const FoundOrder found = findOrder(state, order);
+    if (found.server == noIndex) {
+        return;
+    }
+    const AdapterSlot &slot = state.servers[found.server].slots[found.slot];
+    const bool unload = slot.phase == SlotPhase::Unloading || slot.unloadOrder;
+    if (outcome == OrderOutcome::Done) {
+        unload ? unloadDone(state, found, now, actions) : loadDone(state, found, now);
+    } else {
+        unload ? unloadFailed(state, found, outcome, now) : loadFailed(state, found, outcome, now);
+    }
+    serveServer(state, found.server, now, actions);
+    planLoads(state, now, actions);
+}
+
+void grantLoadTokens(PoolState &state, double tokens, TimePoint now, Actions &actions)
+{
+    state.loadTokens += tokens;
+    planLoads(state, now, actions);
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/ownership.cpp
@@ -0,0 +1,169 @@
+#include "mimosahollow/scheduling/pool.h"
+
+#include "loads.h"
+#include "lookup.h"
+#include "placement.h"
+#include "queue.h"
+#include "residency.h"
+#include "unknownuse.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+// Order results of the former owner never arrive here; the servers' reports decide within about two report intervals.
+constexpr Duration inheritedLoadWait = seconds(1);
+
+/** Takes over what a server is, not what it runs. */
+void inheritServer(PoolState &state, const ServerState &old, TimePoint now)
+{
+    const std::uint32_t position = addServer(state, old.id);
+    ServerState &server = state.servers[position];
+    const std::uint32_t grants = server.grants;
+    server = old;
+    server.grants = grants;
+    server.unknownGrants = old.slowStart.warmLimit;
+    server.ordersFrom = old.checksFencing ? TimePoint{} : state.ordersFrom;
+    ++server.slowStart.epoch;
+    server.slots.clear();
+    for (const AdapterSlot &slot : old.slots) {
+        AdapterSlot &inherited = addSlot(state, position, slot.adapter, now);
+        inherited.unknownUse = true;
+        if (slot.phase == SlotPhase::Resident) {
+            makeResident(state, position, inherited, now);
+        } else {
+            inherited.phase = SlotPhase::Unknown;
+        }
+    }
+}
+
+bool isNew(const PoolState &state, const HeldGrant &held, TimePoint now) noexcept
+{
+    const std::uint32_t known = state.index.find(held.id);
+    const std::uint32_t largest = std::max({number(held.server), number(held.organisation), number(held.adapter)});
+    return largest <= state.settings.largestId && held.fencing < state.fencing && held.deadline > now
+           && (known == noIndex || state.records[known].phase == RequestPhase::Waiting);
+}
+
+void adoptGrant(PoolState &state, InstanceId entry, const HeldGrant &held, TimePoint now)
+{
+    const std::uint32_t waiting = state.index.find(held.id);
+    if (waiting != noIndex) {
+        dequeue(state, waiting);
+        freeRecord(state, waiting);
+    }
+    AcquireRequest request;
+    request.id = held.id;
+    request.entry = entry;
+    request.organisation = held.organisation;
+    request.adapter = held.adapter;
+    request.maximumOutputTokens = held.estimatedTokens;
+    request.deadline = held.deadline;
+    static_cast<void>(organisationState(state, held.organisation));
+    static_cast<void>(adapterState(state, held.adapter));
+    const std::uint32_t position = newRecord(state, request, now);
+    RequestRecord &record = state.records[position];
+    const std::uint32_t serverPosition = addServer(state, held.server);
+    ServerState &server = state.servers[serverPosition];
+    record.phase = RequestPhase::Granted;
+    record.server = static_cast<std::uint16_t>(serverPosition);
+    record.epoch = server.slowStart.epoch;
+    record.incarnation = server.incarnation;
+    record.grant = held.grant;
+    record.fencing = held.fencing;
+    record.charged = held.estimatedTokens;
+    ++server.grants;
+    server.unknownGrants -= std::min(server.unknownGrants, 1U);
+    if (AdapterSlot *slot = findSlot(server, held.adapter)) {
+        ++slot->users;
+    }
+}
+
+} // namespace
+
+void beginOwnership(PoolState &state, const Ownership &ownership, TimePoint now)
+{
+    PoolState old = std::exchange(state, makePool(state.pool, state.settings, now));
+    state.fencing = ownership.fencing;
+    state.domain = old.domain;
+    state.random = old.random;
+    state.unknownUntil = ownership.unknownUntil;
+    state.ordersFrom = ownership.ordersFrom;
+    state.unreconciled = ownership.instances;
+    state.unknownUse = ownership.unknownUntil > now;
+    state.loadSeconds = old.loadSeconds;
+    state.serviceSeconds = old.serviceSeconds;
+    state.popularityOrigin = old.popularityOrigin;
+    for (std::size_t i = 0; i < old.adapters.size(); ++i) {
+        adapterState(state, AdapterId{static_cast<std::uint32_t>(i)}).popularity = old.adapters[i].popularity;
+    }
+    for (const ServerState &server : old.servers) {
+        inheritServer(state, server, now);
+    }
+    if (!state.unknownUse) {
+        clearUnknownUse(state);
+    }
+}
+
+void clearUnknownUse(PoolState &state) noexcept
+{
+    state.unknownUse = false;
+    state.unreconciled.clear();
+    for (ServerState &server : state.servers) {
+        server.unknownGrants = 0;
+        for (AdapterSlot &slot : server.slots) {
+            slot.unknownUse = false;
+        }
+    }
+}
+
+void reconcileGrants(PoolState &state, const GrantReport &report, TimePoint now, Actions &actions)
+{
+    for (const HeldGrant &held : report.grants) {
+        if (isNew(state, held, now)) {
+            adoptGrant(state, report.entry, held, now);
+        }
+    }
+    std::erase(state.unreconciled, report.entry);
+    if (state.unknownUse && state.unreconciled.empty()) {
+        clearUnknownUse(state);
+    }
+    serveAll(state, now, actions);
+    planLoads(state, now, actions);
+}
+
+PoolState exportState(PoolState &state)
+{
+    return std::exchange(state, makePool(state.pool, state.settings, state.ownedSince));
+}
+
+void importState(PoolState &state, PoolState &&handedOver, FencingNumber fencing, TimePoint now, Actions &actions)
+{
+    state = std::move(handedOver);
+    state.fencing = fencing;
+    state.ownedSince = now;
+    state.loadTokens = 0; // tokens belong to the instance that was given them
+    for (ServerState &server : state.servers) {
+        for (AdapterSlot &slot : server.slots) {
+            if (slot.phase != SlotPhase::Loading && slot.phase != SlotPhase::Unloading) {
+                slot.order = 0;
+                continue;
+            }
+            const AdapterId loaded = loadedBy(slot);
+            abandonLoad(state, slot);
+            returnLoadPlace(state, slot);
+            adapterState(state, loaded).retryAt = now + inheritedLoadWait;
+            slot.phase = SlotPhase::Unknown;
+            slot.order = 0;
+            slot.next = {};
+            slot.since = now;
+        }
+    }
+    serveAll(state, now, actions);
+    planLoads(state, now, actions);
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/queue.cpp
@@ -0,0 +1,160 @@
+#include "queue.h"
+
+#include "lookup.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+// Time that one token of a request lets later, shorter requests pass; about the time that an engine needs for a token.
+constexpr std::chrono::microseconds handicapPerToken(5000);
+// An organisation that used idle capacity keeps at most this much of it as a debt when others begin to wait: about the
+// tokens that one server generates in 30 s.
+constexpr double largestDebtTokens = 20000;
+constexpr double largestDebtLoads = 20;
+
+/** Brings a counter that becomes active between the lowest active one and that plus the largest debt. */
+double activated(double counter, double lowest, double debt) noexcept
+{
+    return std::clamp(counter, lowest, lowest + debt);
+}
+
+void activate(PoolState &state, OrganisationState &organisation) noexcept
+{
+    double tokens = state.servedFloor;
+    double loads = state.loadsFloor;
+    bool others = false;
+    for (const OrganisationState &other : state.organisations) {
+        if (other.waiting > 0) {
+            tokens = others ? std::min(tokens, other.servedTokens) : other.servedTokens;
+            loads = others ? std::min(loads, other.servedLoads) : other.servedLoads;
+            others = true;
+        }
+    }
+    organisation.servedTokens = activated(organisation.servedTokens, tokens, largestDebtTokens / organisation.weight);
+    organisation.servedLoads = activated(organisation.servedLoads, loads, largestDebtLoads / organisation.weight);
+}
+
+TimePoint priorityOf(const PoolState &state, const RequestRecord &record)
+{
+    const Duration handicap = handicapPerToken * static_cast<std::int64_t>(record.request.maximumOutputTokens);
+    return record.arrival + std::min(handicap, state.settings.ageingLimit);
+}
+
+/** Keeps the better of @p best and the waiting requests of the adapter. */
+void considerList(const PoolState &state, std::uint32_t adapter, std::uint32_t &best) noexcept
+{
+    for (std::uint32_t i = state.adapters[adapter].firstWaiting; i != noIndex; i = state.records[i].next) {
+        if (best == noIndex) {
+            best = i;
+            continue;
+        }
+        const RequestRecord &candidate = state.records[i];
+        const RequestRecord &present = state.records[best];
+        const double candidateServed = state.organisations[number(candidate.request.organisation)].servedTokens;
+        const double presentServed = state.organisations[number(present.request.organisation)].servedTokens;
+        if (candidateServed < presentServed || (candidateServed == presentServed && candidate.priority < present.priority)) {
+            best = i;
+        }
+    }
+}
+
+} // namespace
+
+double estimatedTokens(const AcquireRequest &request) noexcept
+{
+    return static_cast<double>(request.promptTokens) + static_cast<double>(request.maximumOutputTokens);
+}
+
+std::uint32_t newRecord(PoolState &state, const AcquireRequest &request, TimePoint now)
+{
+    std::uint32_t position = state.freeRecord;
+    if (position == noIndex) {
+        position = static_cast<std::uint32_t>(state.records.size());
+        state.records.emplace_back();
+    } else {
+        state.freeRecord = state.records[position].next;
+    }
+    RequestRecord &record = state.records[position];
+    record = RequestRecord{};
+    record.request = request;
+    record.arrival = now;
+    record.priority = priorityOf(state, record);
+    state.index.insert(request.id, position);
+    return position;
+}
+
+void freeRecord(PoolState &state, std::uint32_t record) noexcept
+{
+    RequestRecord &freed = state.records[record];
+    if (state.index.find(freed.request.id) == record) {
+        state.index.erase(freed.request.id);
+    }
+    freed.phase = RequestPhase::Free;
+    freed.next = state.freeRecord;
+    state.freeRecord = record;
+}
+
+void enqueue(PoolState &state, std::uint32_t record)
+{
+    RequestRecord &entered = state.records[record];
+    AdapterState &adapter = adapterState(state, entered.request.adapter);
+    OrganisationState &organisation = organisationState(state, entered.request.organisation);
+    if (organisation.waiting == 0) {
+        activate(state, organisation);
+    }
+    ++organisation.waiting;
+    ++state.waiting;
+    entered.phase = RequestPhase::Waiting;
+    entered.previous = noIndex;
+    entered.next = adapter.firstWaiting;
+    if (adapter.firstWaiting != noIndex) {
+        state.records[adapter.firstWaiting].previous = record;
+    }
+    adapter.firstWaiting = record;
+    if (adapter.waiting++ == 0) {
+        adapter.waitingPosition = static_cast<std::uint32_t>(state.waitingAdapters.size());
+        state.waitingAdapters.push_back(number(entered.request.adapter));
+    }
+}
+
+void dequeue(PoolState &state, std::uint32_t record) noexcept
+{
+    RequestRecord &left = state.records[record];
+    AdapterState &adapter = state.adapters[number(left.request.adapter)];
+    (left.previous == noIndex ? adapter.firstWaiting : state.records[left.previous].next) = left.next;
+    if (left.next != noIndex) {
+        state.records[left.next].previous = left.previous;
+    }
+    left.next = noIndex;
+    left.previous = noIndex;
+    --state.organisations[number(left.request.organisation)].waiting;
+    --state.waiting;
+    if (--adapter.waiting == 0) {
+        const std::uint32_t last = state.waitingAdapters.back();
+        state.waitingAdapters[adapter.waitingPosition] = last;
+        state.adapters[last].waitingPosition = adapter.waitingPosition;
+        state.waitingAdapters.pop_back();
+        adapter.waitingPosition = noIndex;
+    }
+}
+
+std::uint32_t nextForServer(const PoolState &state, const ServerState &server) noexcept
+{
+    std::uint32_t best = noIndex;
+    if (state.waiting == 0) {
+        return best;
+    }
+    considerList(state, 0, best);
+    for (const AdapterSlot &slot : server.slots) {
+        if (slot.phase == SlotPhase::Resident) {
+            considerList(state, number(slot.adapter), best);
+        }
+    }
+    return best;
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/requests.cpp
@@ -0,0 +1,145 @@
+#include "mimosahollow/scheduling/pool.h"
+
+#include "loads.h"
+#include "lookup.h"
+#include "placement.h"
+#include "queue.h"
+
+#include <algorithm>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+constexpr double serviceTimeWeight = 0.02; // of the newest grant in the moving average
+constexpr Duration overloadedRetry = seconds(1); // about the time in which a full queue moves on
+
+/** Reason not to queue the request, or a wait of the load queue that it can bear. */
+bool refusedEarly(PoolState &state, const AcquireRequest &request, TimePoint now, Actions &actions)
+{
+    const OrganisationState &organisation = organisationState(state, request.organisation);
+    if (organisation.waiting >= state.settings.waitingPerOrganisation) {
+        refuse(request, RefusalReason::Overloaded, overloadedRetry, actions);
+        return true;
+    }
+    const AdapterState &adapter = adapterState(state, request.adapter);
+    if (number(request.adapter) == 0 || adapter.loads > 0 || usableHolders(state, adapter) > 0) {
+        return false;
+    }
+    const Duration wait = expectedLoadWait(state, request.adapter, request.organisation, now);
+    if (now + wait < request.deadline) {
+        return false;
+    }
+    refuse(request, adapter.failures > 0 ? RefusalReason::LoadFailed : RefusalReason::Overloaded, wait, actions);
+    return true;
+}
+
+bool canRun(const PoolState &state, const AcquireRequest &request) noexcept
+{
+    return std::any_of(state.servers.begin(), state.servers.end(), [&](const ServerState &server) {
+        return isUsable(state, server) && (number(request.adapter) == 0 || server.adapterSlots > 0);
+    });
+}
+
+void learnFromRelease(PoolState &state, const RequestRecord &record, const Release &release, TimePoint now) noexcept
+{
+    ServerState &server = state.servers[record.server];
+    if (record.incarnation != server.incarnation) {
+        return;
+    }
+    if (release.outcome == ReleaseOutcome::ConnectionRefused) {
+        server.grantsFrom = now + state.settings.refusedPause;
+    }
+    if (record.epoch != server.slowStart.epoch) {
+        return;
+    }
+    switch (release.outcome) {
+    case ReleaseOutcome::Completed:
+        recordAnswer(server.slowStart, toSeconds(release.firstTokenLatency), record.request.promptTokens);
+        state.serviceSeconds += serviceTimeWeight * (toSeconds(now - record.grantedAt) - state.serviceSeconds);
+        break;
+    case ReleaseOutcome::ConnectionReset:
+    case ReleaseOutcome::ConnectionRefused:
+        resetSlowStart(server.slowStart);
+        break;
+    case ReleaseOutcome::Cancelled:
+    case ReleaseOutcome::Failed:
+    case ReleaseOutcome::NotSent:
+        break;
+    }
+}
+
+} // namespace
+
+void submit(PoolState &state, const AcquireRequest &request, TimePoint now, Actions &actions)
+{
+    const std::uint32_t known = state.index.find(request.id);
+    if (known != noIndex && state.records[known].phase == RequestPhase::Waiting) {
+        return;
+    }
+    if (known != noIndex) {
+        // An entry instance runs one attempt at a time, so the release of the earlier one was lost.
+        const std::uint32_t server = state.records[known].server;
+        endGrant(state, known, state.records[known].charged);
+        serveServer(state, server, now, actions);
+    }
+    if (std::max(number(request.organisation), number(request.adapter)) > state.settings.largestId) {
+        refuse(request, RefusalReason::InvalidRequest, {}, actions);
+        return;
+    }
+    OrganisationState &organisation = organisationState(state, request.organisation);
+    organisation.weight = request.weight > 0 ? request.weight : 1;
+    if (number(request.adapter) != 0) {
+        recordDemand(state, request.adapter, now);
+    }
+    if (request.deadline <= now) {
+        refuse(request, RefusalReason::DeadlineExceeded, {}, actions);
+        return;
+    }
+    if (!canRun(state, request)) {
+        refuse(request, RefusalReason::NoCapacity, overloadedRetry, actions);
+        return;
+    }
+    const ServerChoice choice = chooseServer(state, request, now);
+    if (choice.server != noIndex) {
+        grant(state, newRecord(state, request, now), choice, now, actions);
+        return;
+    }
+    if (refusedEarly(state, request, now, actions)) {
+        return;
+    }
+    enqueue(state, newRecord(state, request, now));
+    planLoads(state, now, actions);
+}
+
+void cancel(PoolState &state, const RequestId &id, TimePoint now, Actions &actions)
+{
+    const std::uint32_t record = state.index.find(id);
+    if (record == noIndex || state.records[record].phase != RequestPhase::Waiting) {
+        return;
+    }
+    dequeue(state, record);
+    freeRecord(state, record);
+    planLoads(state, now, actions);
+}
+
+void release(PoolState &state, const Release &release, TimePoint now, Actions &actions)
+{
+    const std::uint32_t position = state.index.find(release.id);
+    if (position == noIndex) {
+        return;
+    }
+    const RequestRecord &record = state.records[position];
+    if (record.phase != RequestPhase::Granted || record.grant != release.grant || record.fencing != release.fencing) {
+        return;
+    }
+    const std::uint32_t server = record.server;
+    learnFromRelease(state, record, release, now);
+    endGrant(state, position, release.tokensUsed);
+    serveServer(state, server, now, actions);
+    if (!state.waitingAdapters.empty()) {
+        planLoads(state, now, actions);
+    }
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/servers.cpp
@@ -0,0 +1,147 @@
+#include "mimosahollow/scheduling/pool.h"
+
+#include "availability.h"
+#include "loads.h"
+#include "lookup.h"
+#include "placement.h"
+#include "residency.h"
+
+#include <algorithm>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+/** Forgets what was known about the earlier process of the server. Its grants stay counted until they are returned. */
+void restartServer(PoolState &state, std::uint32_t position, const ServerAnnouncement &announcement, TimePoint now)
+{
+    ServerState &server = state.servers[position];
+    for (std::size_t i = server.slots.size(); i-- > 0;) {
+        eraseSlot(state, position, i, now);
+    }
+    server.erased.clear();
+    server.incarnation = announcement.incarnation;
+    server.announced = true;
+    server.slowStart.coldLimit = std::max(1U, announcement.coldLimit);
+    server.slowStart.warmLimit = announcement.slots;
+    resetSlowStart(server.slowStart);
+    server.ordersFrom = announcement.checksFencing ? TimePoint{} : state.ordersFrom;
+    if (state.unknownUse) {
+        server.unknownGrants = announcement.slots - std::min(announcement.slots, server.grants);
+    }
+}
+
+void markSeen(ServerState &server, TimePoint now) noexcept
+{
+    server.lastSeen = now;
+    server.silent = false;
+    server.grantsFrom = std::min(server.grantsFrom, now);
+}
+
+/** Grants that a report of the present must already include. */
+std::uint32_t reportedGrants(const PoolState &state, std::uint32_t server, TimePoint now) noexcept
+{
+    return static_cast<std::uint32_t>(std::count_if(state.records.begin(), state.records.end(), [&](const RequestRecord &record) {
+        return record.phase == RequestPhase::Granted && record.server == server && record.grantedAt + state.settings.reportLag <= now;
+    }));
+}
+
+/** Lowers the slots in unknown use to what the server reports beyond the known grants. */
+void narrowUnknownGrants(PoolState &state, std::uint32_t position, const ServerReport &report, TimePoint now) noexcept
+{
+    ServerState &server = state.servers[position];
+    // Earlier reports may be from a time when grants of the former owner had not reached the server yet.
+    if (server.unknownGrants == 0 || now < state.ownedSince + state.settings.reportLag) {
+        return;
+    }
+    const std::uint32_t reported = report.running + report.queued;
+    const std::uint32_t known = reportedGrants(state, position, now);
+    server.unknownGrants = std::min(server.unknownGrants, reported - std::min(reported, known));
+}
+
+} // namespace
+
+void announceServer(PoolState &state, const ServerAnnouncement &announcement, TimePoint now, Actions &actions)
+{
+    if (number(announcement.server) > state.settings.largestId) {
+        return;
+    }
+    const std::uint32_t position = addServer(state, announcement.server);
+    ServerState &server = state.servers[position];
+    markSeen(server, now);
+    if (!server.announced || server.incarnation != announcement.incarnation) {
+        restartServer(state, position, announcement, now);
+    }
+    server.leaving = announcement.leaving;
+    server.checksFencing = announcement.checksFencing;
+    server.adapterSlots = announcement.adapterSlots;
+    server.slowStart.warmLimit = announcement.slots;
+    server.slowStart.limit = std::min(server.slowStart.limit, announcement.slots);
+    applyResidentList(state, position, announcement.adapters, now);
+    applyAvailability(state, now, actions);
+}
+
+void applyReport(PoolState &state, const ServerReport &report, TimePoint now, Actions &actions)
+{
+    const std::uint32_t position = findServer(state, report.server);
+    if (position == noIndex || !state.servers[position].announced || state.servers[position].incarnation != report.incarnation) {
+        return;
+    }
+    const bool wasSilent = state.servers[position].silent;
+    markSeen(state.servers[position], now);
+    narrowUnknownGrants(state, position, report, now);
+    applyResidentList(state, position, report.adapters, now);
+    if (wasSilent) {
+        applyAvailability(state, now, actions);
+        return;
+    }
+    serveServer(state, position, now, actions);
+    planLoads(state, now, actions);
+}
+
+void setDeclaration(PoolState &state, const PoolDeclaration &declaration, TimePoint now, Actions &actions)
+{
+    state.domain = declaration.domain;
+    for (ServerState &server : state.servers) {
+        server.isDeclared = false;
+    }
+    for (const DeclaredServer &declared : declaration.servers) {
+        if (number(declared.server) > state.settings.largestId) {
+            continue;
+        }
+        ServerState &server = state.servers[addServer(state, declared.server)];
+        server.isDeclared = true;
+        server.declared = declared.state;
+    }
+    applyAvailability(state, now, actions);
+}
+
+void applyAvailability(PoolState &state, TimePoint now, Actions &actions)
+{
+    for (ServerState &server : state.servers) {
+        if (isUsable(state, server)) {
+            continue;
+        }
+        for (AdapterSlot &slot : server.slots) {
+            abandonLoad(state, slot);
+        }
+    }
+    if (refuseWithoutServers(state, actions)) {
+        serveAll(state, now, actions);
+        planLoads(state, now, actions);
+    }
+}
+
+bool markSilentServers(PoolState &state, TimePoint now) noexcept
+{
+    bool changed = false;
+    for (ServerState &server : state.servers) {
+        if (server.announced && !server.silent && server.lastSeen + state.settings.silence <= now) {
+            server.silent = true;
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/slowstart.cpp
@@ -0,0 +1,63 @@
+#include "mimosahollow/scheduling/slowstart.h"
+
+#include <algorithm>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+// A prompt of this many tokens takes about as long to process as the fixed part of a first token.
+constexpr double referencePromptTokens = 512;
+constexpr double goodFactor = 2; // docs/design.md section 5
+constexpr double coldFactor = 4; // docs/design.md section 5
+// The baseline follows faster answers quickly and slower ones slowly, so that a server that turns cold cannot hide it by
+// raising its own baseline, but a lasting change (another engine version) is learned after some hundred answers.
+constexpr double fallWeight = 0.25;
+constexpr double riseWeight = 1.0 / 64;
+// Below this latency, scheduling noise of the host exceeds the factors above.
+constexpr double smallestBaseline = 0.005;
+
+double normalised(double latency, std::uint32_t promptTokens) noexcept
+{
+    return latency / (1 + static_cast<double>(promptTokens) / referencePromptTokens);
+}
+
+} // namespace
+
+void resetSlowStart(SlowStart &state) noexcept
+{
+    state.limit = std::min(state.coldLimit, state.warmLimit);
+    state.goodAnswers = 0;
+    ++state.epoch;
+}
+
+void recordAnswer(SlowStart &state, double latency, std::uint32_t promptTokens) noexcept
+{
+    if (latency > 0) {
+        const double measured = normalised(latency, promptTokens);
+        const double baseline = state.baseline;
+        if (baseline == 0) {
+            state.baseline = std::max(measured, smallestBaseline);
+        } else {
+            const double bounded = std::min(measured, coldFactor * baseline);
+            state.baseline = std::max(smallestBaseline, baseline + (bounded - baseline) * (bounded < baseline ? fallWeight : riseWeight));
+            if (measured > coldFactor * baseline) {
+                resetSlowStart(state);
+                return;
+            }
+            if (measured >= goodFactor * baseline) {
+                return;
+            }
+        }
+    }
+    if (state.limit >= state.warmLimit) {
+        return;
+    }
+    ++state.goodAnswers;
+    if (state.goodAnswers >= state.limit) {
+        state.limit = std::min(state.limit * 2, state.warmLimit);
+        state.goodAnswers = 0;
+    }
+}
+
+} // namespace mimosahollow::scheduling
--- /dev/null
+++ b/src/scheduling/tick.cpp
@@ -0,0 +1,56 @@
+#include "mimosahollow/scheduling/pool.h"
+
+#include "availability.h"
+#include "loads.h"
+#include "lookup.h"
+#include "placement.h"
+#include "unknownuse.h"
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+/** Whether the adapter of a waiting request cannot be loaded before its deadline. */
+bool isHopeless(const PoolState &state, const RequestRecord &record, TimePoint now) noexcept
+{
+    const AdapterId id = record.request.adapter;
+    const AdapterState &adapter = state.adapters[number(id)];
+    if (number(id) == 0 || adapter.loads > 0 || usableHolders(state, adapter) > 0) {
+        return false;
+    }
+    return std::max(now, adapter.retryAt) + fromSeconds(state.loadSeconds) >= record.request.deadline;
+}
+
+void expireRequests(PoolState &state, TimePoint now, Actions &actions)
+{
+    for (std::uint32_t i = 0; i < state.records.size(); ++i) {
+        const RequestRecord &record = state.records[i];
+        if (record.phase == RequestPhase::Granted && record.request.deadline <= now) {
+            endGrant(state, i, record.charged);
+        } else if (record.phase == RequestPhase::Waiting && record.request.deadline <= now) {
+            refuseWaiting(state, i, RefusalReason::DeadlineExceeded, {}, actions);
+        } else if (record.phase == RequestPhase::Waiting && isHopeless(state, record, now)) {
+            const bool failed = state.adapters[number(record.request.adapter)].failures > 0;
+            refuseWaiting(state, i, failed ? RefusalReason::LoadFailed : RefusalReason::Overloaded, fromSeconds(state.loadSeconds), actions);
+        }
+    }
+}
+
+} // namespace
+
+void tick(PoolState &state, TimePoint now, Actions &actions)
+{
+    if (state.unknownUse && state.unknownUntil <= now) {
+        clearUnknownUse(state);
+    }
+    expireOrders(state, now);
+    expireRequests(state, now, actions);
+    if (markSilentServers(state, now)) {
+        applyAvailability(state, now, actions);
+        return;
+    }
+    serveAll(state, now, actions);
+    planLoads(state, now, actions);
+}
+
+} // namespace mimosahollow::scheduling
