--- /dev/null
+++ b/tests/scheduling/fairness.cpp
@@ -0,0 +1,134 @@
+#include "poolfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::scheduling;
+using testing::PoolFixture;
+
+// Guards against an organisation that holds all slots because it asks most.
+TEST_CASE("A free slot goes to the organisation that was served least")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    pool.ask(0, 1);
+    auto running = pool.only<Grant>().value();
+    for (int i = 0; i < 50; ++i) {
+        pool.ask(0, 1);
+    }
+    const RequestId small = pool.ask(0, 2);
+    // It starts with the counter of the other one, so it is served second at the latest.
+    pool.giveBack(running);
+    auto next = pool.only<Grant>().value();
+    if (next.id != small) {
+        pool.giveBack(next);
+        next = pool.only<Grant>().value();
+    }
+    REQUIRE(next.id == small);
+
+    SECTION("and then they alternate")
+    {
+        for (int i = 0; i < 4; ++i) {
+            pool.ask(0, 2);
+        }
+        int ofSmall = 0;
+        for (int i = 0; i < 6; ++i) {
+            pool.giveBack(next);
+            next = pool.only<Grant>().value();
+            ofSmall += pool.all<DecisionRecord>().front().organisation == OrganisationId{2} ? 1 : 0;
+        }
+        REQUIRE(ofSmall == 3);
+    }
+}
+
+// Guards against credit for idle time, which would shut out the others for as long.
+TEST_CASE("An organisation that becomes active starts at the lowest active counter")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    for (int i = 0; i < 100; ++i) {
+        pool.ask(0, 1);
+        pool.giveBack(pool.only<Grant>().value());
+    }
+    pool.ask(0, 1);
+    const auto running = pool.only<Grant>().value();
+    pool.ask(0, 1);
+    pool.ask(0, 2);
+    REQUIRE(pool.state.organisations[2].servedTokens >= pool.state.organisations[1].servedTokens);
+    pool.giveBack(running);
+}
+
+// Guards against short requests behind long ones, and against long ones that never run.
+TEST_CASE("Within an organisation shorter requests go first, for a bounded time")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    pool.ask(0);
+    const auto running = pool.only<Grant>().value();
+    const RequestId longOne = pool.ask(0, 1, 4000);
+    SECTION("a short one passes soon after")
+    {
+        pool.now += milliseconds(500);
+        const RequestId shortOne = pool.ask(0, 1, 10);
+        pool.giveBack(running);
+        REQUIRE(pool.only<Grant>()->id == shortOne);
+    }
+    SECTION("but not after two seconds")
+    {
+        pool.now += milliseconds(2100);
+        pool.ask(0, 1, 10);
+        pool.giveBack(running);
+        REQUIRE(pool.only<Grant>()->id == longOne);
+    }
+}
+
+// Guards against unbounded memory use, and against a full queue of one organisation that refuses another.
+TEST_CASE("The queue of an organisation is bounded")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    for (int i = 0; i < 1025; ++i) {
+        pool.ask(0, 1);
+        REQUIRE(pool.all<Refusal>().empty());
+    }
+    pool.ask(0, 1);
+    REQUIRE(pool.only<Refusal>()->reason == RefusalReason::Overloaded);
+    pool.ask(0, 2);
+    REQUIRE(pool.all<Refusal>().empty());
+}
+
+// Guards against answers to callers that are gone, and against a request that runs twice.
+TEST_CASE("Cancelled, repeated and expired requests")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    pool.ask(0);
+    const auto running = pool.only<Grant>().value();
+    const RequestId waiting = pool.ask(0, 1, 100, seconds(2));
+    SECTION("a cancelled request is not granted")
+    {
+        pool.actions.clear();
+        cancel(pool.state, waiting, pool.now, pool.actions);
+        pool.giveBack(running);
+        REQUIRE(pool.actions.empty());
+    }
+    SECTION("a request sent twice is granted once")
+    {
+        --pool.sequence;
+        pool.ask(0);
+        pool.giveBack(running);
+        REQUIRE(pool.all<Grant>().size() == 1);
+        REQUIRE(pool.state.waiting == 0);
+    }
+    SECTION("a release sent twice counts once")
+    {
+        pool.giveBack(running);
+        pool.giveBack(running);
+        REQUIRE(pool.state.servers[0].grants == 1);
+    }
+    SECTION("a waiting request ends at its deadline, and so does the grant of a lost entry instance")
+    {
+        pool.pass(seconds(2));
+        REQUIRE(pool.only<Refusal>()->reason == RefusalReason::DeadlineExceeded);
+        pool.report(1, 1, {});
+        pool.pass(milliseconds(27999));
+        REQUIRE(pool.state.servers[0].grants == 1);
+        pool.pass(milliseconds(1));
+        REQUIRE(pool.state.servers[0].grants == 0);
+    }
+}
