Decide membership, relays, freshness and pool leases

Cause: pools need exactly one owner, and an acknowledged configuration must not be served in an older version anywhere. Change: decision code for the view of other instances with two-way evidence, the choice of relays, the feed of control state, renewals through relays, the leader's leases, and the pool leases of owners and promising instances.

--- a/include/mimosahollow/membership/assignment.h
+++ b/include/mimosahollow/membership/assignment.h
@@ -21,8 +21,8 @@
     FencingNumber fencing = 0; /**< For Assign: the new number. For AskForRelease: the present one. */
 };
 
-/** What the leader changes about pool ownership now. Rendezvous hashing with hysteresis. */
-[[nodiscard]] std::vector<PlannedAssignment> planAssignments(const LeaderState &state, std::span<const PoolAssignment> pools, TimePoint now);
+/** What the leader changes about pool ownership now. Rendezvous hashing with hysteresis. Call it at least every 500 ms. */
+[[nodiscard]] std::vector<PlannedAssignment> planAssignments(LeaderState &state, std::span<const PoolAssignment> pools, TimePoint now);
 
 /** Weight of @p instance for @p key in rendezvous hashing; the highest wins. */
 [[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, std::string_view instance) noexcept;
--- a/include/mimosahollow/membership/feed.h
+++ b/include/mimosahollow/membership/feed.h
@@ -19,6 +19,8 @@
 constexpr std::size_t maximumFeedBytes = std::size_t{4} << 20;
 /** Payload of one update; leaves room for the frame and the other fields below the frame limit of 4 MiB. */
 constexpr std::size_t maximumUpdateBytes = std::size_t{1} << 20;
+/** Largest increment that is sent as such; an update holds at least one, and a frame is limited to 4 MiB. */
+constexpr std::size_t maximumIncrementBytes = std::size_t{3} << 20;
 /** Largest snapshot that a subscriber assembles: the memory target of a follower. */
 constexpr std::size_t maximumSnapshotBytes = std::size_t{32} << 20;
 
--- a/include/mimosahollow/membership/leaderstate.h
+++ b/include/mimosahollow/membership/leaderstate.h
@@ -8,12 +8,15 @@
 #include <map>
 #include <span>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace mimosahollow::membership {
 
-/** An instance in the control state. */
+/**
+ * A process of an instance in the control state.
+ *
+ * After a restart the list holds the earlier incarnation too, until its freshness lease has run out for certain.
+ */
 struct RegisteredInstance
 {
     InstanceId id{};
@@ -32,13 +35,13 @@
     InstanceId owner{}; /**< 0: none yet. */
     FencingNumber fencing = 0;
     Version index = 0; /**< Log index of the assignment. */
-    bool released = false; /**< The owner has given the pool up. */
+    std::uint64_t releasedBy = 0; /**< Incarnation of the owner that has given the pool up; 0: not given up. */
 };
 
 struct LeaseTimes
 {
     Duration freshness = seconds(10);
-    Duration poolLease = seconds(3);
+    Duration poolLease = seconds(3); /**< An instance without two-way contact for this long counts as lost. */
     /** An instance that lags more than this behind a committed index gets no lease, so that it delays no acknowledgement for ever. */
     Duration applyGrace = seconds(1);
     /** An instance that was lost must be reachable this long before pools move to it; doubles with each further loss. */
@@ -66,6 +69,8 @@
     TimePoint mayOwnUntil = neverTime; /**< The lease by the leader has run out for certain after this time. */
     Version ownerKnows = 0; /**< The owner's set of registered instances is at least as new as this log index. */
     FencingNumber fencing = 0;
+    std::uint64_t incarnation = 0; /**< Process that the lease was given to last; 0: unknown. */
+    TimePoint renewalDue = neverTime; /**< A reachable owner that has not renewed by then does not run the pool. */
 };
 
 struct PendingRenewal
@@ -90,7 +95,7 @@
     Version requiredIndex = 0; /**< A process that applies less gets no lease. */
     std::deque<CommittedIndex> recent; /**< Committed, not yet required. */
     std::vector<RegisteredInstance> registered;
-    std::map<std::pair<InstanceId, std::uint64_t>, FreshnessEntry> freshness; /**< By instance and incarnation. */
+    std::map<ProcessId, FreshnessEntry> freshness;
     std::map<InstanceId, Reachability> reachability;
     std::map<PoolId, PoolLease> pools;
     std::vector<PendingRenewal> pending;
@@ -102,6 +107,9 @@
     RenewReply reply;
 };
 
+/** Time in which a reachable owner must renew: its first renewal needs the assignment to arrive, which takes seconds at most. */
+[[nodiscard]] Duration renewalPatience(const LeaseTimes &times) noexcept;
+
 /** State of a new leader. All registered processes and pool owners count as having a lease that starts now. */
 [[nodiscard]] LeaderState becomeLeader(std::uint64_t term,
                                        const LeaseTimes &times,
@@ -127,8 +135,12 @@
 
 void onConfirm(LeaderState &state, const Confirm &confirm);
 
-/** Whether every process applies @p index or has a freshness lease that has run out. */
-[[nodiscard]] bool isInForce(const LeaderState &state, Version index, TimePoint now);
+/**
+ * Whether every process applies the committed @p index or has a freshness lease that has run out.
+ *
+ * When it returns true the index may be acknowledged: from then on no process that applies less gets a lease.
+ */
+[[nodiscard]] bool isInForce(LeaderState &state, Version index, TimePoint now);
 
 /** When isInForce() becomes true without any further confirmation. */
 [[nodiscard]] TimePoint inForceAt(const LeaderState &state, Version index, TimePoint now);
--- a/include/mimosahollow/membership/poolholder.h
+++ b/include/mimosahollow/membership/poolholder.h
@@ -14,6 +14,7 @@
 struct GivenPromise
 {
     InstanceId owner{};
+    std::uint64_t ownerIncarnation = 0;
     FencingNumber fencing = 0;
     TimePoint until{};
 };
@@ -27,7 +28,7 @@
     bool released = false; /**< This instance was the owner and has given the pool up. */
     bool accepted = false; /**< This instance has started as the owner. */
     TimePoint acceptedAt = neverTime;
-    bool handedOver = false; /**< The previous owner transferred its state; no order of it is in flight. */
+    FencingNumber releasedFencing = 0; /**< Newest number under which an owner has said that it gave the pool up. */
     bool renewedOnce = false; /**< The leader has renewed this fencing number for this process. */
     TimePoint leaderUntil = neverTime;
     std::map<InstanceId, TimePoint> promisedUntil; /**< Promises of others to this owner. */
@@ -58,8 +59,8 @@
 /** A request to every peer for the pools that the leader has not renewed for a while; nothing while renewals arrive. */
 [[nodiscard]] std::optional<Promise> promiseRequest(const PoolHolder &holder, TimePoint now);
 
-/** Answers the request of an owner. */
-[[nodiscard]] Promise onPromiseRequest(PoolHolder &holder, const Promise &request, TimePoint now);
+/** Answers the request of an owner with Given, Refused or both. */
+[[nodiscard]] std::vector<Promise> onPromiseRequest(PoolHolder &holder, const Promise &request, TimePoint now);
 
 /** Handles Given, Refused and Released. */
 void onPromise(PoolHolder &holder, const Promise &promise, TimePoint now);
--- a/include/mimosahollow/membership/renewal.h
+++ b/include/mimosahollow/membership/renewal.h
@@ -49,14 +49,23 @@
     friend bool operator==(const RenewRequest &, const RenewRequest &) = default;
 };
 
-/** Answer to one RenewRequest; a relay may answer twice, first for freshness, then for pools. */
+/** One run of an instance. */
+struct ProcessId
+{
+    InstanceId instance{};
+    std::uint64_t incarnation = 0;
+
+    friend auto operator<=>(const ProcessId &, const ProcessId &) = default;
+};
+
+/** Answer to one RenewRequest. A relay answers when it has the answer of its own upstream instance. */
 struct RenewReply
 {
     std::uint64_t sequence = 0;
     std::uint64_t incarnation = 0; /**< Incarnation of the requester. */
     LeaderStamp stamp;
     Duration remaining{}; /**< Freshness lease, from the requester's send time. Zero: not renewed. */
-    std::vector<InstanceId> covered; /**< Followers of the requester that the lease may be passed on to. */
+    std::vector<ProcessId> covered; /**< Followers of the requester that the lease may be passed on to. */
     std::vector<PoolRenewal> pools; /**< Renewed pool leases; they run from the owner's send time for the pool lease time. */
 
     friend bool operator==(const RenewReply &, const RenewReply &) = default;
--- a/include/mimosahollow/membership/renewalstate.h
+++ b/include/mimosahollow/membership/renewalstate.h
@@ -5,7 +5,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -17,7 +16,7 @@
 {
     std::uint64_t sequence = 0;
     TimePoint sentAt{};
-    std::map<InstanceId, std::uint64_t> downstreamSequences; /**< Newest request of each direct follower that it contains. */
+    std::vector<RenewRequest> downstream; /**< The newest request of each direct follower; the reply answers them too. */
 };
 
 /** A direct follower of a relay. */
@@ -41,7 +40,8 @@
     std::uint64_t nextSequence = 1;
     std::deque<SentRenewal> sent;
     TimePoint freshUntil = neverTime;
-    std::vector<InstanceId> covered; /**< Followers that the present lease may be passed on to. */
+    std::vector<ProcessId> covered; /**< Followers that the newest lease may be passed on to. */
+    TimePoint coveredUntil = neverTime; /**< End of the newest lease. */
     std::map<InstanceId, Downstream> downstream;
 };
 
@@ -59,8 +59,8 @@
 /** Builds the next request upstream. @p ownPools are the pools that this instance owns. */
 [[nodiscard]] RenewRequest makeRenewRequest(RenewalState &state, std::span<const PoolRenewal> ownPools, TimePoint now);
 
-/** Handles the request of a direct follower. Returns the reply, or nothing when this instance has no lease to pass on to it. */
-[[nodiscard]] std::optional<RenewReply> onDownstreamRequest(RenewalState &state, const RenewRequest &request, TimePoint now);
+/** Keeps the request of a direct follower for the next request upstream, whose reply answers it. */
+void onDownstreamRequest(RenewalState &state, const RenewRequest &request, TimePoint now);
 
 /** Handles the reply of the upstream instance. */
 [[nodiscard]] RenewalOutcome onRenewReply(RenewalState &state, const RenewReply &reply, TimePoint now);
--- a/include/mimosahollow/membership/view.h
+++ b/include/mimosahollow/membership/view.h
@@ -43,7 +43,6 @@
     bool alive = false;
     bool relay = false;
     std::uint32_t losses = 0;
-    std::uint64_t heartbeatsDue = 0; /**< Counts ticks; selects those with a sample. */
 };
 
 /** View of one instance on the fleet. Owned by the control thread. */
--- /dev/null
+++ b/src/membership/assignment.cpp
@@ -0,0 +1,156 @@
+#include "mimosahollow/membership/assignment.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace mimosahollow::membership {
+
+namespace {
+
+/** An instance that was lost more often waits no longer than after this many losses: 60 s x 2^6 is about an hour. */
+constexpr std::uint32_t maximumSettleDoublings = 6;
+/** A pool moves for balance only when its owner has this many more pools than the new one, so that it cannot move back. */
+constexpr std::size_t minimumImbalance = 2;
+
+const RegisteredInstance *registration(const LeaderState &state, InstanceId instance)
+{
+    const auto found = std::find_if(state.registered.begin(), state.registered.end(), [instance](const RegisteredInstance &registered) {
+        return registered.id == instance;
+    });
+    return found == state.registered.end() ? nullptr : &*found;
+}
+
+bool isSettled(const LeaderState &state, InstanceId instance, TimePoint now)
+{
+    const auto found = state.reachability.find(instance);
+    if (found == state.reachability.end()) {
+        return false;
+    }
+    const Reachability &reachability = found->second;
+    if (reachability.losses == 0) {
+        return true;
+    }
+    const std::uint32_t doublings = std::min(reachability.losses - 1, maximumSettleDoublings);
+    return now - reachability.reachableSince >= state.times.settleTime * (1U << doublings);
+}
+
+/** Best instance for @p pool that @p isEligible accepts; settled ones first. */
+template<typename Eligible>
+const RegisteredInstance *bestCandidate(const LeaderState &state, const PoolAssignment &pool, TimePoint now, Eligible isEligible)
+{
+    const RegisteredInstance *best = nullptr;
+    std::pair<bool, std::uint64_t> bestRank;
+    for (const RegisteredInstance &instance : state.registered) {
+        if (instance.domain != pool.domain || !instance.accepting || !isReachable(state, instance.id) || !isEligible(instance)) {
+            continue;
+        }
+        const std::pair<bool, std::uint64_t> rank{isSettled(state, instance.id, now),
+                                                  rendezvousWeight("pool " + std::to_string(number(pool.pool)), instance.name)};
+        if (best == nullptr || rank > bestRank) {
+            best = &instance;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+PoolLease leaseOf(const LeaderState &state, const PoolAssignment &pool)
+{
+    const auto found = state.pools.find(pool.pool);
+    if (found == state.pools.end() || found->second.fencing != pool.fencing) {
+        return {neverTime, pool.index, pool.fencing, 0, neverTime};
+    }
+    return found->second;
+}
+
+/** Starts the wait for the first renewal of assignments that are new. */
+void noteNewAssignments(LeaderState &state, std::span<const PoolAssignment> pools, TimePoint now)
+{
+    for (const PoolAssignment &pool : pools) {
+        PoolLease lease = leaseOf(state, pool);
+        if (lease.renewalDue == neverTime) {
+            lease.renewalDue = now + renewalPatience(state.times);
+            state.pools[pool.pool] = lease;
+        }
+    }
+}
+
+bool works(const LeaderState &state, const PoolAssignment &pool, TimePoint now)
+{
+    return pool.owner != InstanceId{} && pool.releasedBy == 0 && registration(state, pool.owner) != nullptr && isReachable(state, pool.owner)
+           && now < leaseOf(state, pool).renewalDue;
+}
+
+std::size_t poolsOf(std::span<const PoolAssignment> pools, InstanceId owner)
+{
+    return static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), [owner](const PoolAssignment &pool) {
+        return pool.owner == owner;
+    }));
+}
+
+/** New owner for a pool without a working one; none while the old owner may still be valid. */
+const RegisteredInstance *successor(const LeaderState &state, const PoolAssignment &pool, TimePoint now)
+{
+    if (pool.owner == InstanceId{}) {
+        return bestCandidate(state, pool, now, [](const RegisteredInstance &) {
+            return true;
+        });
+    }
+    const PoolLease lease = leaseOf(state, pool);
+    const bool released = pool.releasedBy != 0;
+    if (now < lease.mayOwnUntil && !(released && pool.releasedBy == lease.incarnation)) {
+        return nullptr;
+    }
+    // The old owner may live on by the promises of the instances that it knows, so the new one must be among them.
+    // An owner that was removed from the control state has ended.
+    const bool anyone = released || registration(state, pool.owner) == nullptr;
+    return bestCandidate(state, pool, now, [&](const RegisteredInstance &instance) {
+        return (anyone || instance.since <= lease.ownerKnows) && (released || instance.id != pool.owner);
+    });
+}
+
+/** Instance that should take @p pool over from its working owner; none as long as the owner is good enough. */
+const RegisteredInstance *betterOwner(const LeaderState &state, const PoolAssignment &pool, std::span<const PoolAssignment> pools, TimePoint now)
+{
+    const RegisteredInstance *owner = registration(state, pool.owner);
+    const std::size_t owned = poolsOf(pools, pool.owner);
+    return bestCandidate(state, pool, now, [&](const RegisteredInstance &instance) {
+        if (instance.id == pool.owner) {
+            return false;
+        }
+        return !owner->accepting || (isSettled(state, instance.id, now) && owned >= poolsOf(pools, instance.id) + minimumImbalance);
+    });
+}
+
+} // namespace
+
+std::vector<PlannedAssignment> planAssignments(LeaderState &state, std::span<const PoolAssignment> pools, TimePoint now)
+{
+    noteNewAssignments(state, pools, now);
+    std::vector<PlannedAssignment> planned;
+    std::set<DomainId> moving; // one graceful handover at a time in each failure domain
+    for (const PoolAssignment &pool : pools) {
+        if (!works(state, pool, now)) {
+            if (const RegisteredInstance *next = successor(state, pool, now)) {
+                planned.push_back({AssignmentStep::Assign, pool.pool, next->id, pool.fencing + 1});
+            }
+        } else if (!moving.contains(pool.domain)) {
+            if (const RegisteredInstance *next = betterOwner(state, pool, pools, now)) {
+                planned.push_back({AssignmentStep::AskForRelease, pool.pool, next->id, pool.fencing});
+                moving.insert(pool.domain);
+            }
+        }
+    }
+    return planned;
+}
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view instance) noexcept
+{
+    return XXH3_64bits_withSeed(instance.data(), instance.size(), XXH3_64bits(key.data(), key.size()));
+}
+
+} // namespace mimosahollow::membership
--- /dev/null
+++ b/src/membership/leaderstate.cpp
@@ -0,0 +1,244 @@
+#include "mimosahollow/membership/leaderstate.h"
+
+#include <algorithm>
+
+namespace mimosahollow::membership {
+
+namespace {
+
+/** Requests that wait for one round of the majority. Relays ask twice a second, so that a few dozen are normal. */
+constexpr std::size_t maximumPendingRenewals = 1024;
+/** An instance that stays reachable for this long counts as never lost. */
+constexpr Duration lossMemory = seconds(3600);
+
+bool isRegistered(const LeaderState &state, const ProcessId &process)
+{
+    return std::any_of(state.registered.begin(), state.registered.end(), [&process](const RegisteredInstance &instance) {
+        return instance.id == process.instance && instance.incarnation == process.incarnation;
+    });
+}
+
+void advanceRequiredIndex(LeaderState &state, TimePoint now)
+{
+    while (!state.recent.empty() && now - state.recent.front().at >= state.times.applyGrace) {
+        state.requiredIndex = std::max(state.requiredIndex, state.recent.front().index);
+        state.recent.pop_front();
+    }
+}
+
+void noteEcho(LeaderState &state, const FollowerEntry &entry, TimePoint now)
+{
+    Reachability &reachability = state.reachability[entry.instance];
+    if (entry.echo.term == state.term && timeOf(entry.echo.time) <= now) {
+        reachability.provenAt = std::max(reachability.provenAt, timeOf(entry.echo.time));
+    }
+    if (!reachability.reachable && reachability.provenAt != neverTime && now - reachability.provenAt < state.times.poolLease) {
+        reachability.reachable = true;
+        reachability.reachableSince = now;
+    }
+}
+
+/** Gives @p entry a freshness lease if it may have one. */
+bool renewFreshness(LeaderState &state, const FollowerEntry &entry, TimePoint receivedAt)
+{
+    const ProcessId process{entry.instance, entry.incarnation};
+    if (entry.applied < state.requiredIndex || !isRegistered(state, process)) {
+        return false;
+    }
+    FreshnessEntry &freshness = state.freshness[process];
+    freshness.confirmed = std::max(freshness.confirmed, entry.applied);
+    freshness.mayServeUntil = std::max(freshness.mayServeUntil, receivedAt + outerLease(state.times.freshness));
+    return true;
+}
+
+const FollowerEntry *entryOf(const RenewRequest &request, InstanceId instance)
+{
+    if (request.self.instance == instance) {
+        return &request.self;
+    }
+    const auto found = std::find_if(request.followers.begin(), request.followers.end(), [instance](const FollowerEntry &entry) {
+        return entry.instance == instance;
+    });
+    return found == request.followers.end() ? nullptr : &*found;
+}
+
+bool renewPool(LeaderState &state, const PendingRenewal &pending, const PoolRenewal &renewal, std::span<const PoolAssignment> pools)
+{
+    const auto assignment = std::find_if(pools.begin(), pools.end(), [&renewal](const PoolAssignment &pool) {
+        return pool.pool == renewal.pool;
+    });
+    if (assignment == pools.end() || assignment->owner != renewal.owner || assignment->fencing != renewal.fencing || assignment->releasedBy != 0) {
+        return false;
+    }
+    const FollowerEntry *owner = entryOf(pending.request, renewal.owner);
+    // Without two-way contact the owner cannot use the renewal, and renewing would keep the pool from a working instance.
+    if (owner == nullptr || !isReachable(state, renewal.owner) || !isRegistered(state, {owner->instance, owner->incarnation})) {
+        return false;
+    }
+    PoolLease &lease = state.pools[renewal.pool];
+    if (lease.fencing != assignment->fencing) {
+        lease = {neverTime, assignment->index, assignment->fencing, 0, neverTime};
+    }
+    if (owner->applied < std::max(lease.ownerKnows, assignment->index)) {
+        return false;
+    }
+    lease.ownerKnows = owner->applied;
+    lease.incarnation = owner->incarnation;
+    lease.renewalDue = pending.receivedAt + renewalPatience(state.times);
+    lease.mayOwnUntil = std::max(lease.mayOwnUntil, pending.receivedAt + outerLease(state.times.poolLease));
+    return true;
+}
+
+AnsweredRenewal answer(LeaderState &state, const PendingRenewal &pending, std::span<const PoolAssignment> pools, TimePoint now)
+{
+    const RenewRequest &request = pending.request;
+    AnsweredRenewal answered{pending.from, {}};
+    RenewReply &reply = answered.reply;
+    reply.sequence = request.sequence;
+    reply.incarnation = request.self.incarnation;
+    reply.stamp = {state.term, nanosecondsOf(now)};
+    noteEcho(state, request.self, now);
+    for (const FollowerEntry &entry : request.followers) {
+        noteEcho(state, entry, now);
+    }
+    if (renewFreshness(state, request.self, pending.receivedAt)) {
+        reply.remaining = state.times.freshness;
+        for (const FollowerEntry &entry : request.followers) {
+            if (renewFreshness(state, entry, pending.receivedAt)) {
+                reply.covered.push_back({entry.instance, entry.incarnation});
+            }
+        }
+    }
+    for (const PoolRenewal &renewal : request.pools) {
+        if (renewPool(state, pending, renewal, pools)) {
+            reply.pools.push_back(renewal);
+        }
+    }
+    return answered;
+}
+
+} // namespace
+
+Duration renewalPatience(const LeaseTimes &times) noexcept
+{
+    return times.poolLease * 2;
+}
+
+LeaderState becomeLeader(std::uint64_t term,
+                         const LeaseTimes &times,
+                         Version commitIndex,
+                         std::span<const RegisteredInstance> registered,
+                         std::span<const PoolAssignment> pools,
+                         TimePoint now)
+{
+    LeaderState state;
+    state.term = term;
+    state.since = now;
+    state.times = times;
+    state.requiredIndex = commitIndex;
+    state.registered.assign(registered.begin(), registered.end());
+    for (const RegisteredInstance &instance : registered) {
+        state.freshness[{instance.id, instance.incarnation}] = {0, now + outerLease(times.freshness)};
+        state.reachability[instance.id] = {now, now, 0, true};
+    }
+    for (const PoolAssignment &pool : pools) {
+        state.pools[pool.pool] = {now + outerLease(times.poolLease), pool.index, pool.fencing, 0, now + renewalPatience(times)};
+    }
+    return state;
+}
+
+void setRegistered(LeaderState &state, std::span<const RegisteredInstance> registered)
+{
+    state.registered.assign(registered.begin(), registered.end());
+}
+
+void onCommitted(LeaderState &state, Version index, TimePoint now)
+{
+    state.recent.push_back({index, now});
+    advanceRequiredIndex(state, now);
+}
+
+bool onRenewRequest(LeaderState &state, std::string from, RenewRequest request, TimePoint now)
+{
+    if (state.pending.size() >= maximumPendingRenewals) {
+        return false;
+    }
+    state.pending.push_back({std::move(request), std::move(from), now});
+    return true;
+}
+
+std::vector<AnsweredRenewal> answerRenewals(LeaderState &state, std::span<const PoolAssignment> pools, TimePoint roundStartedAt, TimePoint now)
+{
+    advanceRequiredIndex(state, now);
+    std::vector<AnsweredRenewal> answers;
+    std::vector<PendingRenewal> later;
+    for (PendingRenewal &pending : state.pending) {
+        if (pending.receivedAt <= roundStartedAt) {
+            answers.push_back(answer(state, pending, pools, now));
+        } else {
+            later.push_back(std::move(pending));
+        }
+    }
+    state.pending = std::move(later);
+    return answers;
+}
+
+void onConfirm(LeaderState &state, const Confirm &confirm)
+{
+    for (const FollowerEntry &entry : confirm.entries) {
+        const auto found = state.freshness.find({entry.instance, entry.incarnation});
+        if (found == state.freshness.end()) {
+            continue;
+        }
+        found->second.confirmed = std::max(found->second.confirmed, entry.applied);
+        if (confirm.leaving) {
+            state.freshness.erase(found);
+        }
+    }
+}
+
+bool isInForce(LeaderState &state, Version index, TimePoint now)
+{
+    if (inForceAt(state, index, now) > now) {
+        return false;
+    }
+    state.requiredIndex = std::max(state.requiredIndex, index);
+    std::erase_if(state.freshness, [now](const auto &item) {
+        return item.second.mayServeUntil <= now;
+    });
+    return true;
+}
+
+TimePoint inForceAt(const LeaderState &state, Version index, TimePoint now)
+{
+    TimePoint at = now;
+    for (const auto &[process, freshness] : state.freshness) {
+        if (freshness.confirmed < index) {
+            at = std::max(at, freshness.mayServeUntil);
+        }
+    }
+    return at;
+}
+
+void updateReachability(LeaderState &state, TimePoint now)
+{
+    for (auto &[instance, reachability] : state.reachability) {
+        if (!reachability.reachable) {
+            continue;
+        }
+        if (now - reachability.provenAt >= state.times.poolLease) {
+            reachability.reachable = false;
+            ++reachability.losses;
+        } else if (now - reachability.reachableSince >= lossMemory) {
+            reachability.losses = 0;
+        }
+    }
+}
+
+bool isReachable(const LeaderState &state, InstanceId instance) noexcept
+{
+    const auto found = state.reachability.find(instance);
+    return found != state.reachability.end() && found->second.reachable;
+}
+
+} // namespace mimosahollow::membership
--- /dev/null
+++ b/src/membership/poolholder.cpp
@@ -0,0 +1,283 @@
+#include "mimosahollow/membership/poolholder.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mimosahollow::membership {
+
+namespace {
+
+/** Promises are asked for when a third of the pool lease has passed without a renewal; two renewals are missing then. */
+constexpr int quietPart = 3;
+/** A failure domain has one pool for each base model, plain service and bucket; this bounds what peers can make an instance keep. */
+constexpr std::size_t maximumHeldPools = 1024;
+
+bool hasGivenPromise(const HeldPool &pool, TimePoint now) noexcept
+{
+    return std::any_of(pool.given.begin(), pool.given.end(), [now](const GivenPromise &promise) {
+        return now < promise.until;
+    });
+}
+
+/** End of the lease by promises: the promise that runs out first. */
+TimePoint promisedUntil(const PoolHolder &holder, const HeldPool &pool) noexcept
+{
+    TimePoint until = TimePoint::max();
+    for (const InstanceId peer : holder.peers) {
+        const auto found = pool.promisedUntil.find(peer);
+        until = std::min(until, found == pool.promisedUntil.end() ? neverTime : found->second);
+    }
+    return until;
+}
+
+/** The promises count only after this process had one renewal: the leader then knows how new its set of peers is. */
+TimePoint leaseUntil(const PoolHolder &holder, const HeldPool &pool) noexcept
+{
+    return pool.renewedOnce ? std::max(pool.leaderUntil, promisedUntil(holder, pool)) : neverTime;
+}
+
+bool mayOwn(const PoolHolder &holder, const HeldPool &pool, TimePoint now) noexcept
+{
+    return pool.owner == holder.self && !pool.released && now < leaseUntil(holder, pool) && !hasGivenPromise(pool, now);
+}
+
+HeldPool *find(PoolHolder &holder, const PoolFence &fence)
+{
+    const auto found = holder.pools.find(fence.pool);
+    return found == holder.pools.end() || found->second.fencing != fence.fencing ? nullptr : &found->second;
+}
+
+const HeldPool *find(const PoolHolder &holder, PoolId pool) noexcept
+{
+    const auto found = holder.pools.find(pool);
+    return found == holder.pools.end() ? nullptr : &found->second;
+}
+
+void learnAssignment(PoolHolder &holder, const PoolAssignment &assignment, TimePoint now)
+{
+    HeldPool &pool = holder.pools[assignment.pool];
+    if (assignment.fencing > pool.fencing) {
+        HeldPool next;
+        next.owner = assignment.owner;
+        next.fencing = assignment.fencing;
+        next.learntAt = now;
+        next.releasedFencing = pool.releasedFencing;
+        next.given = std::move(pool.given);
+        pool = std::move(next);
+    }
+    if (assignment.fencing == pool.fencing && assignment.releasedBy != 0) {
+        pool.released = true;
+    }
+}
+
+void receivePromise(PoolHolder &holder, const Promise &promise, TimePoint now)
+{
+    const TimePoint sentAt = timeOf(promise.ownerTime);
+    if (promise.owner != holder.self || promise.ownerIncarnation != holder.incarnation || sentAt > now) {
+        return;
+    }
+    for (const PoolFence &fence : promise.pools) {
+        if (HeldPool *pool = find(holder, fence)) {
+            // Counted from the own send time: the promise itself starts later and so ends later.
+            TimePoint &until = pool->promisedUntil.try_emplace(promise.from, neverTime).first->second;
+            until = std::max(until, sentAt + holder.poolLease);
+        }
+    }
+}
+
+void receiveRefusal(PoolHolder &holder, const Promise &promise)
+{
+    for (const PoolFence &fence : promise.pools) {
+        const auto found = holder.pools.find(fence.pool);
+        if (promise.owner == holder.self && found != holder.pools.end() && found->second.fencing < fence.fencing) {
+            found->second.released = true;
+        }
+    }
+}
+
+void receiveRelease(PoolHolder &holder, const Promise &promise)
+{
+    for (const PoolFence &fence : promise.pools) {
+        const auto found = holder.pools.find(fence.pool);
+        if (found == holder.pools.end()) {
+            continue;
+        }
+        HeldPool &pool = found->second;
+        std::erase_if(pool.given, [&](const GivenPromise &given) {
+            return given.owner == promise.from && given.ownerIncarnation == promise.ownerIncarnation && given.fencing == fence.fencing;
+        });
+        pool.releasedFencing = std::max(pool.releasedFencing, fence.fencing);
+    }
+}
+
+bool hasRoomFor(const PoolHolder &holder, PoolId pool)
+{
+    return holder.pools.contains(pool) || holder.pools.size() < maximumHeldPools;
+}
+
+void givePromise(HeldPool &pool, const Promise &request, const PoolFence &fence, TimePoint until, TimePoint now)
+{
+    std::erase_if(pool.given, [&](const GivenPromise &given) {
+        return now >= given.until || (given.owner == request.from && given.ownerIncarnation == request.ownerIncarnation && given.fencing == fence.fencing);
+    });
+    pool.given.push_back({request.from, request.ownerIncarnation, fence.fencing, until});
+}
+
+} // namespace
+
+void applyControlState(
+    PoolHolder &holder, DomainId domain, std::span<const RegisteredInstance> registered, std::span<const PoolAssignment> pools, TimePoint now)
+{
+    holder.peers.clear();
+    for (const RegisteredInstance &instance : registered) {
+        const bool known = std::find(holder.peers.begin(), holder.peers.end(), instance.id) != holder.peers.end();
+        if (instance.domain == domain && instance.id != holder.self && !known) {
+            holder.peers.push_back(instance.id);
+        }
+    }
+    for (const PoolAssignment &assignment : pools) {
+        if (assignment.domain == domain) {
+            learnAssignment(holder, assignment, now);
+        }
+    }
+    for (auto &[id, pool] : holder.pools) {
+        const bool exists = std::any_of(pools.begin(), pools.end(), [id = id](const PoolAssignment &assignment) {
+            return assignment.pool == id;
+        });
+        if (!exists) {
+            pool.released = true;
+        }
+    }
+}
+
+void onLeaderRenewal(PoolHolder &holder, std::span<const PoolRenewal> pools, TimePoint from)
+{
+    for (const PoolRenewal &renewal : pools) {
+        HeldPool *pool = find(holder, {renewal.pool, renewal.fencing});
+        if (pool != nullptr && pool->owner == holder.self && renewal.owner == holder.self) {
+            pool->renewedOnce = true;
+            pool->leaderUntil = std::max(pool->leaderUntil, from + holder.poolLease);
+        }
+    }
+}
+
+std::vector<PoolRenewal> poolsToRenew(const PoolHolder &holder)
+{
+    std::vector<PoolRenewal> renewals;
+    for (const auto &[id, pool] : holder.pools) {
+        if (pool.owner == holder.self && !pool.released) {
+            renewals.push_back({id, holder.self, pool.fencing});
+        }
+    }
+    return renewals;
+}
+
+std::optional<Promise> promiseRequest(const PoolHolder &holder, TimePoint now)
+{
+    if (holder.peers.empty()) {
+        return std::nullopt;
+    }
+    Promise request{PromiseKind::Request, holder.self, holder.self, holder.incarnation, nanosecondsOf(now), {}};
+    for (const auto &[id, pool] : holder.pools) {
+        const bool quiet = pool.renewedOnce && now >= pool.leaderUntil - holder.poolLease + holder.poolLease / quietPart;
+        if (pool.owner == holder.self && pool.accepted && !pool.released && quiet) {
+            request.pools.push_back({id, pool.fencing});
+        }
+    }
+    return request.pools.empty() ? std::nullopt : std::optional(std::move(request));
+}
+
+std::vector<Promise> onPromiseRequest(PoolHolder &holder, const Promise &request, TimePoint now)
+{
+    Promise given{PromiseKind::Given, holder.self, request.from, request.ownerIncarnation, request.ownerTime, {}};
+    Promise refused = given;
+    refused.kind = PromiseKind::Refused;
+    const TimePoint until = now + outerLease(holder.poolLease);
+    for (const PoolFence &fence : request.pools) {
+        if (!hasRoomFor(holder, fence.pool)) {
+            continue;
+        }
+        HeldPool &pool = holder.pools[fence.pool];
+        const bool own = pool.owner == holder.self && pool.fencing == fence.fencing;
+        if (pool.fencing > fence.fencing || own) {
+            refused.pools.push_back({fence.pool, pool.fencing});
+        } else {
+            givePromise(pool, request, fence, until, now);
+            given.pools.push_back(fence);
+        }
+    }
+    std::vector<Promise> answers;
+    for (Promise &answer : std::array{std::move(given), std::move(refused)}) {
+        if (!answer.pools.empty()) {
+            answers.push_back(std::move(answer));
+        }
+    }
+    return answers;
+}
+
+void onPromise(PoolHolder &holder, const Promise &promise, TimePoint now)
+{
+    switch (promise.kind) {
+    case PromiseKind::Given:
+        receivePromise(holder, promise, now);
+        break;
+    case PromiseKind::Refused:
+        receiveRefusal(holder, promise);
+        break;
+    case PromiseKind::Released:
+        receiveRelease(holder, promise);
+        break;
+    case PromiseKind::Request:
+        break;
+    }
+}
+
+std::vector<PoolFence> startPools(PoolHolder &holder, TimePoint now)
+{
+    std::vector<PoolFence> started;
+    if (now < holder.startedAt + outerLease(holder.poolLease)) {
+        return started;
+    }
+    for (auto &[id, pool] : holder.pools) {
+        if (!pool.accepted && mayOwn(holder, pool, now)) {
+            pool.accepted = true;
+            pool.acceptedAt = now;
+            started.push_back({id, pool.fencing});
+        }
+    }
+    return started;
+}
+
+bool ownsPool(const PoolHolder &holder, PoolId pool, TimePoint now) noexcept
+{
+    const HeldPool *held = find(holder, pool);
+    return held != nullptr && held->accepted && mayOwn(holder, *held, now);
+}
+
+TimePoint ownedUntil(const PoolHolder &holder, PoolId pool, TimePoint now) noexcept
+{
+    return ownsPool(holder, pool, now) ? leaseUntil(holder, *find(holder, pool)) : neverTime;
+}
+
+std::optional<Promise> releasePool(PoolHolder &holder, PoolId pool)
+{
+    const auto found = holder.pools.find(pool);
+    if (found == holder.pools.end() || found->second.owner != holder.self || found->second.released) {
+        return std::nullopt;
+    }
+    found->second.released = true;
+    return Promise{PromiseKind::Released, holder.self, holder.self, holder.incarnation, 0, {{pool, found->second.fencing}}};
+}
+
+TimePoint firstOrderAt(const PoolHolder &holder, PoolId pool, bool serverChecksFencing, Duration longestOrder) noexcept
+{
+    const HeldPool *held = find(holder, pool);
+    if (held == nullptr || !held->accepted) {
+        return TimePoint::max();
+    }
+    // Fencing numbers of a pool grow by one, so a release under the number before this one comes from the previous owner.
+    const bool noOldOrders = held->fencing == 1 || held->releasedFencing + 1 == held->fencing;
+    return serverChecksFencing || noOldOrders ? held->acceptedAt : held->acceptedAt + longestOrder;
+}
+
+} // namespace mimosahollow::membership
--- /dev/null
+++ b/src/membership/view.cpp
@@ -0,0 +1,214 @@
+#include "mimosahollow/membership/view.h"
+
+#include "contact.h"
+
+#include <algorithm>
+
+namespace mimosahollow::membership {
+
+namespace {
+
+std::int64_t millisecondsOf(Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+/** Makes an older run of the same instance irrelevant. */
+void startNewIncarnation(KnownInstance &known, const InstanceRecord &record)
+{
+    known.record = record;
+    known.heardAt = neverTime;
+    known.confirmedAt = neverTime;
+    known.lastSentAt = 0;
+    known.relay = false;
+}
+
+/** Returns nothing for this instance itself, an older incarnation, or when the table is full. */
+KnownInstance *merge(View &view, const InstanceRecord &record, TimePoint evidenceAt)
+{
+    if (record.name == view.self.name) {
+        return nullptr;
+    }
+    auto found = view.known.find(record.name);
+    if (found == view.known.end()) {
+        if (view.known.size() >= view.options.maximumInstances) {
+            return nullptr;
+        }
+        found = view.known.emplace(record.name, KnownInstance{}).first;
+        found->second.record = record;
+        found->second.evidenceAt = evidenceAt;
+    } else if (record.incarnation > found->second.record.incarnation) {
+        startNewIncarnation(found->second, record);
+    } else if (record.incarnation < found->second.record.incarnation) {
+        return nullptr;
+    }
+    found->second.evidenceAt = std::max(found->second.evidenceAt, evidenceAt);
+    return &found->second;
+}
+
+void mergeSample(View &view, const SampledInstance &sample, TimePoint now)
+{
+    const TimePoint evidenceAt = now - milliseconds(sample.ageMilliseconds);
+    if (now - evidenceAt >= view.options.forgetTime) {
+        return;
+    }
+    const auto before = view.known.find(sample.instance.name);
+    const bool newer = before == view.known.end() || before->second.evidenceAt < evidenceAt;
+    KnownInstance *known = merge(view, sample.instance, evidenceAt);
+    if (known != nullptr && newer) {
+        known->relay = sample.relay;
+    }
+}
+
+std::vector<SampledInstance> sampleKnown(const View &view, TimePoint now, std::mt19937_64 &random)
+{
+    std::vector<SampledInstance> sample;
+    if (view.known.empty()) {
+        return sample;
+    }
+    // A run of neighbours from a random start: each entry is equally likely, and nothing needs a copy of the table.
+    auto next = std::next(view.known.begin(), static_cast<std::ptrdiff_t>(random() % view.known.size()));
+    for (std::size_t i = 0; i < std::min(view.options.sampleSize, view.known.size()); ++i) {
+        const KnownInstance &known = next->second;
+        if (now - known.evidenceAt < view.options.forgetTime) {
+            sample.push_back({known.record, static_cast<std::uint32_t>(millisecondsOf(now - known.evidenceAt)), known.relay});
+        }
+        if (++next == view.known.end()) {
+            next = view.known.begin();
+        }
+    }
+    return sample;
+}
+
+Heartbeat heartbeatTo(const View &view, const KnownInstance &known, TimePoint now)
+{
+    Heartbeat heartbeat;
+    heartbeat.from = view.self.name;
+    heartbeat.incarnation = view.self.incarnation;
+    heartbeat.sentAt = nanosecondsOf(now);
+    heartbeat.echoIncarnation = known.record.incarnation;
+    heartbeat.echoSentAt = known.lastSentAt;
+    heartbeat.relay = view.relay == view.self.name;
+    heartbeat.leader = view.leader;
+    return heartbeat;
+}
+
+/** One instance of each other failure domain: its relay, or a different member at each turn until a relay has answered. */
+std::vector<const KnownInstance *> remoteRelays(const View &view)
+{
+    std::map<std::string_view, std::vector<const KnownInstance *>> relays;
+    std::map<std::string_view, std::vector<const KnownInstance *>> members;
+    for (const auto &[name, known] : view.known) {
+        if (known.record.failureDomain != view.self.failureDomain) {
+            members[known.record.failureDomain].push_back(&known);
+            if (known.relay) {
+                relays[known.record.failureDomain].push_back(&known);
+            }
+        }
+    }
+    std::vector<const KnownInstance *> targets;
+    for (const auto &[domain, all] : members) {
+        const auto &candidates = relays.contains(domain) ? relays[domain] : all;
+        const auto alive = std::find_if(candidates.begin(), candidates.end(), [](const KnownInstance *known) {
+            return known->alive;
+        });
+        const std::uint64_t turn = view.tick / view.options.remoteIntervalFactor;
+        targets.push_back(alive != candidates.end() ? *alive : candidates[turn % candidates.size()]);
+        if (alive == candidates.end() && &candidates != &all) {
+            targets.push_back(all[turn % all.size()]);
+        }
+    }
+    return targets;
+}
+
+std::vector<const KnownInstance *> targets(const View &view)
+{
+    std::vector<const KnownInstance *> chosen;
+    for (const auto &[name, known] : view.known) {
+        if (known.record.failureDomain == view.self.failureDomain) {
+            chosen.push_back(&known);
+        }
+    }
+    if (view.relay == view.self.name && view.tick % view.options.remoteIntervalFactor == 0) {
+        const auto remote = remoteRelays(view);
+        chosen.insert(chosen.end(), remote.begin(), remote.end());
+    }
+    return chosen;
+}
+
+void updateContacts(View &view, TimePoint now, ViewActions &actions)
+{
+    for (auto &[name, known] : view.known) {
+        switch (updateContact(view, known, now)) {
+        case ContactChange::BecameAlive:
+            actions.becameAlive.push_back(name);
+            break;
+        case ContactChange::BecameSuspect:
+            actions.becameSuspect.push_back(name);
+            break;
+        case ContactChange::None:
+            break;
+        }
+    }
+}
+
+} // namespace
+
+void learn(View &view, const InstanceRecord &record, TimePoint now)
+{
+    merge(view, record, now);
+}
+
+void onHeartbeat(View &view, const Heartbeat &heartbeat, TimePoint now)
+{
+    const auto found = view.known.find(heartbeat.from);
+    if (found == view.known.end() || found->second.record.incarnation != heartbeat.incarnation) {
+        return; // the Hello of a new process comes first on its connection
+    }
+    KnownInstance &known = found->second;
+    known.evidenceAt = now;
+    known.heardAt = now;
+    known.lastSentAt = std::max(known.lastSentAt, heartbeat.sentAt);
+    known.relay = heartbeat.relay;
+    if (heartbeat.echoIncarnation == view.self.incarnation && heartbeat.echoSentAt != 0 && timeOf(heartbeat.echoSentAt) <= now) {
+        known.confirmedAt = std::max(known.confirmedAt, timeOf(heartbeat.echoSentAt));
+    }
+    if (!heartbeat.leader.empty()) {
+        view.leader = heartbeat.leader;
+    }
+    for (const SampledInstance &sample : heartbeat.known) {
+        mergeSample(view, sample, now);
+    }
+}
+
+ViewActions tickView(View &view, TimePoint now, std::mt19937_64 &random)
+{
+    ViewActions actions;
+    std::erase_if(view.known, [&](const auto &item) {
+        return !item.second.alive && now - item.second.evidenceAt >= view.options.forgetTime;
+    });
+    updateContacts(view, now, actions);
+    std::string relay = chooseRelay(view, now);
+    if (relay != view.relay) {
+        view.relay = std::move(relay);
+        actions.relayChanged = true;
+    }
+    const bool withSample = view.tick % view.options.remoteIntervalFactor == 0;
+    for (const KnownInstance *known : targets(view)) {
+        Heartbeat heartbeat = heartbeatTo(view, *known, now);
+        if (withSample) {
+            heartbeat.known = sampleKnown(view, now, random);
+        }
+        actions.heartbeats.push_back({known->record.name, std::move(heartbeat)});
+    }
+    ++view.tick;
+    return actions;
+}
+
+bool isAlive(const View &view, std::string_view name) noexcept
+{
+    const auto found = view.known.find(name);
+    return found != view.known.end() && found->second.alive;
+}
+
+} // namespace mimosahollow::membership
--- /dev/null
+++ b/tests/membership/world.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "mimosahollow/membership/assignment.h"
+#include "mimosahollow/membership/leaderstate.h"
+#include "mimosahollow/membership/poolholder.h"
+#include "mimosahollow/membership/renewalstate.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::membership::test {
+
+/** Deliberate mistakes that the checks must find. */
+enum class Mistake {
+    None,
+    LeaseFromReceipt,
+    PromiseFromReceipt,
+    NoWaitAfterRestart,
+    NewLeaderForgetsLeases,
+    PromisesIgnored,
+    RelayPassesFullLease,
+};
+
+/** Control state at one log index. */
+struct ControlState
+{
+    std::vector<RegisteredInstance> registered;
+    std::vector<PoolAssignment> pools;
+};
+
+/** Clock with a rate error and an offset. */
+struct DriftingClock
+{
+    double rate = 1;
+    std::int64_t offset = 0;
+
+    [[nodiscard]] TimePoint at(std::int64_t nanoseconds) const
+    {
+        return timeOf(offset + static_cast<std::int64_t>(static_cast<double>(nanoseconds) * rate));
+    }
+};
+
+struct Node
+{
+    DriftingClock clock;
+    bool running = false;
+    bool registered = false;
+    std::uint64_t incarnation = 0;
+    std::int64_t pausedUntil = 0;
+    TimePoint nextRenewal{};
+    PoolHolder holder;
+    RenewalState renewal;
+    ControlState state; /**< At renewal.applied. */
+};
+
+/**
+ * Instances 1 to n of one failure domain, and a control leader (address 0), in virtual time.
+ *
+ * The log and the majority are ideal: the active leader commits at once. Everything else goes through a network that
+ * loses, delays and cuts messages in each direction, with clocks that differ in offset and rate.
+ */
+class World
+{
+public:
+    static constexpr std::int64_t step = 10'000'000; // 10 ms
+    static constexpr std::size_t poolCount = 3;
+    static constexpr DomainId domain{1};
+
+    World(std::uint64_t seed, std::size_t instances, Mistake mistake = Mistake::None);
+
+    /** Runs for @p duration; @p faults is called in each step. */
+    void run(Duration duration, const std::function<void()> &faults = {});
+    /** Everything is registered, has an owner, and the owner is valid. */
+    void settle();
+
+    void startNode(std::size_t node);
+    void crash(std::size_t node);
+    void changeLeader();
+    void release(std::size_t node);
+    void commitChange();
+    void cutBoth(std::size_t a, std::size_t b, bool cut);
+    [[nodiscard]] std::size_t ownerOf(std::size_t pool) const; /**< 0: no valid owner. */
+    [[nodiscard]] std::uint64_t chance(std::uint64_t range);
+
+    std::mt19937_64 random;
+    std::int64_t now = 0;
+    std::vector<Node> nodes; /**< Index 0 is unused. */
+    std::set<std::pair<std::size_t, std::size_t>> cuts; /**< Directions that lose everything. */
+    double loss = 0;
+    Duration maximumDelay = milliseconds(20);
+    bool throughRelay = false; /**< Node 1 is the relay of the others. */
+
+    // Results of the checks.
+    std::size_t doubleOwners = 0;
+    std::size_t staleButFresh = 0;
+    std::size_t ownedSteps = 0; /**< Steps in which each pool had an owner. */
+    std::size_t freshSteps = 0;
+    Version acknowledged = 0;
+    std::uint64_t reassignments = 0;
+
+private:
+    void send(std::size_t from, std::size_t to, std::function<void()> deliver);
+    void deliverDue();
+    void tickNode(std::size_t index);
+    void tickLeader();
+    void commit(const std::function<void(ControlState &)> &change);
+    void sendState(std::size_t from, std::size_t to, const ControlState &state, Version index);
+    void sendRenewRequest(std::size_t from);
+    void receiveRequest(std::size_t from, const RenewRequest &request);
+    void receiveReply(std::size_t node, RenewReply reply);
+    void receivePromise(std::size_t node, Promise promise);
+    void sendPromise(std::size_t from, std::size_t to, const Promise &promise);
+    void registerNode(std::size_t node, std::uint64_t incarnation);
+    void check();
+
+    struct Message
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::uint64_t incarnation = 0;
+        std::function<void()> deliver;
+    };
+
+    Mistake m_mistake;
+    std::multimap<std::int64_t, Message> m_messages;
+    std::vector<DriftingClock> m_leaderClocks;
+    std::size_t m_leaderClock = 0;
+    LeaderState m_leader;
+    ControlState m_committed;
+    Version m_index = 1;
+};
+
+} // namespace mimosahollow::membership::test
