--- a/src/membership/assignment.cpp
+++ b/src/membership/assignment.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
-#include <utility>
+#include <tuple>
 
 namespace mimosahollow::membership {
 
@@ -38,18 +38,52 @@
     return now - reachability.reachableSince >= state.times.settleTime * (1U << doublings);
 }
 
-/** Best instance for @p pool that @p isEligible accepts; settled ones first. */
+std::size_t poolsOf(std::span<const PoolAssignment> pools, InstanceId owner)
+{
+    return static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), [owner](const PoolAssignment &pool) {
+        return pool.owner == owner && pool.releasedBy == 0;
+    }));
+}
+
+bool isCandidate(const LeaderState &state, const RegisteredInstance &instance, DomainId domain)
+{
+    return instance.domain == domain && instance.accepting && isReachable(state, instance.id);
+}
+
+/** Equal part of the pools of @p domain for each candidate, rounded up. */
+std::size_t fairCount(const LeaderState &state, std::span<const PoolAssignment> pools, DomainId domain)
+{
+    std::set<InstanceId> candidates;
+    for (const RegisteredInstance &instance : state.registered) {
+        if (isCandidate(state, instance, domain)) {
+            candidates.insert(instance.id);
+        }
+    }
+    const auto count = static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), [domain](const PoolAssignment &pool) {
+        return pool.domain == domain;
+    }));
+    return candidates.empty() ? count : (count + candidates.size() - 1) / candidates.size();
+}
+
+/**
+ * Best instance for @p pool that @p isEligible accepts: settled ones first, then those below their equal part.
+ *
+ * The bound keeps a pool that was moved for balance from unbalancing its new owner, which would move pools without end.
+ */
 template<typename Eligible>
-const RegisteredInstance *bestCandidate(const LeaderState &state, const PoolAssignment &pool, TimePoint now, Eligible isEligible)
+const RegisteredInstance *
+bestCandidate(const LeaderState &state, const PoolAssignment &pool, std::span<const PoolAssignment> pools, TimePoint now, Eligible isEligible)
 {
+    const std::size_t fair = fairCount(state, pools, pool.domain);
     const RegisteredInstance *best = nullptr;
-    std::pair<bool, std::uint64_t> bestRank;
+    std::tuple<bool, bool, std::uint64_t> bestRank;
     for (const RegisteredInstance &instance : state.registered) {
-        if (instance.domain != pool.domain || !instance.accepting || !isReachable(state, instance.id) || !isEligible(instance)) {
+        if (!isCandidate(state, instance, pool.domain) || !isEligible(instance)) {
             continue;
         }
-        const std::pair<bool, std::uint64_t> rank{isSettled(state, instance.id, now),
-                                                  rendezvousWeight("pool " + std::to_string(number(pool.pool)), instance.name)};
+        const std::tuple<bool, bool, std::uint64_t> rank{isSettled(state, instance.id, now),
+                                                         poolsOf(pools, instance.id) < fair,
+                                                         rendezvousWeight("pool " + std::to_string(number(pool.pool)), instance.name)};
         if (best == nullptr || rank > bestRank) {
             best = &instance;
             bestRank = rank;
@@ -85,18 +119,11 @@
            && now < leaseOf(state, pool).renewalDue;
 }
 
-std::size_t poolsOf(std::span<const PoolAssignment> pools, InstanceId owner)
-{
-    return static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), [owner](const PoolAssignment &pool) {
-        return pool.owner == owner;
-    }));
-}
-
 /** New owner for a pool without a working one; none while the old owner may still be valid. */
-const RegisteredInstance *successor(const LeaderState &state, const PoolAssignment &pool, TimePoint now)
+const RegisteredInstance *successor(const LeaderState &state, const PoolAssignment &pool, std::span<const PoolAssignment> pools, TimePoint now)
 {
     if (pool.owner == InstanceId{}) {
-        return bestCandidate(state, pool, now, [](const RegisteredInstance &) {
+        return bestCandidate(state, pool, pools, now, [](const RegisteredInstance &) {
             return true;
         });
     }
@@ -108,7 +135,7 @@
     // The old owner may live on by the promises of the instances that it knows, so the new one must be among them.
     // An owner that was removed from the control state has ended.
     const bool anyone = released || registration(state, pool.owner) == nullptr;
-    return bestCandidate(state, pool, now, [&](const RegisteredInstance &instance) {
+    return bestCandidate(state, pool, pools, now, [&](const RegisteredInstance &instance) {
         return (anyone || instance.since <= lease.ownerKnows) && (released || instance.id != pool.owner);
     });
 }
@@ -118,7 +145,7 @@
 {
     const RegisteredInstance *owner = registration(state, pool.owner);
     const std::size_t owned = poolsOf(pools, pool.owner);
-    return bestCandidate(state, pool, now, [&](const RegisteredInstance &instance) {
+    return bestCandidate(state, pool, pools, now, [&](const RegisteredInstance &instance) {
         if (instance.id == pool.owner) {
             return false;
         }
@@ -132,15 +159,18 @@
 {
     noteNewAssignments(state, pools, now);
     std::vector<PlannedAssignment> planned;
+    std::vector<PoolAssignment> next(pools.begin(), pools.end()); // with what is planned already
     std::set<DomainId> moving; // one graceful handover at a time in each failure domain
-    for (const PoolAssignment &pool : pools) {
+    for (PoolAssignment &pool : next) {
         if (!works(state, pool, now)) {
-            if (const RegisteredInstance *next = successor(state, pool, now)) {
-                planned.push_back({AssignmentStep::Assign, pool.pool, next->id, pool.fencing + 1});
+            if (const RegisteredInstance *owner = successor(state, pool, next, now)) {
+                planned.push_back({AssignmentStep::Assign, pool.pool, owner->id, pool.fencing + 1});
+                pool.owner = owner->id;
+                pool.releasedBy = 0;
             }
         } else if (!moving.contains(pool.domain)) {
-            if (const RegisteredInstance *next = betterOwner(state, pool, pools, now)) {
-                planned.push_back({AssignmentStep::AskForRelease, pool.pool, next->id, pool.fencing});
+            if (const RegisteredInstance *owner = betterOwner(state, pool, next, now)) {
+                planned.push_back({AssignmentStep::AskForRelease, pool.pool, owner->id, pool.fencing});
                 moving.insert(pool.domain);
             }
         }
--- a/src/membership/poolholder.cpp
+++ b/src/membership/poolholder.cpp
@@ -36,6 +36,17 @@
     return pool.renewedOnce ? std::max(pool.leaderUntil, promisedUntil(holder, pool)) : neverTime;
 }
 
+/**
+ * Whether promises that an earlier run of this process gave may still hold it back.
+ *
+ * A promise to the owner of a newer fencing number does not matter: the leader renews this number no more. Under number 1
+ * there was no earlier owner.
+ */
+bool mayHaveForgottenPromise(const PoolHolder &holder, const HeldPool &pool, TimePoint now) noexcept
+{
+    return pool.fencing > 1 && now < holder.startedAt + outerLease(holder.poolLease);
+}
+
 bool mayOwn(const PoolHolder &holder, const HeldPool &pool, TimePoint now) noexcept
 {
     return pool.owner == holder.self && !pool.released && now < leaseUntil(holder, pool) && !hasGivenPromise(pool, now);
@@ -235,11 +246,8 @@
 std::vector<PoolFence> startPools(PoolHolder &holder, TimePoint now)
 {
     std::vector<PoolFence> started;
-    if (now < holder.startedAt + outerLease(holder.poolLease)) {
-        return started;
-    }
     for (auto &[id, pool] : holder.pools) {
-        if (!pool.accepted && mayOwn(holder, pool, now)) {
+        if (!pool.accepted && !mayHaveForgottenPromise(holder, pool, now) && mayOwn(holder, pool, now)) {
             pool.accepted = true;
             pool.acceptedAt = now;
             started.push_back({id, pool.fencing});
