--- a/include/mimosahollow/link/fleetcodec.h
+++ b/include/mimosahollow/link/fleetcodec.h
@@ -15,7 +15,6 @@
 
 enum class CodecError : std::uint8_t {
     Malformed, /**< The FlatBuffers verifier refuses the bytes. */
-    MissingField,
     InvalidValue, /**< An enumeration or a number is out of range. */
 };
 
--- a/include/mimosahollow/link/linkevent.h
+++ b/include/mimosahollow/link/linkevent.h
@@ -24,12 +24,20 @@
     membership::InstanceRecord peer;
 };
 
+/** The connection has ended. Frames that send() accepted and the peer has not answered may be lost. */
 struct PeerDown
 {
     std::string peer;
     std::string reason;
 };
 
-using LinkEvent = std::variant<ReceivedFrame, PeerUp, PeerDown>;
+/** A connection ended before its Hello was accepted: another fleet, version or authority, malformed bytes, or a timeout. */
+struct PeerRefused
+{
+    std::string address;
+    std::string reason;
+};
+
+using LinkEvent = std::variant<ReceivedFrame, PeerUp, PeerDown, PeerRefused>;
 
 } // namespace mimosahollow::link
--- a/include/mimosahollow/link/linknetwork.h
+++ b/include/mimosahollow/link/linknetwork.h
@@ -51,7 +51,7 @@
 
 private:
     class Engine;
-    std::shared_ptr<Engine> m_engine;
+    std::unique_ptr<Engine> m_engine;
 };
 
 } // namespace mimosahollow::link
--- a/src/membership/leaderstate.cpp
+++ b/src/membership/leaderstate.cpp
@@ -29,7 +29,7 @@
 void noteEcho(LeaderState &state, const FollowerEntry &entry, TimePoint now)
 {
     Reachability &reachability = state.reachability[entry.instance];
-    if (entry.echo.term == state.term && timeOf(entry.echo.time) <= now) {
+    if (entry.echo.term == state.term && timeOf(entry.echo.time) >= state.since && timeOf(entry.echo.time) <= now) {
         reachability.provenAt = std::max(reachability.provenAt, timeOf(entry.echo.time));
     }
     if (!reachability.reachable && reachability.provenAt != neverTime && now - reachability.provenAt < state.times.poolLease) {
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -170,8 +170,12 @@
     known.heardAt = now;
     known.lastSentAt = std::max(known.lastSentAt, heartbeat.sentAt);
     known.relay = heartbeat.relay;
-    if (heartbeat.echoIncarnation == view.self.incarnation && heartbeat.echoSentAt != 0 && timeOf(heartbeat.echoSentAt) <= now) {
-        known.confirmedAt = std::max(known.confirmedAt, timeOf(heartbeat.echoSentAt));
+    if (heartbeat.echoIncarnation == view.self.incarnation && heartbeat.echoSentAt != 0) {
+        // An echo from the future or the distant past is malformed; arithmetic with it could overflow.
+        const TimePoint echo = timeOf(heartbeat.echoSentAt);
+        if (echo <= now && echo > now - view.options.forgetTime) {
+            known.confirmedAt = std::max(known.confirmedAt, echo);
+        }
     }
     if (!heartbeat.leader.empty()) {
         view.leader = heartbeat.leader;
