--- a/src/membership/contact.cpp
+++ b/src/membership/contact.cpp
@@ -33,10 +33,21 @@
     return std::min(options.recoveryTime * (1U << std::min(losses - 1, maximumDoublings)), options.maximumRecoveryTime);
 }
 
+/** Instances of different failure domains exchange heartbeats only while both are relays. */
+bool exchangesHeartbeats(const View &view, const KnownInstance &known)
+{
+    return known.record.failureDomain == view.self.failureDomain || (known.relay && view.relay == view.self.name);
+}
+
 } // namespace
 
 ContactChange updateContact(const View &view, KnownInstance &known, TimePoint now)
 {
+    if (!exchangesHeartbeats(view, known)) {
+        known.alive = false; // the end of a role is no loss
+        known.twoWaySince = neverTime;
+        return ContactChange::None;
+    }
     if (!hasTwoWayContact(view, known, now)) {
         known.twoWaySince = neverTime;
         if (!known.alive) {
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -121,7 +121,7 @@
     return targets;
 }
 
-std::vector<const KnownInstance *> targets(const View &view)
+std::vector<const KnownInstance *> targets(const View &view, bool wasRelay)
 {
     std::vector<const KnownInstance *> chosen;
     for (const auto &[name, known] : view.known) {
@@ -129,7 +129,10 @@
             chosen.push_back(&known);
         }
     }
-    if (view.relay == view.self.name && view.tick % view.options.remoteIntervalFactor == 0) {
+    const bool isRelay = view.relay == view.self.name;
+    // One last heartbeat says that this instance is no relay any more, so that its silence is not taken for a loss.
+    const bool ends = wasRelay && !isRelay;
+    if (ends || (isRelay && view.tick % view.options.remoteIntervalFactor == 0)) {
         const auto remote = remoteRelays(view);
         chosen.insert(chosen.end(), remote.begin(), remote.end());
     }
@@ -193,12 +196,13 @@
     });
     updateContacts(view, now, actions);
     std::string relay = chooseRelay(view, now);
+    const bool wasRelay = view.relay == view.self.name;
     if (relay != view.relay) {
         view.relay = std::move(relay);
         actions.relayChanged = true;
     }
     const bool withSample = view.tick % view.options.remoteIntervalFactor == 0;
-    for (const KnownInstance *known : targets(view)) {
+    for (const KnownInstance *known : targets(view, wasRelay)) {
         Heartbeat heartbeat = heartbeatTo(view, *known, now);
         if (withSample) {
             heartbeat.known = sampleKnown(view, now, random);
