--- a/include/mimosahollow/control/consensusstate.h
+++ b/include/mimosahollow/control/consensusstate.h
@@ -39,14 +39,17 @@
     LogIndex match = 0; /**< Last entry known to be durable there. */
     std::uint64_t round = 0; /**< Last round that it confirmed. */
     TimePoint heard{}; /**< When its last reply arrived. */
-    LogIndex snapshot = 0; /**< Snapshot being sent, 0 when none. */
+    bool probing = false; /**< The last match is not known; no entries are sent until an answer confirms it. */
+    SnapshotPoint snapshot; /**< Snapshot being sent; its index is 0 when there is none. */
+    SharedBytes snapshotData;
     std::uint64_t snapshotOffset = 0; /**< Bytes of it that have arrived. */
+    TimePoint chunkSent{};
 };
 
 struct PendingWrite
 {
     WriteNumber write = 0;
-    LogIndex lastIndex = 0; /**< Log end that the write makes durable, 0 for writes of the vote. */
+    LogIndex lastIndex = 0; /**< Log end that the write makes durable, 0 for writes that append nothing. */
 };
 
 struct PendingRead
@@ -96,6 +99,8 @@
     LogIndex commitIndex = 0;
     LogIndex appliedIndex = 0; /**< Last entry handed to the state machine. */
     LogIndex syncedIndex = 0; /**< Last entry that is durable here. */
+    LogIndex matchedIndex = 0; /**< Log end that is known to match the leader of the term. */
+    LogIndex termStart = 0; /**< First entry of this leader's term. */
     WriteNumber lastWrite = 0;
     WriteNumber voteWrite = 0; /**< Newest write of the vote. */
     WriteNumber syncedWrite = 0;
