--- a/fuzz/fleetcodec.cpp
+++ b/fuzz/fleetcodec.cpp
@@ -13,7 +13,7 @@
 
 /** What decodes must survive another round unchanged. */
 template<typename Message>
-void check(const Decoded<Message> &decoded, Decoded<Message> (*decode)(std::span<const std::uint8_t>))
+void check(const FleetDecoded<Message> &decoded, FleetDecoded<Message> (*decode)(std::span<const std::uint8_t>))
 {
     const auto *message = std::get_if<Message>(&decoded);
     if (message != nullptr && decode(encode(*message)) != decoded) {
@@ -35,7 +35,7 @@
     check(decodeRenewRequest(bytes), decodeRenewRequest);
     check(decodeRenewReply(bytes), decodeRenewReply);
     check(decodeConfirm(bytes), decodeConfirm);
-    check(decodeCommand(bytes), decodeCommand);
+    check(decodeForwardedCommand(bytes), decodeForwardedCommand);
     check(decodeCommandReply(bytes), decodeCommandReply);
     const auto update = decodeUpdate(bytes);
     check(update, decodeUpdate);
--- a/include/mimosahollow/admin/adminserver.h
+++ b/include/mimosahollow/admin/adminserver.h
@@ -11,8 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 enum class CommandEnd : std::uint8_t {
     NotSent, /**< The command has no effect. */
--- a/include/mimosahollow/admin/operators.h
+++ b/include/mimosahollow/admin/operators.h
@@ -8,8 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 /** An operator as the operators file describes it. */
 struct OperatorRecord
--- a/include/mimosahollow/coordination/actions.h
+++ b/include/mimosahollow/coordination/actions.h
@@ -14,8 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
 /** What the control parts of instances send to each other. */
 using Message = std::variant<membership::Heartbeat,
--- a/include/mimosahollow/coordination/coordination.h
+++ b/include/mimosahollow/coordination/coordination.h
@@ -7,8 +7,7 @@
 
 #include <span>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
 /** State of an instance that is no voter. */
 [[nodiscard]] CoordinationState makeFollower(const Options &options, TimePoint now);
--- a/include/mimosahollow/coordination/coordinationstate.h
+++ b/include/mimosahollow/coordination/coordinationstate.h
@@ -17,8 +17,7 @@
 #include <set>
 #include <string>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
 /** A command of this instance that has no final answer yet. It is sent again, under the same command id, until its deadline. */
 struct OutstandingCommand
--- a/include/mimosahollow/coordination/options.h
+++ b/include/mimosahollow/coordination/options.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
 /** What an instance knows about itself and the fleet at its start. */
 struct Options
--- a/include/mimosahollow/link/fleetcodec.h
+++ b/include/mimosahollow/link/fleetcodec.h
@@ -13,13 +13,13 @@
 
 namespace mimosahollow::link {
 
-enum class CodecError : std::uint8_t {
+enum class FleetCodecError : std::uint8_t {
     Malformed, /**< The FlatBuffers verifier refuses the bytes. */
     InvalidValue, /**< An enumeration or a number is out of range. */
 };
 
 template<typename Message>
-using Decoded = std::variant<Message, CodecError>;
+using FleetDecoded = std::variant<Message, FleetCodecError>;
 
 [[nodiscard]] std::vector<std::uint8_t> encode(const membership::Hello &message);
 [[nodiscard]] std::vector<std::uint8_t> encode(const membership::Heartbeat &message);
@@ -32,15 +32,15 @@
 [[nodiscard]] std::vector<std::uint8_t> encode(const membership::Command &message);
 [[nodiscard]] std::vector<std::uint8_t> encode(const membership::CommandReply &message);
 
-[[nodiscard]] Decoded<membership::Hello> decodeHello(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Heartbeat> decodeHeartbeat(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Promise> decodePromise(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Subscribe> decodeSubscribe(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Update> decodeUpdate(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::RenewRequest> decodeRenewRequest(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::RenewReply> decodeRenewReply(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Confirm> decodeConfirm(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::Command> decodeCommand(std::span<const std::uint8_t> bytes);
-[[nodiscard]] Decoded<membership::CommandReply> decodeCommandReply(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Hello> decodeHello(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Heartbeat> decodeHeartbeat(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Promise> decodePromise(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Subscribe> decodeSubscribe(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Update> decodeUpdate(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::RenewRequest> decodeRenewRequest(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::RenewReply> decodeRenewReply(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Confirm> decodeConfirm(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::Command> decodeForwardedCommand(std::span<const std::uint8_t> bytes);
+[[nodiscard]] FleetDecoded<membership::CommandReply> decodeCommandReply(std::span<const std::uint8_t> bytes);
 
 } // namespace mimosahollow::link
--- a/include/mimosahollow/serving/actions.h
+++ b/include/mimosahollow/serving/actions.h
@@ -10,8 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** Answers a waiting call. */
 struct ReplyToCall
--- a/include/mimosahollow/serving/call.h
+++ b/include/mimosahollow/serving/call.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 enum class CallStage : std::uint8_t {
     Recording, /**< The idempotency record is being committed. */
--- a/include/mimosahollow/serving/configurationindex.h
+++ b/include/mimosahollow/serving/configurationindex.h
@@ -8,17 +8,15 @@
 #include <utility>
 #include <vector>
 
-namespace mimosahollow::control
-{
+namespace mimosahollow::control {
 struct Adapter;
 struct BackendServer;
 struct Configuration;
 struct FailureDomain;
 struct Organisation;
-}
+} // namespace mimosahollow::control
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** Finds elements of one configuration by id and by name. Rebuilt for each configuration; keeps it alive. */
 struct ConfigurationIndex
@@ -42,7 +40,8 @@
 [[nodiscard]] const control::FailureDomain *findDomain(const ConfigurationIndex &index, DomainId id) noexcept;
 
 /** The declared server with this name, address and kind. */
-[[nodiscard]] const control::BackendServer *findDeclaredServer(const ConfigurationIndex &index, std::string_view name, std::string_view address, std::string_view kind) noexcept;
+[[nodiscard]] const control::BackendServer *
+findDeclaredServer(const ConfigurationIndex &index, std::string_view name, std::string_view address, std::string_view kind) noexcept;
 
 /** Adapter of @p base that an engine calls @p name ("name@version"); AdapterId{} when it is not in the configuration. */
 [[nodiscard]] AdapterId findAdapterByName(const ConfigurationIndex &index, std::string_view base, std::string_view name);
--- a/include/mimosahollow/serving/peermessage.h
+++ b/include/mimosahollow/serving/peermessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosahollow/admission/tokenmessages.h"
+#include "mimosahollow/admission/transfermessages.h"
 #include "mimosahollow/core/ids.h"
 #include "mimosahollow/gateway/backendevents.h"
 #include "mimosahollow/scheduling/actions.h"
@@ -11,8 +12,7 @@
 
 #include <variant>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** The entry instance no longer waits for an answer to its AcquireRequest. */
 struct CancelRequest
@@ -36,6 +36,13 @@
 };
 
 /** What the serving parts of instances send to each other. Announcements and reports go to the owner of the server's pool. */
-using PeerMessage = std::variant<PoolMessage, gateway::BackendAnnouncement, gateway::BackendReport, admission::TokenRequest, admission::TokenReport, admission::TokenGrant>;
+using PeerMessage = std::variant<PoolMessage,
+                                 gateway::BackendAnnouncement,
+                                 gateway::BackendReport,
+                                 admission::TokenRequest,
+                                 admission::TokenReport,
+                                 admission::TokenGrant,
+                                 admission::TransferRequest,
+                                 admission::TransferReply>;
 
 } // namespace mimosahollow::serving
--- a/include/mimosahollow/serving/serving.h
+++ b/include/mimosahollow/serving/serving.h
@@ -9,8 +9,7 @@
 
 #include <memory>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** Result of a CommitCommand. Without @c committed no majority was reached in time; the command may still take effect. */
 struct CommitResult
@@ -49,7 +48,8 @@
 void sendFailed(ServingState &state, InstanceId peer, const PeerMessage &message, TimePoint now, Actions &actions);
 
 /** A new configuration is in force. @p self is the number of this instance in it. */
-void setConfiguration(ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions);
+void setConfiguration(
+    ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions);
 
 void setFreshness(ServingState &state, TimePoint freshUntil) noexcept;
 void setPoolLease(ServingState &state, const PoolLease &lease, TimePoint now, Actions &actions);
--- a/include/mimosahollow/serving/servingstate.h
+++ b/include/mimosahollow/serving/servingstate.h
@@ -18,8 +18,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** A pool that this instance owns. */
 struct OwnedPool
--- a/src/admin/adminclient.cpp
+++ b/src/admin/adminclient.cpp
@@ -13,16 +13,14 @@
 #include <boost/beast/http/write.hpp>
 #include <sodium.h>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using gateway::HttpRequest;
 
-namespace
-{
+namespace {
 
 // Longer than the server's own patience, so that its answer arrives.
 constexpr std::chrono::seconds answerTimeout{40};
@@ -71,8 +69,7 @@
 {
     asio::io_context context(1);
     AdminResult result = AdminFailure{};
-    asio::co_spawn(context, exchange(context, target, request, result), [](const std::exception_ptr &) {
-    });
+    asio::co_spawn(context, exchange(context, target, request, result), [](const std::exception_ptr &) {});
     context.run();
     return result;
 }
--- a/src/admin/adminclient.h
+++ b/src/admin/adminclient.h
@@ -7,8 +7,7 @@
 #include <string_view>
 #include <variant>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 /** Where the admin API is and who asks. */
 struct AdminTarget
--- a/src/admin/adminrequests.cpp
+++ b/src/admin/adminrequests.cpp
@@ -13,13 +13,11 @@
 #include <cinttypes>
 #include <cstdio>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 
 using Parsed = std::variant<control::CommandBody, RequestError>;
 
@@ -203,7 +201,8 @@
     return RequestError{404, "unknown path"};
 }
 
-std::variant<std::string, RequestError> checkBundle(std::string_view packed, const std::vector<OperatorRecord> &operators, const control::Configuration &inForce)
+std::variant<std::string, RequestError>
+checkBundle(std::string_view packed, const std::vector<OperatorRecord> &operators, const control::Configuration &inForce)
 {
     auto read = readBundle(packed, operators);
     if (auto *error = std::get_if<RequestError>(&read)) {
--- a/src/admin/adminrequests.h
+++ b/src/admin/adminrequests.h
@@ -10,8 +10,7 @@
 #include <string_view>
 #include <variant>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 /** Why a request of an operator was refused before anything was submitted. */
 struct RequestError
@@ -21,7 +20,8 @@
 };
 
 /** Command of a POST request below /admin/v1/; the path is without that prefix. */
-[[nodiscard]] std::variant<control::CommandBody, RequestError> parseAdminRequest(std::string_view path, std::string_view body, const std::vector<OperatorRecord> &operators);
+[[nodiscard]] std::variant<control::CommandBody, RequestError>
+parseAdminRequest(std::string_view path, std::string_view body, const std::vector<OperatorRecord> &operators);
 
 /** Checks a packed bundle and lists what it would change. */
 [[nodiscard]] std::variant<std::string, RequestError>
--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -23,8 +23,7 @@
 #include <stdexcept>
 #include <thread>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -34,8 +33,7 @@
 using gateway::HttpRequest;
 using gateway::HttpResponse;
 
-namespace
-{
+namespace {
 
 constexpr Duration requestTimeout = seconds(10);
 constexpr std::uint64_t maximumBodyBytes = 64ULL << 20U; // a bundle with 93,000 adapters has about 15 MB
@@ -114,11 +112,7 @@
 {
 public:
     AdminLoop(std::string address, std::vector<OperatorRecord> operators, AdminPorts ports)
-        : m_address(std::move(address))
-        , m_operators(std::move(operators))
-        , m_ports(std::move(ports))
-        , m_context(1)
-        , m_acceptor(m_context)
+        : m_address(std::move(address)), m_operators(std::move(operators)), m_ports(std::move(ports)), m_context(1), m_acceptor(m_context)
     {
     }
 
@@ -163,8 +157,7 @@
     template<typename Result>
     struct Waiter
     {
-        explicit Waiter(asio::io_context &context)
-            : signal(context, TimePoint::max())
+        explicit Waiter(asio::io_context &context) : signal(context, TimePoint::max())
         {
         }
         asio::steady_timer signal;
--- a/src/admin/operators.cpp
+++ b/src/admin/operators.cpp
@@ -5,11 +5,9 @@
 
 #include <sodium.h>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
-namespace
-{
+namespace {
 
 std::string text(const toml::table &table, std::string_view key)
 {
--- a/src/admin/statuspage.cpp
+++ b/src/admin/statuspage.cpp
@@ -1,10 +1,8 @@
 #include "statuspage.h"
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
-namespace
-{
+namespace {
 
 constexpr std::string_view page = R"html(<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>mimosahollow</title>
--- a/src/admin/statuspage.h
+++ b/src/admin/statuspage.h
@@ -2,8 +2,7 @@
 
 #include <string_view>
 
-namespace mimosahollow::admin
-{
+namespace mimosahollow::admin {
 
 /** Read-only HTML page that shows the JSON of /admin/v1/status. */
 [[nodiscard]] std::string_view statusPage() noexcept;
--- a/src/app/adminoptions.cpp
+++ b/src/app/adminoptions.cpp
@@ -5,13 +5,11 @@
 
 #include <iostream>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace options = boost::program_options;
 
-namespace
-{
+namespace {
 
 constexpr unsigned statusOk = 200;
 
--- a/src/app/adminoptions.h
+++ b/src/app/adminoptions.h
@@ -7,8 +7,7 @@
 
 #include <string>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Description with the options of every command that talks to the admin API. */
 [[nodiscard]] boost::program_options::options_description adminOptions(const std::string &title);
--- a/src/app/bundlecommands.cpp
+++ b/src/app/bundlecommands.cpp
@@ -14,14 +14,12 @@
 #include <iostream>
 #include <stdexcept>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace options = boost::program_options;
 using Arguments = std::vector<std::string>;
 
-namespace
-{
+namespace {
 
 control::KeyPair readSignatureKey(const std::string &file)
 {
@@ -46,8 +44,10 @@
 {
     options::options_description description("mimosahollow bundle pack: checks a bundle's text, packs it and signs it as its author");
     description.add_options()("help,h", "shows this text")("text", options::value<std::string>()->required(), "bundle text (TOML)")(
-        "expected", options::value<Version>()->required(), "version in force that it was written against")("author", options::value<std::string>()->required(), "name of the author")(
-        "signature-key-file", options::value<std::string>()->required(), "file with the author's signature seed")("out", options::value<std::string>()->required(), "packed bundle");
+        "expected", options::value<Version>()->required(), "version in force that it was written against")(
+        "author", options::value<std::string>()->required(), "name of the author")(
+        "signature-key-file", options::value<std::string>()->required(), "file with the author's signature seed")(
+        "out", options::value<std::string>()->required(), "packed bundle");
     options::variables_map values;
     if (!parseCommandLine(description, {}, arguments, values)) {
         return Success;
@@ -73,7 +73,8 @@
 {
     options::options_description description("mimosahollow bundle sign: adds the approver's signature to a packed bundle");
     description.add_options()("help,h", "shows this text")("bundle", options::value<std::string>()->required(), "packed bundle; it is replaced")(
-        "approver", options::value<std::string>()->required(), "name of the approver")("signature-key-file", options::value<std::string>()->required(), "file with the approver's signature seed");
+        "approver", options::value<std::string>()->required(), "name of the approver")(
+        "signature-key-file", options::value<std::string>()->required(), "file with the approver's signature seed");
     options::variables_map values;
     if (!parseCommandLine(description, {}, arguments, values)) {
         return Success;
@@ -159,7 +160,8 @@
 {
     options::options_description description("mimosahollow operator new: makes the keys of an operator and an entry for the operators file");
     description.add_options()("help,h", "shows this text")("action", options::value<std::string>()->required(), "new")(
-        "name", options::value<std::string>()->required(), "name of the operator")("key-secret-file", options::value<std::string>()->required(), "file with the fleet secret");
+        "name", options::value<std::string>()->required(), "name of the operator")(
+        "key-secret-file", options::value<std::string>()->required(), "file with the fleet secret");
     options::positional_options_description positional;
     positional.add("action", 1);
     options::variables_map values;
--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -7,8 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace options = boost::program_options;
 
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -7,8 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Parses @p arguments into @p values. Prints the help and returns false when it is asked for. */
 [[nodiscard]] bool parseCommandLine(const boost::program_options::options_description &description,
--- a/src/app/controlframes.cpp
+++ b/src/app/controlframes.cpp
@@ -3,11 +3,9 @@
 #include "mimosahollow/link/controlcodec.h"
 #include "mimosahollow/link/fleetcodec.h"
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 using link::MessageKind;
 
--- a/src/app/controlframes.h
+++ b/src/app/controlframes.h
@@ -6,8 +6,7 @@
 #include <optional>
 #include <span>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 [[nodiscard]] Frame encodeControlMessage(const coordination::Message &message);
 
--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -5,11 +5,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 constexpr milliseconds tickInterval{10};
 constexpr Duration statusInterval = milliseconds(200);
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -13,8 +13,7 @@
 #include <thread>
 #include <unordered_map>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Functions through which decisions leave the control thread. */
 struct ControlPorts
--- a/src/app/exitcodes.h
+++ b/src/app/exitcodes.h
@@ -1,7 +1,6 @@
 #pragma once
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Exit codes of the program; listed in docs/operations.md. */
 enum ExitCode : int {
--- a/src/app/fleetstatus.cpp
+++ b/src/app/fleetstatus.cpp
@@ -12,13 +12,11 @@
 
 #include <algorithm>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 
 std::string domainName(const control::Configuration &configuration, DomainId id)
 {
@@ -55,7 +53,8 @@
 {
     json::array instances;
     for (const control::Instance &instance : status.configuration->instances) {
-        const bool alive = instance.name == self || std::find(status.aliveInstances.begin(), status.aliveInstances.end(), instance.name) != status.aliveInstances.end();
+        const bool alive =
+            instance.name == self || std::find(status.aliveInstances.begin(), status.aliveInstances.end(), instance.name) != status.aliveInstances.end();
         instances.push_back(json::object{{"name", instance.name},
                                          {"failure_domain", domainName(*status.configuration, instance.domain)},
                                          {"id", number(instance.id)},
@@ -69,7 +68,8 @@
 {
     json::array organisations;
     for (const control::Organisation &organisation : configuration.organisations) {
-        organisations.push_back(json::object{{"name", organisation.name}, {"rate", organisation.rate}, {"burst", organisation.burst}, {"weight", organisation.weight}});
+        organisations.push_back(
+            json::object{{"name", organisation.name}, {"rate", organisation.rate}, {"burst", organisation.burst}, {"weight", organisation.weight}});
     }
     return organisations;
 }
--- a/src/app/fleetstatus.h
+++ b/src/app/fleetstatus.h
@@ -2,13 +2,11 @@
 
 #include <string>
 
-namespace mimosahollow::control
-{
+namespace mimosahollow::control {
 struct AuditLog;
 }
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 class Instance;
 
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -15,11 +15,9 @@
 #include <stdexcept>
 #include <thread>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 constexpr std::string_view fleetName = "mimosahollow";
 // Calls with an idempotency key wait this long for the record; longer than an election.
@@ -109,8 +107,7 @@
 
 } // namespace
 
-Instance::Instance(settings::Settings settings)
-    : m_settings(std::move(settings))
+Instance::Instance(settings::Settings settings) : m_settings(std::move(settings))
 {
 }
 
@@ -179,9 +176,10 @@
         // The fleet forgets this instance at once instead of after a lease; without a majority the leases do it.
         const auto registered = [this] {
             const ControlStatus status = m_control->status();
-            return status.configuration && std::any_of(status.configuration->instances.begin(), status.configuration->instances.end(), [this](const control::Instance &instance) {
-                return instance.name == m_settings.instanceName;
-            });
+            return status.configuration
+                   && std::any_of(status.configuration->instances.begin(), status.configuration->instances.end(), [this](const control::Instance &instance) {
+                          return instance.name == m_settings.instanceName;
+                      });
         };
         while (std::chrono::steady_clock::now() < patience && registered()) {
             std::this_thread::sleep_for(leavePollInterval);
--- a/src/app/instance.h
+++ b/src/app/instance.h
@@ -11,8 +11,7 @@
 
 #include <memory>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** One instance of the system: its threads and the rings between them. */
 class Instance
--- a/src/app/modellist.cpp
+++ b/src/app/modellist.cpp
@@ -9,8 +9,7 @@
 
 #include <algorithm>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 std::optional<std::string> modelList(const control::Configuration &configuration, const KeyHash &key)
 {
--- a/src/app/operatorcommands.cpp
+++ b/src/app/operatorcommands.cpp
@@ -12,15 +12,13 @@
 #include <iostream>
 #include <stdexcept>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace options = boost::program_options;
 namespace json = boost::json;
 using Arguments = std::vector<std::string>;
 
-namespace
-{
+namespace {
 
 /** First argument of a subcommand with actions; the rest are its options. */
 std::pair<std::string, Arguments> splitAction(const Arguments &arguments, const std::string &usage)
@@ -58,8 +56,8 @@
 int grantKey(const Arguments &arguments)
 {
     auto description = adminOptions("mimosahollow key grant: grants a key to an organisation");
-    description.add_options()("name", options::value<std::string>()->required(), "name of the key")("organisation", options::value<std::string>()->required(), "organisation")(
-        "hash", options::value<std::string>()->required(), "hash of the key");
+    description.add_options()("name", options::value<std::string>()->required(), "name of the key")(
+        "organisation", options::value<std::string>()->required(), "organisation")("hash", options::value<std::string>()->required(), "hash of the key");
     options::variables_map values;
     if (!parseCommandLine(description, {}, arguments, values)) {
         return Success;
--- a/src/app/operatorcommands.h
+++ b/src/app/operatorcommands.h
@@ -3,8 +3,7 @@
 #include <string>
 #include <vector>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 // Subcommands for operators. Each returns the exit code of the program.
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -12,11 +12,9 @@
 #include <iostream>
 #include <stdexcept>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 using settings::Settings;
 
--- a/src/app/servingcodec.cpp
+++ b/src/app/servingcodec.cpp
@@ -3,11 +3,9 @@
 #include "mimosahollow/link/poolcodec.h"
 #include "mimosahollow/link/tokencodec.h"
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 using link::MessageKind;
 
@@ -89,6 +87,12 @@
     if (const auto *report = std::get_if<admission::TokenReport>(&message)) {
         return Frame{MessageKind::TokenReport, link::encode(*report)};
     }
+    if (const auto *transfer = std::get_if<admission::TransferRequest>(&message)) {
+        return Frame{MessageKind::TokenTransfer, link::encode(*transfer)};
+    }
+    if (const auto *reply = std::get_if<admission::TransferReply>(&message)) {
+        return Frame{MessageKind::TransferReply, link::encode(*reply)};
+    }
     return Frame{MessageKind::TokenGrant, link::encode(std::get<admission::TokenGrant>(message))};
 }
 
@@ -101,6 +105,10 @@
         return messageOf(link::decodeTokenReport(payload));
     case MessageKind::TokenGrant:
         return messageOf(link::decodeTokenGrant(payload));
+    case MessageKind::TokenTransfer:
+        return messageOf(link::decodeTransferRequest(payload));
+    case MessageKind::TransferReply:
+        return messageOf(link::decodeTransferReply(payload));
     default:
         break;
     }
--- a/src/app/servingcodec.h
+++ b/src/app/servingcodec.h
@@ -8,8 +8,7 @@
 #include <span>
 #include <vector>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 struct Frame
 {
--- a/src/app/servingstatus.cpp
+++ b/src/app/servingstatus.cpp
@@ -7,13 +7,11 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 
 json::object describeServer(const serving::ServingState &state, const scheduling::ServerState &server)
 {
--- a/src/app/servingstatus.h
+++ b/src/app/servingstatus.h
@@ -4,13 +4,11 @@
 
 #include <string>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 struct ServingState;
 }
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** JSON of the serving part for the status command: pools, their servers, calls. */
 [[nodiscard]] std::string describeServing(const serving::ServingState &state, TimePoint now);
--- a/src/app/servingthread.cpp
+++ b/src/app/servingthread.cpp
@@ -8,11 +8,9 @@
 #include <cinttypes>
 #include <cstdio>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 constexpr milliseconds tickInterval{10};
 constexpr Duration statusInterval = seconds(1);
@@ -27,10 +25,7 @@
 } // namespace
 
 ServingThread::ServingThread(std::uint64_t process, std::uint64_t seed, std::size_t ringCapacity)
-    : m_state(serving::makeServingState(process, seed))
-    , m_events(ringCapacity)
-    , m_linkEvents(ringCapacity)
-    , m_news(ringCapacity)
+    : m_state(serving::makeServingState(process, seed)), m_events(ringCapacity), m_linkEvents(ringCapacity), m_news(ringCapacity)
 {
     const auto wake = [this] {
         m_events.wake();
--- a/src/app/servingthread.h
+++ b/src/app/servingthread.h
@@ -15,8 +15,7 @@
 #include <thread>
 #include <unordered_map>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** What the control thread tells the serving thread. */
 using ControlNews = std::variant<coordination::ConfigurationChanged, coordination::FreshnessChanged, coordination::LeaseChanged, serving::CommitResult>;
--- a/src/app/statustable.cpp
+++ b/src/app/statustable.cpp
@@ -8,13 +8,11 @@
 #include <string_view>
 #include <vector>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 
 std::string cellText(const json::value *value)
 {
@@ -104,9 +102,9 @@
         control.push_back(*found);
     }
     return "instance " + textAt(status, "/instance") + "\n" + table("control state", controlColumns, control)
-        + table("failure domains", domainColumns, arrayAt(status, "/domains")) + table("instances", instanceColumns, arrayAt(status, "/instances"))
-        + table("pools", poolColumns, pools) + table("backend servers of pools owned here", serverColumns, allServers(pools))
-        + table("organisations", organisationColumns, arrayAt(status, "/organisations"));
+           + table("failure domains", domainColumns, arrayAt(status, "/domains")) + table("instances", instanceColumns, arrayAt(status, "/instances"))
+           + table("pools", poolColumns, pools) + table("backend servers of pools owned here", serverColumns, allServers(pools))
+           + table("organisations", organisationColumns, arrayAt(status, "/organisations"));
 }
 
 std::string bundleStatus(const std::string &statusJson)
@@ -117,7 +115,7 @@
         return "the status cannot be read: " + error.message() + "\n";
     }
     return "version in force: " + textAt(status, "/control/configuration_version") + "\nlog index: " + textAt(status, "/control/log_index")
-        + "\nfresh: " + textAt(status, "/control/fresh") + "\n";
+           + "\nfresh: " + textAt(status, "/control/fresh") + "\n";
 }
 
 } // namespace mimosahollow::app
--- a/src/app/statustable.h
+++ b/src/app/statustable.h
@@ -2,8 +2,7 @@
 
 #include <string>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Readable tables of the JSON of /admin/v1/status. */
 [[nodiscard]] std::string statusTable(const std::string &statusJson);
--- a/src/app/voterstorage.cpp
+++ b/src/app/voterstorage.cpp
@@ -2,11 +2,9 @@
 
 #include "mimosahollow/storage/logstore.h"
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
-namespace
-{
+namespace {
 
 constexpr std::size_t ringOrders = 4096;
 
@@ -40,8 +38,7 @@
 } // namespace
 
 VoterStorage::VoterStorage(std::string dataFolder, std::function<void(storage::StorageEvent)> report)
-    : m_dataFolder(std::move(dataFolder))
-    , m_report(std::move(report))
+    : m_dataFolder(std::move(dataFolder)), m_report(std::move(report))
 {
 }
 
--- a/src/app/voterstorage.h
+++ b/src/app/voterstorage.h
@@ -11,8 +11,7 @@
 #include <string>
 #include <variant>
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Where a voter's log is kept: files in the data folder, or nowhere for a trial fleet of one without a data folder. */
 class VoterStorage
--- a/src/app/waitforsignal.h
+++ b/src/app/waitforsignal.h
@@ -1,7 +1,6 @@
 #pragma once
 
-namespace mimosahollow::app
-{
+namespace mimosahollow::app {
 
 /** Returns when the process is asked to end by SIGTERM or SIGINT. */
 void waitForSignal();
--- a/src/control/audit.cpp
+++ b/src/control/audit.cpp
@@ -53,7 +53,8 @@
     std::string operator()(const ApplyBundle &command) const
     {
         const Version version = command.configuration ? command.configuration->version : 0;
-        return "apply bundle " + std::to_string(version) + " over " + std::to_string(command.expected) + " by " + command.author + ", approved by " + command.approver;
+        return "apply bundle " + std::to_string(version) + " over " + std::to_string(command.expected) + " by " + command.author + ", approved by "
+               + command.approver;
     }
     std::string operator()(const GrantKey &command) const
     {
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -244,7 +244,7 @@
         increment.instances.removed.push_back(old->id);
         removeElement(state.configuration.instances, InstanceId(old->id));
     }
-    const Instance instance{static_cast<InstanceId>(++state.lastInstance), command.name, domain->id, command.address, command.process};
+    const Instance instance{static_cast<InstanceId>(++state.lastInstance), command.name, domain->id, command.address, command.process, state.applied};
     putElement(state.configuration.instances, instance);
     increment.instances.changed.push_back(instance);
     finishIncrement(state, std::move(increment));
@@ -277,7 +277,9 @@
         return failed(CommandOutcome::VersionConflict, "the fencing number is another one", lease->fencing);
     }
     lease->owner = owner;
-    lease->fencing = ++state.lastFencing;
+    // The log index is unique and grows, and tells since when the assignment holds.
+    state.lastFencing = state.applied;
+    lease->fencing = state.lastFencing;
     Increment increment = startIncrement(state);
     (increment.*changes).changed.push_back(*lease);
     finishIncrement(state, std::move(increment));
@@ -381,7 +383,7 @@
 std::size_t elements(const Increment &increment)
 {
     return increment.keys.changed.size() + increment.keys.removed.size() + increment.adapters.changed.size() + increment.adapters.removed.size()
-        + increment.servers.changed.size() + increment.servers.removed.size();
+           + increment.servers.changed.size() + increment.servers.removed.size();
 }
 
 } // namespace
--- a/src/control/consensusfollower.cpp
+++ b/src/control/consensusfollower.cpp
@@ -73,7 +73,8 @@
         return;
     }
     // Entries up to logStart are committed and thus match.
-    const bool matches = request.previousIndex < state.logStart || (request.previousIndex <= lastIndex(state) && termAt(state, request.previousIndex) == request.previousTerm);
+    const bool matches =
+        request.previousIndex < state.logStart || (request.previousIndex <= lastIndex(state) && termAt(state, request.previousIndex) == request.previousTerm);
     if (!matches) {
         send(state, from, AppendReply{state.term, request.round, false, retryIndex(state, request.previousIndex)}, actions);
         return;
@@ -121,7 +122,7 @@
         return;
     }
     const bool sameSnapshot = state.incoming && state.incoming->from == from && state.incoming->point.index == chunk.point.index
-        && state.incoming->point.term == chunk.point.term && state.incoming->size == chunk.size;
+                              && state.incoming->point.term == chunk.point.term && state.incoming->size == chunk.size;
     if (!sameSnapshot) {
         state.incoming = IncomingSnapshot{from, chunk.point, chunk.size, {}, false, 0};
     }
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -240,7 +240,8 @@
     }
     reader.forEach(table.results(), [&](const wire::Result &stored) {
         const wire::CommandResult &result = *stored.result();
-        CommandResult value{reader.enumerator(result.outcome(), CommandOutcome::TooManyCalls), reader.text(result.message()), result.number(), reader.text(result.answer())};
+        CommandResult value{
+            reader.enumerator(result.outcome(), CommandOutcome::TooManyCalls), reader.text(result.message()), result.number(), reader.text(result.answer())};
         const CommandId id = unpackId(*stored.id());
         state.resultOrder.push_back(id);
         state.results.emplace(id, StoredResult{stored.time(), stored.kind(), std::move(value)});
@@ -249,7 +250,14 @@
     reader.bytes(table.audit_start(), state.audit.start);
     state.audit.dropped = table.audit_dropped();
     reader.forEach(table.audit(), [&](const wire::AuditRecord &from) {
-        AuditRecord record{from.number(), from.log_index(), from.time(), unpackId(*from.id()), reader.text(from.sender()), reader.text(from.action()), reader.text(from.result()), {}};
+        AuditRecord record{from.number(),
+                           from.log_index(),
+                           from.time(),
+                           unpackId(*from.id()),
+                           reader.text(from.sender()),
+                           reader.text(from.action()),
+                           reader.text(from.result()),
+                           {}};
         reader.bytes(from.hash(), record.hash);
         state.audit.records.push_back(std::move(record));
     });
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -60,7 +60,7 @@
 {
     const auto name = builder.CreateString(instance.name);
     const auto address = builder.CreateString(instance.address);
-    return wire::CreateInstance(builder, number(instance.id), name, number(instance.domain), address, instance.process);
+    return wire::CreateInstance(builder, number(instance.id), name, number(instance.domain), address, instance.process, instance.since);
 }
 
 Offset<wire::Pool> pack(Builder &builder, const Pool &pool)
@@ -146,7 +146,8 @@
                 reader.text(table.name()),
                 static_cast<DomainId>(table.domain()),
                 reader.text(table.address()),
-                table.process()};
+                table.process(),
+                table.since()};
 }
 
 void unpack(WireReader &reader, const wire::Pool &table, Pool &pool)
@@ -181,7 +182,8 @@
             reader.failed = true;
             return;
         }
-        Adapter adapter{static_cast<AdapterId>(table.id()), bases[table.base()], reader.text(table.name()), reader.text(table.version()), table.is_default(), {}};
+        Adapter adapter{
+            static_cast<AdapterId>(table.id()), bases[table.base()], reader.text(table.name()), reader.text(table.version()), table.is_default(), {}};
         adapter.organisations = reader.ids<OrganisationId>(table.organisations());
         to.push_back(std::move(adapter));
     });
--- a/src/coordination/commands.cpp
+++ b/src/coordination/commands.cpp
@@ -4,11 +4,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 // An election takes up to about 600 ms; resending more often only adds messages.
 constexpr Duration resendInterval = milliseconds(300);
@@ -102,7 +100,8 @@
     }
 }
 
-void replyToCommand(CoordinationState &state, const std::string &peer, std::uint64_t sequence, const control::CommandResult &result, bool inForce, Actions &actions)
+void replyToCommand(
+    CoordinationState &state, const std::string &peer, std::uint64_t sequence, const control::CommandResult &result, bool inForce, Actions &actions)
 {
     if (peer == state.options.name) {
         finish(state, sequence, CommandState::Done, result, inForce, actions);
--- a/src/coordination/coordination.cpp
+++ b/src/coordination/coordination.cpp
@@ -4,11 +4,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 // Ids of token buckets; far above the ids of pools, which the state machine counts from 1.
 constexpr std::uint32_t bucketPoolBase = 0x8000'0000U;
@@ -131,7 +129,7 @@
     } else if (auto *update = std::get_if<membership::Update>(&message)) {
         onUpdate(state, peer, std::move(*update), now, actions);
     } else if (auto *request = std::get_if<membership::RenewRequest>(&message)) {
-        onRenewRequest(state, peer, std::move(*request), now, actions);
+        onRenewRequest(state, peer, std::move(*request), now);
     } else if (const auto *reply = std::get_if<membership::RenewReply>(&message)) {
         onRenewReply(state, *reply, now, actions);
     } else if (const auto *confirm = std::get_if<membership::Confirm>(&message)) {
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -4,11 +4,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 // A relay that sends neither updates nor renewals for this long is replaced; it is four renewal intervals.
 constexpr Duration upstreamPatience = seconds(2);
@@ -216,12 +214,12 @@
     }
 }
 
-void onRenewRequest(CoordinationState &state, const std::string &peer, membership::RenewRequest request, TimePoint now, Actions &actions)
+void onRenewRequest(CoordinationState &state, const std::string &peer, membership::RenewRequest request, TimePoint now)
 {
     if (isLeader(state)) {
         static_cast<void>(membership::onRenewRequest(*state.voter->leader, peer, std::move(request), now));
-    } else if (auto reply = membership::onDownstreamRequest(state.renewal, request, now)) {
-        send(state, peer, std::move(*reply), actions);
+    } else {
+        membership::onDownstreamRequest(state.renewal, request, now);
     }
 }
 
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -4,8 +4,7 @@
 
 // Functions shared by the sources of this module.
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
 void send(CoordinationState &state, const std::string &peer, Message message, Actions &actions);
 [[nodiscard]] bool isLeader(const CoordinationState &state) noexcept;
@@ -25,7 +24,13 @@
 void tickLeader(CoordinationState &state, TimePoint now, Actions &actions);
 void confirmRead(CoordinationState &state, std::uint64_t read, TimePoint now, Actions &actions);
 /** A command was applied at @p index by this leader. */
-void onApplied(CoordinationState &state, control::LogIndex index, control::Term term, const control::Command &command, const control::CommandResult &result, TimePoint now, Actions &actions);
+void onApplied(CoordinationState &state,
+               control::LogIndex index,
+               control::Term term,
+               const control::Command &command,
+               const control::CommandResult &result,
+               TimePoint now,
+               Actions &actions);
 void answerForced(CoordinationState &state, TimePoint now, Actions &actions);
 
 /** Puts a configuration in force here. */
@@ -35,7 +40,7 @@
 void pumpFeed(CoordinationState &state, Actions &actions);
 void onUpdate(CoordinationState &state, const std::string &peer, membership::Update update, TimePoint now, Actions &actions);
 void onSubscribe(CoordinationState &state, const std::string &peer, const membership::Subscribe &subscribe, Actions &actions);
-void onRenewRequest(CoordinationState &state, const std::string &peer, membership::RenewRequest request, TimePoint now, Actions &actions);
+void onRenewRequest(CoordinationState &state, const std::string &peer, membership::RenewRequest request, TimePoint now);
 void onRenewReply(CoordinationState &state, const membership::RenewReply &reply, TimePoint now, Actions &actions);
 void onConfirm(CoordinationState &state, const membership::Confirm &confirm, Actions &actions);
 void tickFollowing(CoordinationState &state, TimePoint now, Actions &actions);
@@ -48,7 +53,8 @@
 void onCommand(CoordinationState &state, const std::string &peer, const membership::Command &command, TimePoint now, Actions &actions);
 void onCommandReply(CoordinationState &state, const membership::CommandReply &reply, Actions &actions);
 void tickCommands(CoordinationState &state, TimePoint now, Actions &actions);
-void replyToCommand(CoordinationState &state, const std::string &peer, std::uint64_t sequence, const control::CommandResult &result, bool inForce, Actions &actions);
+void replyToCommand(
+    CoordinationState &state, const std::string &peer, std::uint64_t sequence, const control::CommandResult &result, bool inForce, Actions &actions);
 
 /** Peer that leads to the control leader: itself, the leader, or the instance that this one subscribes to. */
 [[nodiscard]] std::string upstreamPeer(const CoordinationState &state);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -4,11 +4,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 constexpr Duration assignmentInterval = milliseconds(100);
 
@@ -16,9 +14,9 @@
 bool mustBeInForce(const control::Command &command)
 {
     return !std::holds_alternative<control::BeginCall>(command.body) && !std::holds_alternative<control::CompleteCall>(command.body)
-        && !std::holds_alternative<control::AbandonCall>(command.body) && !std::holds_alternative<control::RegisterInstance>(command.body)
-        && !std::holds_alternative<control::RemoveInstance>(command.body) && !std::holds_alternative<control::AssignPool>(command.body)
-        && !std::holds_alternative<control::AssignBucketOwner>(command.body);
+           && !std::holds_alternative<control::AbandonCall>(command.body) && !std::holds_alternative<control::RegisterInstance>(command.body)
+           && !std::holds_alternative<control::RemoveInstance>(command.body) && !std::holds_alternative<control::AssignPool>(command.body)
+           && !std::holds_alternative<control::AssignBucketOwner>(command.body);
 }
 
 void proposeFirstBundle(CoordinationState &state, TimePoint now, Actions &actions)
@@ -114,7 +112,13 @@
     }
 }
 
-void onApplied(CoordinationState &state, control::LogIndex index, control::Term term, const control::Command &command, const control::CommandResult &result, TimePoint now, Actions &actions)
+void onApplied(CoordinationState &state,
+               control::LogIndex index,
+               control::Term term,
+               const control::Command &command,
+               const control::CommandResult &result,
+               TimePoint now,
+               Actions &actions)
 {
     VoterState &voter = *state.voter;
     if (!voter.leader) {
--- a/src/coordination/leases.cpp
+++ b/src/coordination/leases.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 // Orders of an earlier owner can arrive until the load timeout has passed (docs/design.md, section 15).
 constexpr Duration longestOrder = seconds(5);
@@ -82,10 +80,11 @@
     if (!state.configuration) {
         return;
     }
-    const membership::Promise answer = membership::onPromiseRequest(state.holder, promise, now);
-    for (const control::Instance &instance : state.configuration->instances) {
-        if (instance.id == promise.owner) {
-            send(state, instance.name, answer, actions);
+    for (const membership::Promise &answer : membership::onPromiseRequest(state.holder, promise, now)) {
+        for (const control::Instance &instance : state.configuration->instances) {
+            if (instance.id == promise.owner) {
+                send(state, instance.name, answer, actions);
+            }
         }
     }
 }
--- a/src/coordination/voter.cpp
+++ b/src/coordination/voter.cpp
@@ -3,11 +3,9 @@
 #include "mimosahollow/control/snapshot.h"
 #include "mimosahollow/link/controlcodec.h"
 
-namespace mimosahollow::coordination
-{
+namespace mimosahollow::coordination {
 
-namespace
-{
+namespace {
 
 // A snapshot of 93,000 adapters takes tens of milliseconds, and a log of this length is read back in about as long.
 constexpr control::LogIndex snapshotInterval = 4096;
--- a/src/gateway/answerreader.cpp
+++ b/src/gateway/answerreader.cpp
@@ -35,8 +35,7 @@
 asio::awaitable<boost::system::error_code> AnswerReader::readHead()
 {
     for (int interim = 0; interim <= maximumInterimAnswers; ++interim) {
-        const auto [error, bytes] =
-            co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
+        const auto [error, bytes] = co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
         m_anyByte = m_anyByte || bytes > 0 || m_connection.buffer.size() > 0;
         if (error || m_parser->get().result_int() >= 200) {
             co_return error;
@@ -75,8 +74,7 @@
         co_return ReadState::Failed;
     }
     while (!m_parser->is_done() && out.size() == before) {
-        const auto [error, bytes] =
-            co_await m_connection.stream.async_read_some(m_connection.buffer.prepare(readBytes), asio::as_tuple(asio::use_awaitable));
+        const auto [error, bytes] = co_await m_connection.stream.async_read_some(m_connection.buffer.prepare(readBytes), asio::as_tuple(asio::use_awaitable));
         m_connection.buffer.commit(bytes);
         if (error == asio::error::eof) {
             // An answer without a length ends with its connection; any other one is cut off.
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -93,7 +93,8 @@
         // An answer to another request must not reach this caller, and the connection is out of step.
         co_return answer.reader->head()["X-Request-Id"] == toText(attempt.request.id) ? HeadState::Ready : HeadState::Failed;
     }
-    const bool mayTryAgain = connection.reused && attempt.grant.repeatable && !answer.reader->anyByteArrived() && !attempt.cancelled && !attempt.deadlinePassed();
+    const bool mayTryAgain =
+        connection.reused && attempt.grant.repeatable && !answer.reader->anyByteArrived() && !attempt.cancelled && !attempt.deadlinePassed();
     co_return mayTryAgain ? HeadState::ClosedWhileIdle : HeadState::Failed;
 }
 
--- a/src/gateway/calls.cpp
+++ b/src/gateway/calls.cpp
@@ -193,10 +193,10 @@
 std::string_view callerKey(const HttpRequest &request)
 {
     const std::string_view header = view(request[http::field::authorization]);
-    const bool bearer = header.size() > bearerPrefix.size()
-        && std::equal(bearerPrefix.begin(), bearerPrefix.end(), header.begin(), [](char expected, char actual) {
-                            return expected == static_cast<char>(std::tolower(static_cast<unsigned char>(actual)));
-                        });
+    const bool bearer =
+        header.size() > bearerPrefix.size() && std::equal(bearerPrefix.begin(), bearerPrefix.end(), header.begin(), [](char expected, char actual) {
+            return expected == static_cast<char>(std::tolower(static_cast<unsigned char>(actual)));
+        });
     return bearer ? header.substr(bearerPrefix.size()) : std::string_view{};
 }
 
@@ -206,8 +206,7 @@
     co_return co_await sendResponse(session.stream, std::move(response));
 }
 
-asio::awaitable<ConnectionState>
-refuse(Session &session, const HttpRequest &request, const RequestId &id, ServingRefusal refusal, std::string_view message)
+asio::awaitable<ConnectionState> refuse(Session &session, const HttpRequest &request, const RequestId &id, ServingRefusal refusal, std::string_view message)
 {
     session.thread.metrics().refused(refusal.reason);
     co_return co_await answer(session, makeRefusal(request, id, refusal, message));
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -17,7 +17,7 @@
 namespace mimosahollow::observability {
 class Metrics;
 class ThreadMetrics;
-}
+} // namespace mimosahollow::observability
 
 namespace mimosahollow::gateway {
 
--- a/src/gateway/servicepath.cpp
+++ b/src/gateway/servicepath.cpp
@@ -20,7 +20,7 @@
 bool isUnreserved(char character) noexcept
 {
     return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9') || character == '-'
-        || character == '.' || character == '_' || character == '~';
+           || character == '.' || character == '_' || character == '~';
 }
 
 /** Value of the escape at @p at, or -1. */
--- a/src/link/commandcodec.cpp
+++ b/src/link/commandcodec.cpp
@@ -146,7 +146,8 @@
         return SetServerOut{reader.text(table.body_as_SetServerOut()->server()), table.body_as_SetServerOut()->out()};
     case wire::CommandBody_PublishAdapter: {
         const auto &body = *table.body_as_PublishAdapter();
-        return PublishAdapter{reader.text(body.base()), reader.text(body.name()), reader.text(body.version()), body.is_default(), reader.texts(body.organisations())};
+        return PublishAdapter{
+            reader.text(body.base()), reader.text(body.name()), reader.text(body.version()), body.is_default(), reader.texts(body.organisations())};
     }
     case wire::CommandBody_SetRate:
         return SetRate{reader.text(table.body_as_SetRate()->organisation()), table.body_as_SetRate()->rate(), table.body_as_SetRate()->burst()};
--- a/src/link/controlcodec.cpp
+++ b/src/link/controlcodec.cpp
@@ -66,7 +66,8 @@
         const auto entries = packAll<wire::Entry>(builder, message.entries, [this](const LogEntry &entry) {
             return packEntry(builder, entry);
         });
-        return wire::CreateAppendRequest(builder, message.term, message.previousIndex, message.previousTerm, message.commitIndex, message.round, entries).Union();
+        return wire::CreateAppendRequest(builder, message.term, message.previousIndex, message.previousTerm, message.commitIndex, message.round, entries)
+            .Union();
     }
     Offset<void> operator()(const AppendReply &message) const
     {
@@ -96,7 +97,8 @@
         entry.term = from.term();
         entry.kind = reader.enumerator(from.kind(), EntryKind::Members);
         if (entry.kind == EntryKind::Command) {
-            entry.payload = from.payload() != nullptr ? std::make_shared<const Bytes>(from.payload()->begin(), from.payload()->end()) : std::make_shared<const Bytes>();
+            entry.payload =
+                from.payload() != nullptr ? std::make_shared<const Bytes>(from.payload()->begin(), from.payload()->end()) : std::make_shared<const Bytes>();
         } else if (entry.kind == EntryKind::Members) {
             entry.members = unpackMembers(from.members());
             reader.failed = reader.failed || entry.members.empty();
--- a/src/link/fleetcodec.cpp
+++ b/src/link/fleetcodec.cpp
@@ -18,7 +18,7 @@
 {
     flatbuffers::Verifier verifier(bytes.data(), bytes.size());
     if (!verifier.VerifyBuffer<Table>(nullptr)) {
-        return CodecError::Malformed;
+        return FleetCodecError::Malformed;
     }
     return convert(*flatbuffers::GetRoot<Table>(bytes.data()));
 }
@@ -134,11 +134,11 @@
     return finish(builder, wire::CreateHello(builder, fleet, instance, message.minimumVersion, message.maximumVersion));
 }
 
-Decoded<membership::Hello> decodeHello(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Hello> decodeHello(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Hello>(bytes, [](const wire::Hello &hello) -> Decoded<membership::Hello> {
+    return decodeWith<wire::Hello>(bytes, [](const wire::Hello &hello) -> FleetDecoded<membership::Hello> {
         if (hello.minimum_version() > hello.maximum_version() || hello.instance()->name()->size() == 0) {
-            return CodecError::InvalidValue;
+            return FleetCodecError::InvalidValue;
         }
         return membership::Hello{hello.fleet()->str(), fromWire(*hello.instance()), hello.minimum_version(), hello.maximum_version()};
     });
@@ -160,9 +160,9 @@
         wire::CreateHeartbeat(builder, from, message.incarnation, message.sentAt, message.echoIncarnation, message.echoSentAt, message.relay, leader, list));
 }
 
-Decoded<membership::Heartbeat> decodeHeartbeat(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Heartbeat> decodeHeartbeat(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Heartbeat>(bytes, [](const wire::Heartbeat &heartbeat) -> Decoded<membership::Heartbeat> {
+    return decodeWith<wire::Heartbeat>(bytes, [](const wire::Heartbeat &heartbeat) -> FleetDecoded<membership::Heartbeat> {
         membership::Heartbeat message{heartbeat.from()->str(),
                                       heartbeat.incarnation(),
                                       heartbeat.sent_at(),
@@ -190,11 +190,11 @@
             builder, static_cast<std::uint8_t>(message.kind), number(message.from), number(message.owner), message.ownerIncarnation, message.ownerTime, pools));
 }
 
-Decoded<membership::Promise> decodePromise(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Promise> decodePromise(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Promise>(bytes, [](const wire::Promise &promise) -> Decoded<membership::Promise> {
+    return decodeWith<wire::Promise>(bytes, [](const wire::Promise &promise) -> FleetDecoded<membership::Promise> {
         if (promise.kind() > static_cast<std::uint8_t>(membership::PromiseKind::Released)) {
-            return CodecError::InvalidValue;
+            return FleetCodecError::InvalidValue;
         }
         return membership::Promise{static_cast<membership::PromiseKind>(promise.kind()),
                                    InstanceId(promise.from()),
@@ -214,9 +214,9 @@
     return finish(builder, wire::CreateRenewRequest(builder, message.sequence, &self, followers, pools));
 }
 
-Decoded<membership::RenewRequest> decodeRenewRequest(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::RenewRequest> decodeRenewRequest(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::RenewRequest>(bytes, [](const wire::RenewRequest &request) -> Decoded<membership::RenewRequest> {
+    return decodeWith<wire::RenewRequest>(bytes, [](const wire::RenewRequest &request) -> FleetDecoded<membership::RenewRequest> {
         return membership::RenewRequest{request.sequence(),
                                         fromWire(*request.self()),
                                         listOf<membership::FollowerEntry>(request.followers(), structFromWire),
@@ -234,14 +234,14 @@
                   wire::CreateRenewReply(builder, message.sequence, message.incarnation, message.stamp.term, message.stamp.time, remaining, covered, pools));
 }
 
-Decoded<membership::RenewReply> decodeRenewReply(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::RenewReply> decodeRenewReply(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::RenewReply>(bytes, [](const wire::RenewReply &reply) -> Decoded<membership::RenewReply> {
+    return decodeWith<wire::RenewReply>(bytes, [](const wire::RenewReply &reply) -> FleetDecoded<membership::RenewReply> {
         // The largest freshness time that the settings allow.
         constexpr std::chrono::nanoseconds maximumRemaining = std::chrono::seconds(600);
         const std::chrono::nanoseconds remaining(reply.remaining_nanoseconds());
         if (remaining < std::chrono::nanoseconds::zero() || remaining > maximumRemaining) {
-            return CodecError::InvalidValue;
+            return FleetCodecError::InvalidValue;
         }
         return membership::RenewReply{reply.sequence(),
                                       reply.incarnation(),
@@ -259,9 +259,9 @@
     return finish(builder, wire::CreateConfirm(builder, entries, message.leaving));
 }
 
-Decoded<membership::Confirm> decodeConfirm(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Confirm> decodeConfirm(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Confirm>(bytes, [](const wire::Confirm &confirm) -> Decoded<membership::Confirm> {
+    return decodeWith<wire::Confirm>(bytes, [](const wire::Confirm &confirm) -> FleetDecoded<membership::Confirm> {
         return membership::Confirm{listOf<membership::FollowerEntry>(confirm.entries(), structFromWire), confirm.leaving()};
     });
 }
@@ -272,9 +272,9 @@
     return finish(builder, wire::CreateSubscribe(builder, number(message.instance), message.incarnation, message.nextIndex));
 }
 
-Decoded<membership::Subscribe> decodeSubscribe(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Subscribe> decodeSubscribe(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Subscribe>(bytes, [](const wire::Subscribe &subscribe) -> Decoded<membership::Subscribe> {
+    return decodeWith<wire::Subscribe>(bytes, [](const wire::Subscribe &subscribe) -> FleetDecoded<membership::Subscribe> {
         return membership::Subscribe{InstanceId(subscribe.instance()), subscribe.incarnation(), subscribe.next_index()};
     });
 }
@@ -287,11 +287,11 @@
     return finish(builder, wire::CreateUpdate(builder, message.snapshot, message.firstIndex, message.lastIndex, message.part, message.parts, leader, payload));
 }
 
-Decoded<membership::Update> decodeUpdate(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Update> decodeUpdate(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Update>(bytes, [](const wire::Update &update) -> Decoded<membership::Update> {
+    return decodeWith<wire::Update>(bytes, [](const wire::Update &update) -> FleetDecoded<membership::Update> {
         if (update.part() >= update.parts() || update.first_index() > update.last_index()) {
-            return CodecError::InvalidValue;
+            return FleetCodecError::InvalidValue;
         }
         return membership::Update{
             update.snapshot(), update.first_index(), update.last_index(), update.part(), update.parts(), text(update.leader()), bytesOf(update.payload())};
@@ -305,9 +305,9 @@
     return finish(builder, wire::CreateCommand(builder, message.sequence, number(message.instance), payload));
 }
 
-Decoded<membership::Command> decodeCommand(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::Command> decodeForwardedCommand(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::Command>(bytes, [](const wire::Command &command) -> Decoded<membership::Command> {
+    return decodeWith<wire::Command>(bytes, [](const wire::Command &command) -> FleetDecoded<membership::Command> {
         return membership::Command{command.sequence(), InstanceId(command.instance()), bytesOf(command.payload())};
     });
 }
@@ -319,9 +319,9 @@
     return finish(builder, wire::CreateCommandReply(builder, message.sequence, payload));
 }
 
-Decoded<membership::CommandReply> decodeCommandReply(std::span<const std::uint8_t> bytes)
+FleetDecoded<membership::CommandReply> decodeCommandReply(std::span<const std::uint8_t> bytes)
 {
-    return decodeWith<wire::CommandReply>(bytes, [](const wire::CommandReply &reply) -> Decoded<membership::CommandReply> {
+    return decodeWith<wire::CommandReply>(bytes, [](const wire::CommandReply &reply) -> FleetDecoded<membership::CommandReply> {
         return membership::CommandReply{reply.sequence(), bytesOf(reply.payload())};
     });
 }
--- a/src/link/messagekind.cpp
+++ b/src/link/messagekind.cpp
@@ -17,6 +17,7 @@
     case MessageKind::TokenReport:
     case MessageKind::TokenTransfer:
     case MessageKind::StateHandover:
+    case MessageKind::TransferReply:
     case MessageKind::ServerAnnouncement:
     case MessageKind::ServerReport:
     case MessageKind::PoolSummary:
@@ -25,6 +26,7 @@
     case MessageKind::AppendRequest:
     case MessageKind::AppendReply:
     case MessageKind::SnapshotChunk:
+    case MessageKind::Consensus:
     case MessageKind::Subscribe:
     case MessageKind::Update:
     case MessageKind::RenewRequest:
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -210,7 +210,9 @@
     using Content = ThreadMetrics::Content;
     const auto single = [&](std::string_view name, std::string_view type, Counter Content::*member) {
         writeHead(out, name, type);
-        writeSample(out, name, {}, total([member](const Content &content) -> const Counter & { return content.*member; }));
+        writeSample(out, name, {}, total([member](const Content &content) -> const Counter & {
+                        return content.*member;
+                    }));
     };
     const std::size_t threads = m_threads.size();
     writeHead(out, "call_seconds", "histogram");
@@ -221,9 +223,10 @@
     }
     writeHead(out, "refusals_total", "counter");
     for (std::size_t reason = 0; reason < reasonCount; ++reason) {
-        writeSample(out, "refusals_total", label("reason", toString(static_cast<RefusalReason>(reason))), total([reason](const Content &content) -> const Counter & {
-                        return content.refusals[reason];
-                    }));
+        writeSample(
+            out, "refusals_total", label("reason", toString(static_cast<RefusalReason>(reason))), total([reason](const Content &content) -> const Counter & {
+                return content.refusals[reason];
+            }));
     }
     writeHead(out, "first_token_seconds", "histogram");
     writeHistogram(out, "first_token_seconds", {}, threads, [&](std::size_t i) -> const TimedHistogram & {
--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -1,10 +1,8 @@
 #include "internal.h"
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 using gateway::AttemptOutcome;
 using scheduling::ReleaseOutcome;
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -4,11 +4,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 // Longer than the change of a pool's owner, so that a crash of an owner delays calls instead of refusing them.
 constexpr Duration poolPatience = seconds(5);
@@ -244,7 +242,8 @@
         return;
     }
     Call &call = found->second;
-    const bool elsewhere = refusal.reason == RefusalReason::NoCapacity || refusal.reason == RefusalReason::Overloaded || refusal.reason == RefusalReason::LoadFailed;
+    const bool elsewhere =
+        refusal.reason == RefusalReason::NoCapacity || refusal.reason == RefusalReason::Overloaded || refusal.reason == RefusalReason::LoadFailed;
     if (elsewhere && ++call.searches < maximumSearches) {
         acquire(state, call, now, actions);
     } else if (refusal.reason == RefusalReason::NoCapacity) {
--- a/src/serving/configurationindex.cpp
+++ b/src/serving/configurationindex.cpp
@@ -7,11 +7,9 @@
 #include <algorithm>
 #include <string>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 template<typename List>
 std::vector<std::uint32_t> positionsById(const List &list)
@@ -81,7 +79,8 @@
     return elementOf(index.configuration->domains, index.domains, id);
 }
 
-const control::BackendServer *findDeclaredServer(const ConfigurationIndex &index, std::string_view name, std::string_view address, std::string_view kind) noexcept
+const control::BackendServer *
+findDeclaredServer(const ConfigurationIndex &index, std::string_view name, std::string_view address, std::string_view kind) noexcept
 {
     const auto &servers = index.configuration->servers;
     const auto found = std::find_if(servers.begin(), servers.end(), [&](const control::BackendServer &server) {
--- a/src/serving/internal.h
+++ b/src/serving/internal.h
@@ -4,8 +4,7 @@
 
 // Functions shared by the sources of this module.
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
 /** Asks the best pool for a grant. Waits for a pool when none is usable at present. */
 void acquire(ServingState &state, Call &call, TimePoint now, Actions &actions);
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -3,11 +3,9 @@
 #include "mimosahollow/control/configuration.h"
 #include "mimosahollow/scheduling/pool.h"
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 std::string_view decisionName(scheduling::DecisionReason reason)
 {
@@ -216,8 +214,7 @@
     sendToOwner(state, pool, owner, std::move(report), now, actions);
 }
 
-namespace
-{
+namespace {
 
 void refuseNotOwner(ServingState &state, InstanceId from, PoolId pool, const RequestId &id, TimePoint now, Actions &actions)
 {
@@ -304,7 +301,8 @@
     } else if (const auto *grant = std::get_if<scheduling::Grant>(&pool->body)) {
         if (state.pools.contains(pool->pool)) {
             scheduling::Actions decided;
-            scheduling::release(state.pools.at(pool->pool).state, {grant->id, grant->grant, grant->fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, decided);
+            scheduling::release(
+                state.pools.at(pool->pool).state, {grant->id, grant->grant, grant->fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, decided);
             carryOut(state, pool->pool, decided, now, actions);
         }
     } else if (std::holds_alternative<scheduling::GrantReport>(pool->body)) {
--- a/src/serving/records.cpp
+++ b/src/serving/records.cpp
@@ -4,11 +4,9 @@
 
 #include <cstring>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 // Command ids of one call: begin, complete, abandon. The request's sequence is spread to leave room for them.
 constexpr std::uint64_t commandsPerCall = 4;
--- a/src/serving/servers.cpp
+++ b/src/serving/servers.cpp
@@ -5,11 +5,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 /** Ids of the adapters that an engine lists; names that the configuration does not know are left out. */
 std::vector<AdapterId> adapterIds(const ServingState &state, std::string_view kind, const std::vector<std::string> &names)
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -6,11 +6,9 @@
 
 #include <algorithm>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 // Grants of earlier owners end at the deadline of their requests, which is at most this far away (docs/design.md, section 15).
 constexpr Duration maximumRequestDeadline = seconds(600);
@@ -158,7 +156,8 @@
     return state;
 }
 
-void setConfiguration(ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions)
+void setConfiguration(
+    ServingState &state, std::shared_ptr<const control::Configuration> configuration, InstanceId self, DomainId home, TimePoint now, Actions &actions)
 {
     state.self = self;
     state.home = home;
@@ -176,6 +175,9 @@
     for (const control::BucketOwner &owner : current.bucketOwners) {
         const control::FailureDomain *domain = findDomain(state.index, owner.domain);
         admission::setOwner(state.quotas, owner.domain, owner.owner, owner.fencing, domain != nullptr ? domain->share : 0);
+        if (owner.domain != home) {
+            admission::setPeer(state.buckets, owner.domain, owner.owner, owner.fencing, now);
+        }
         if (owner.domain == home && owner.owner != self && state.buckets.epoch != 0) {
             static_cast<void>(admission::stopOwnership(state.buckets, now)); // the balance of a lost lease is not handed over
         }
--- a/src/serving/tokens.cpp
+++ b/src/serving/tokens.cpp
@@ -4,11 +4,9 @@
 
 #include <deque>
 
-namespace mimosahollow::serving
-{
+namespace mimosahollow::serving {
 
-namespace
-{
+namespace {
 
 // A pool asks again on its next tick when a token was not obtained in this time.
 constexpr Duration loadTokenPatience = seconds(10);
@@ -57,12 +55,19 @@
     }
 }
 
-void deliver(ServingState &state, std::vector<admission::TokenGrant> &grants, TimePoint now, Actions &actions)
+void deliver(ServingState &state, admission::BucketActions &decided, TimePoint now, Actions &actions)
 {
-    for (admission::TokenGrant &grant : grants) {
+    for (admission::TokenGrant &grant : decided.grants) {
         const InstanceId holder = grant.session.holder;
         deliver(state, holder, std::move(grant), now, actions);
     }
+    for (admission::OutgoingTransfer &transfer : decided.transfers) {
+        std::visit(
+            [&](auto &message) {
+                deliver(state, transfer.to, std::move(message), now, actions);
+            },
+            transfer.message);
+    }
 }
 
 } // namespace
@@ -91,7 +96,6 @@
 
 void handleTokenMessage(ServingState &state, PeerMessage message, TimePoint now, Actions &actions)
 {
-    std::vector<admission::TokenGrant> grants;
     if (const auto *grant = std::get_if<admission::TokenGrant>(&message)) {
         admission::LeaseActions decided;
         admission::handle(state.quotas, *grant, now, decided);
@@ -101,12 +105,17 @@
     if (!ownsBuckets(state, now)) {
         return;
     }
+    admission::BucketActions decided;
     if (const auto *request = std::get_if<admission::TokenRequest>(&message)) {
-        admission::handle(state.buckets, *request, now, grants);
+        admission::handle(state.buckets, *request, now, decided);
     } else if (const auto *report = std::get_if<admission::TokenReport>(&message)) {
-        admission::handle(state.buckets, *report, now, grants);
+        admission::handle(state.buckets, *report, now, decided);
+    } else if (const auto *transfer = std::get_if<admission::TransferRequest>(&message)) {
+        admission::handle(state.buckets, *transfer, now, decided);
+    } else if (const auto *reply = std::get_if<admission::TransferReply>(&message)) {
+        admission::handle(state.buckets, *reply, now, decided);
     }
-    deliver(state, grants, now, actions);
+    deliver(state, decided, now, actions);
 }
 
 void tickTokens(ServingState &state, TimePoint now, Actions &actions)
@@ -115,9 +124,9 @@
     admission::tick(state.quotas, now, decided);
     carryOut(state, decided, now, actions);
     if (ownsBuckets(state, now)) {
-        std::vector<admission::TokenGrant> grants;
-        admission::tick(state.buckets, now, grants);
-        deliver(state, grants, now, actions);
+        admission::BucketActions tokens;
+        admission::tick(state.buckets, now, tokens);
+        deliver(state, tokens, now, actions);
     }
 }
 
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -160,8 +160,8 @@
         resetConnection(connection);
         co_return false;
     }
-    const bool keepAlive = m_state.options.plainService ? co_await handleServiceCall(m_state, connection, request)
-                                                        : co_await handleModelCall(m_state, connection, request);
+    const bool keepAlive =
+        m_state.options.plainService ? co_await handleServiceCall(m_state, connection, request) : co_await handleModelCall(m_state, connection, request);
     co_return keepAlive && !m_state.options.faults.closeSilently;
 }
 
--- a/src/standin/modelcalls.cpp
+++ b/src/standin/modelcalls.cpp
@@ -259,8 +259,8 @@
     }
     bool keepAlive = co_await misbehaveBeforeAnswer(state, connection, request, generation.requestId);
     if (keepAlive) {
-        keepAlive = generation.stream ? co_await streamTokens(state, connection, generation, *call)
-                                      : co_await sendWhole(state, connection, generation, request, *call);
+        keepAlive =
+            generation.stream ? co_await streamTokens(state, connection, generation, *call) : co_await sendWhole(state, connection, generation, request, *call);
     }
     if (call->state == EngineCallState::Running) {
         call->state = EngineCallState::Cancelled;
@@ -280,13 +280,10 @@
         call->state = EngineCallState::Cancelled;
         co_return false;
     }
-    HttpResponse response = respond(request,
-                                    200,
-                                    {{"service", state.options.kind},
-                                     {"server", state.options.name},
-                                     {"path", request.target()},
-                                     {"calls", call->number},
-                                     {"echo", request.body()}});
+    HttpResponse response = respond(
+        request,
+        200,
+        {{"service", state.options.kind}, {"server", state.options.name}, {"path", request.target()}, {"calls", call->number}, {"echo", request.body()}});
     response.set("X-Request-Id", requestId);
     call->state = EngineCallState::Completed;
     ++state.completed;
--- a/src/storage/posixfilesystem.cpp
+++ b/src/storage/posixfilesystem.cpp
@@ -118,7 +118,8 @@
     FileResult<std::vector<std::uint8_t>> read(const std::string &path) override
     {
         const Descriptor file(openRetrying(path, O_RDONLY));
-        struct stat status {
+        struct stat status
+        {
         };
         if (file.value() < 0 || ::fstat(file.value(), &status) != 0) {
             return lastError("open", path);
--- a/tests/gateway/keys.cpp
+++ b/tests/gateway/keys.cpp
@@ -29,7 +29,8 @@
     SECTION("into every part of a model call that is not content")
     {
         GatewayFixture fixture(options);
-        const std::string headers = authorization + "X-Api-Key: " + key + "\r\nCookie: key=" + key + "\r\nOpenAI-Organization: " + key + "\r\nUser-Agent: " + key + "\r\n";
+        const std::string headers =
+            authorization + "X-Api-Key: " + key + "\r\nCookie: key=" + key + "\r\nOpenAI-Organization: " + key + "\r\nUser-Agent: " + key + "\r\n";
         std::string call = chatCall(2, GENERATE(true, false), ",\"user\":\"" + key + "\",\"" + key + "\":1", headers);
         call.replace(call.find("/v1/chat/completions"), 20, "/v1/chat/completions?api_key=" + key);
         REQUIRE(fixture.client().call(call).status == 200);
@@ -42,7 +43,7 @@
         options.plainService = true;
         GatewayFixture fixture(options);
         const std::string headers = "authorization: bearer " + key + "\r\nX-Api-Key: " + key + "\r\nCookie: key=" + key + "\r\nReferer: http://test/?key=" + key
-            + "\r\nX-Request-Id: " + key + "\r\nContent-Type: application/json; key=" + key + "\r\nIdempotency-Key: k1\r\n";
+                                    + "\r\nX-Request-Id: " + key + "\r\nContent-Type: application/json; key=" + key + "\r\nIdempotency-Key: k1\r\n";
         REQUIRE(fixture.client().call(request("POST", "/registry/entries?key=" + key + "#" + key, "{}", headers)).status == 200);
         REQUIRE(fixture.engine.calls().size() == 1);
         REQUIRE_FALSE(sawKey(fixture.engine.calls()[0]));
--- a/tests/gateway/paths.cpp
+++ b/tests/gateway/paths.cpp
@@ -25,8 +25,19 @@
         REQUIRE(normalisePath("/registry/../ledger/a") == "/ledger/a");
         REQUIRE(normalisePath("/registry/%2e%2e/ledger/a") == "/ledger/a");
         REQUIRE(normalisePath("/registry/.%2E/../a") == std::nullopt);
-        for (const char *path : {"/registry/%252e%252e/a", "/registry/..%2fledger", "/registry/..%5cledger", "/registry/..\\ledger", "/registry/..;x/ledger",
-                                 "/registry/%00", "/registry/%0d%0a", "/registry/%", "/registry/%4", "/registry/%zz", "registry", "*", ""}) {
+        for (const char *path : {"/registry/%252e%252e/a",
+                                 "/registry/..%2fledger",
+                                 "/registry/..%5cledger",
+                                 "/registry/..\\ledger",
+                                 "/registry/..;x/ledger",
+                                 "/registry/%00",
+                                 "/registry/%0d%0a",
+                                 "/registry/%",
+                                 "/registry/%4",
+                                 "/registry/%zz",
+                                 "registry",
+                                 "*",
+                                 ""}) {
             INFO(path);
             REQUIRE(normalisePath(path) == std::nullopt);
         }
--- a/tests/gateway/standin.cpp
+++ b/tests/gateway/standin.cpp
@@ -9,7 +9,8 @@
 
 Answer order(const std::string &address, std::string_view kind, std::string_view adapter, unsigned fencing)
 {
-    const std::string body = "{\"order\":\"" + std::string(kind) + "\",\"adapter\":\"" + std::string(adapter) + "\",\"fencing\":" + std::to_string(fencing) + "}";
+    const std::string body =
+        "{\"order\":\"" + std::string(kind) + "\",\"adapter\":\"" + std::string(adapter) + "\",\"fencing\":" + std::to_string(fencing) + "}";
     return HttpClient(address).call(request("POST", "/orders", body));
 }
 
--- a/tests/gateway/streams.cpp
+++ b/tests/gateway/streams.cpp
@@ -12,7 +12,7 @@
 {
     const auto at = answer.body().rfind("event: error\n");
     return at != std::string::npos && answer.body().find("[DONE]") == std::string::npos
-        && answer.body().find("\"code\":\"" + std::string(code) + "\"", at) != std::string::npos;
+           && answer.body().find("\"code\":\"" + std::string(code) + "\"", at) != std::string::npos;
 }
 
 } // namespace
--- a/tests/link/fleetcodec.cpp
+++ b/tests/link/fleetcodec.cpp
@@ -9,17 +9,17 @@
 namespace {
 
 template<typename Message>
-void requireRoundTrip(const Message &message, Decoded<Message> (*decode)(std::span<const std::uint8_t>))
+void requireRoundTrip(const Message &message, FleetDecoded<Message> (*decode)(std::span<const std::uint8_t>))
 {
     const std::vector<std::uint8_t> bytes = encode(message);
-    const Decoded<Message> decoded = decode(bytes);
+    const FleetDecoded<Message> decoded = decode(bytes);
     REQUIRE(std::holds_alternative<Message>(decoded));
     REQUIRE(std::get<Message>(decoded) == message);
     // A payload that was cut off must never decode to the same message. Only the padding at the end, which is shorter than
     // the largest alignment, may be missing.
     constexpr std::size_t largestAlignment = 8;
     for (std::size_t size = 0; size + largestAlignment <= bytes.size(); ++size) {
-        const Decoded<Message> cut = decode(std::span(bytes).first(size));
+        const FleetDecoded<Message> cut = decode(std::span(bytes).first(size));
         REQUIRE_FALSE(cut == decoded);
     }
 }
@@ -44,15 +44,15 @@
         requireRoundTrip(RenewRequest{1, entry, {entry, entry}, pools}, decodeRenewRequest);
         requireRoundTrip(RenewReply{1, 2, {3, 4}, milliseconds(9'500), {{InstanceId(5), 6}}, pools}, decodeRenewReply);
         requireRoundTrip(Confirm{{entry}, true}, decodeConfirm);
-        requireRoundTrip(Command{1, InstanceId(2), {3, 4}}, decodeCommand);
+        requireRoundTrip(Command{1, InstanceId(2), {3, 4}}, decodeForwardedCommand);
         requireRoundTrip(CommandReply{1, {2}}, decodeCommandReply);
     }
 
     SECTION("values out of range are refused")
     {
         const auto isInvalid = [](const auto &decoded) {
-            const auto *error = std::get_if<CodecError>(&decoded);
-            return error != nullptr && *error == CodecError::InvalidValue;
+            const auto *error = std::get_if<FleetCodecError>(&decoded);
+            return error != nullptr && *error == FleetCodecError::InvalidValue;
         };
         REQUIRE(isInvalid(decodeHello(encode(Hello{"fleet", instance, 2, 1}))));
         REQUIRE(isInvalid(decodePromise(encode(Promise{static_cast<PromiseKind>(9), {}, {}, 0, 0, {}}))));
--- a/tests/support/httpclient.h
+++ b/tests/support/httpclient.h
@@ -125,7 +125,7 @@
 inline std::string chatCall(std::uint32_t tokens, bool stream, std::string_view fields = {}, std::string_view headers = "Authorization: Bearer secret-key\r\n")
 {
     const std::string body = R"({"model":"base:greeting","messages":[{"role":"user","content":"hello"}],"max_tokens":)" + std::to_string(tokens)
-        + ",\"stream\":" + (stream ? "true" : "false") + std::string(fields) + "}";
+                             + ",\"stream\":" + (stream ? "true" : "false") + std::string(fields) + "}";
     return request("POST", "/v1/chat/completions", body, headers);
 }
 
