--- a/include/mimosahollow/admission/quotaleases.h
+++ b/include/mimosahollow/admission/quotaleases.h
@@ -23,7 +23,7 @@
     TimePoint askedAt{}; /**< Last request that contained the account. */
     Tokens extra = 0; /**< Wanted for waiting calls on top of what is held. */
     Tokens reachable = 0; /**< As last answered; without what this holder has. */
-    Tokens returnedThen = 0; /**< Total returned at that time; what was returned since can be reached again. */
+    Tokens givenBackThen = 0; /**< Returned and refunded at that time; what was given back since can be reached again. */
     Tokens unmet = 0; /**< As last answered. */
     TimePoint answeredAt{};
     bool answered = false;
--- a/src/admission/leasemessages.cpp
+++ b/src/admission/leasemessages.cpp
@@ -37,8 +37,9 @@
             wish.need = held + lease.extra;
             wish.priority = account.priority;
         }
-        const Tokens ahead = waits ? 0 : aheadIn(leases, source, account, now);
-        wish.target = std::max(wish.need, std::max(held, ahead));
+        const bool shortOfTokens = waits && lease.unmet > tokenTolerance;
+        const Tokens ahead = shortOfTokens ? 0 : aheadIn(leases, source, account, now);
+        wish.target = std::max(held, wish.need + ahead);
         result.asks = result.asks || wish.target > held + tokenTolerance;
         const Tokens used = lease.use.spent + lease.use.returned;
         // A need that is given up must reach the owner in a request.
--- a/src/admission/leaseplan.cpp
+++ b/src/admission/leaseplan.cpp
@@ -29,6 +29,9 @@
 // Another failure domain is asked when it can give at least this part. Smaller amounts arrive by balancing, with fewer messages.
 constexpr double worthPart = 0.5;
 
+// A call that has used half of its time asks for any amount, but only this many failure domains at once.
+constexpr std::size_t urgentDomains = 6;
+
 std::uint64_t ageClassOf(const WaitingCall &call, TimePoint now)
 {
     const auto age = std::max<Duration::rep>(0, (now - call.since) / ageClass);
@@ -61,8 +64,9 @@
     if (lease == source.leases.end() || !lease->second.answered) {
         return capacity;
     }
-    const Tokens returned = lease->second.use.returned - lease->second.returnedThen;
-    return std::min(capacity, lease->second.reachable + returned + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
+    const LeaseUse &use = lease->second.use;
+    const Tokens givenBack = use.returned + use.refunded - lease->second.givenBackThen + account.pendingRefund;
+    return std::min(capacity, lease->second.reachable + givenBack + account.rate * source.share * toSeconds(now - lease->second.answeredAt));
 }
 
 void setExtra(LeaseSource &source, AccountId id, Tokens extra, TimePoint now)
@@ -114,13 +118,19 @@
     std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
         return left.silent != right.silent ? right.silent : left.reachable > right.reachable;
     });
+    const bool urgent = !account.waiting.empty() && now - account.waiting.front().since > account.waiting.front().deadline - now;
+    std::size_t urgentLeft = urgent ? urgentDomains : 0;
     Tokens covered = 0;
     for (const Candidate &candidate : candidates) {
         const auto lease = candidate.source->leases.find(id);
         const Tokens heldThere = lease == candidate.source->leases.end() ? 0 : availableIn(lease->second);
         const Tokens room = std::max(0.0, capacityOf(*candidate.source, account) - heldThere);
         const bool wanted = missing > tokenTolerance && covered < missing;
-        const bool worthAsking = candidate.reachable >= worthPart * std::min(missing, room);
+        bool worthAsking = candidate.reachable >= worthPart * std::min(missing, room);
+        if (wanted && !worthAsking && urgentLeft > 0) {
+            worthAsking = true;
+            --urgentLeft;
+        }
         setExtra(*candidate.source, id, wanted && worthAsking ? std::min(missing, room) : 0, now);
         if (!candidate.silent) {
             covered += std::min(room, candidate.reachable);
--- a/src/admission/quotaleases.cpp
+++ b/src/admission/quotaleases.cpp
@@ -133,7 +133,7 @@
         }
     }
     lease.reachable = item.reachable;
-    lease.returnedThen = lease.sent.returned;
+    lease.givenBackThen = lease.sent.returned + lease.sent.refunded;
     lease.unmet = item.unmet;
     lease.answeredAt = now;
     lease.answered = true;
--- /dev/null
+++ b/tests/admission/quotaleases.cpp
@@ -0,0 +1,170 @@
+#include "tokenfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::tests;
+
+// Guards against refusals of calls that the refill reaches in time, and against calls that wait for what cannot come.
+TEST_CASE("A call waits for the refill or is refused at once")
+{
+    TokenFleet fleet(2, 1, 1000, 2000, 1);
+    fleet.advance(seconds(3));
+
+    SECTION("a cost above the burst is refused whatever the buckets hold")
+    {
+        fleet.call(0, 2001, 0, seconds(60));
+        REQUIRE(fleet.refused.size() == 1);
+        REQUIRE(fleet.refused[0].reason == RefusalReason::CostAboveBurst);
+    }
+
+    SECTION("the whole burst is reached from one instance")
+    {
+        fleet.call(0, 2000, 2000, milliseconds(500));
+        fleet.advance(milliseconds(500));
+        REQUIRE(fleet.ran == 1);
+
+        SECTION("then a call whose cost the refill reaches before the deadline waits and runs")
+        {
+            fleet.call(0, 800, 800, milliseconds(1500));
+            REQUIRE(fleet.refused.empty());
+            fleet.advance(milliseconds(1500));
+            REQUIRE(fleet.ran == 2);
+        }
+
+        SECTION("and a call that the refill cannot reach is refused at once with the time to wait")
+        {
+            fleet.call(0, 1900, 1900, milliseconds(200));
+            REQUIRE(fleet.refused.size() == 1);
+            REQUIRE(fleet.refused[0].reason == RefusalReason::RateLimited);
+            REQUIRE(fleet.refused[0].retryAfter > milliseconds(500));
+            REQUIRE(fleet.refused[0].retryAfter < milliseconds(2000));
+        }
+    }
+
+    SECTION("an isolated failure domain spends its own part")
+    {
+        fleet.partition(1, true);
+        fleet.call(0, 900, 900, seconds(1));
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.ran == 1);
+
+        SECTION("and refills at its own part of the rate")
+        {
+            fleet.call(0, 400, 400, seconds(1));
+            fleet.advance(seconds(1));
+            REQUIRE(fleet.ran == 2);
+        }
+    }
+}
+
+// Guards against refunds that create tokens or exceed the reservation.
+TEST_CASE("Unused tokens come back up to the reservation")
+{
+    TokenFleet fleet(1, 1, 0, 1000, 1);
+    fleet.instances[0].owner.buckets[account].level = 1000;
+    fleet.call(0, 600, 100, milliseconds(100));
+    fleet.advance(milliseconds(100));
+    REQUIRE(fleet.ran == 1);
+    fleet.advance(seconds(1));
+    fleet.call(0, 900, 900, milliseconds(100));
+    fleet.advance(milliseconds(100));
+    REQUIRE(fleet.ran == 2);
+    QuotaLeases &leases = fleet.instances[0].leases;
+
+    SECTION("a call that used more than it reserved refunds nothing")
+    {
+        REQUIRE(refund(leases, account, 10, 20) == 0);
+        REQUIRE(leases.accounts[account].pendingRefund == 0);
+    }
+    SECTION("a negative use refunds the reservation at most")
+    {
+        fleet.advance(seconds(1));
+        const Tokens credited = refund(leases, account, 10, -20);
+        REQUIRE(credited + leases.accounts[account].pendingRefund == 10);
+    }
+}
+
+// Guards against a changed configuration that creates tokens or takes force late.
+TEST_CASE("A lower rate and burst hold at once")
+{
+    TokenFleet fleet(3, 2, 1000, 3000, 5);
+    fleet.advance(seconds(5));
+    for (int i = 0; i < 100; ++i) {
+        fleet.call(fleet.random() % 6, 10, 10, milliseconds(500));
+        fleet.advance(milliseconds(10));
+    }
+    fleet.configure(500, 900);
+    fleet.ledger = {500, 900, 0, 0, fleet.now};
+
+    SECTION("a burst of calls after the change stays within the new bound, with grants of the old configuration under way")
+    {
+        for (int i = 0; i < 1000; ++i) {
+            fleet.call(fleet.random() % 6, 10, 10, milliseconds(500));
+            fleet.advance(milliseconds(1));
+        }
+        REQUIRE(fleet.ran > 100);
+        REQUIRE(fleet.ledger.holds());
+    }
+    SECTION("a burst that is raised again starts with the tokens of the lower one")
+    {
+        // Leases are cut at once; the buckets hear of it within a report interval and a tick.
+        fleet.advance(milliseconds(200));
+        fleet.configure(500, 3000);
+        fleet.ledger = {500, 900, 0, 0, fleet.now};
+        for (int i = 0; i < 500; ++i) {
+            fleet.call(fleet.random() % 6, 10, 10, milliseconds(500));
+            fleet.advance(milliseconds(1));
+        }
+        REQUIRE(fleet.ledger.holds());
+    }
+}
+
+// Guards against two failure domains that use the same part of a rate while a configuration spreads.
+TEST_CASE("A raised share takes force only after the other domains have lowered theirs")
+{
+    BucketOwner owner;
+    owner.domain = DomainId{1};
+    control::Configuration configuration;
+    configuration.version = 1;
+    configuration.domains = {{DomainId{1}, "a", 0.5, false}, {DomainId{2}, "b", 0.5, false}};
+    configuration.organisations = {{organisation, "o", 100, 1000, 1}};
+    const TimePoint start = TimePoint{} + seconds(100);
+    applyConfiguration(owner, configuration, start);
+    configuration.version = 2;
+    configuration.domains[0].share = 0.8;
+    applyConfiguration(owner, configuration, start);
+    BucketActions out;
+    REQUIRE(owner.share == 0.5);
+    tick(owner, start + shareRaiseDelay - milliseconds(1), out);
+    REQUIRE(owner.share == 0.5);
+    tick(owner, start + shareRaiseDelay, out);
+    REQUIRE(owner.share == 0.8);
+
+    SECTION("a lowered share holds at once")
+    {
+        configuration.version = 3;
+        configuration.domains[0].share = 0.3;
+        applyConfiguration(owner, configuration, start + shareRaiseDelay);
+        REQUIRE(owner.share == 0.3);
+    }
+}
+
+// Guards against a load bucket that is handled unlike the bucket of an organisation.
+TEST_CASE("The load bucket of the weight store allows its rate and burst")
+{
+    TokenFleet fleet(4, 1, 1000, 1000, 3);
+    fleet.advance(seconds(5));
+    const TimePoint start = fleet.now;
+    QuotaLeases &leases = fleet.instances[0].leases;
+    // The fake network also carries the load account; calls that wait are counted when the fleet lets them run.
+    while (fleet.now < start + seconds(5)) {
+        if (leases.accounts[loadAccount].waiting.empty()) {
+            fleet.callFor(0, loadAccount, loadCost, seconds(10));
+        }
+        fleet.advance(milliseconds(10));
+    }
+    const double bound = fleet.configuration.loadsInFlight + 5 * fleet.configuration.loadRate;
+    REQUIRE(static_cast<double>(fleet.ranLoads) <= bound);
+    REQUIRE(static_cast<double>(fleet.ranLoads) >= bound - 2);
+}
--- a/tests/admission/tokenfleet.cpp
+++ b/tests/admission/tokenfleet.cpp
@@ -128,6 +128,10 @@
 {
     const CallRecord record = open[id];
     open.erase(id);
+    if (record.account == loadAccount) {
+        ++ranLoads;
+        return;
+    }
     ledger.add(now, record.cost);
     longestWait = std::max(longestWait, now - record.arrived);
     ++ran;
@@ -135,12 +139,22 @@
 }
 
 void TokenFleet::call(std::size_t instance, double cost, double used, Duration patience)
+{
+    start(instance, {cost, used, instance, now, account}, patience);
+}
+
+void TokenFleet::callFor(std::size_t instance, AccountId id, double cost, Duration patience)
+{
+    start(instance, {cost, cost, instance, now, id}, patience);
+}
+
+void TokenFleet::start(std::size_t instance, const CallRecord &record, Duration patience)
 {
     const RequestId id{instance, ++counter};
-    open[id] = {cost, used, instance, now};
+    open[id] = record;
     Admission result{};
     withLeases(instance, [&](QuotaLeases &leases, LeaseActions &out) {
-        result = admit(leases, account, {id, cost, now, now + patience}, now, out);
+        result = admit(leases, record.account, {id, record.cost, now, now + patience}, now, out);
     });
     if (result == Admission::Run) {
         started(id);
--- a/tests/admission/tokenfleet.h
+++ b/tests/admission/tokenfleet.h
@@ -53,6 +53,7 @@
     double used = 0;
     std::size_t instance = 0;
     TimePoint arrived{};
+    AccountId account = tests::account;
 };
 
 /** Instances of several failure domains, their network and the ledger of one organisation. */
@@ -77,6 +78,7 @@
 
     void advance(Duration time); /**< In steps of 1 ms; a tick every 20 ms. */
     void call(std::size_t instance, double cost, double used, Duration patience);
+    void callFor(std::size_t instance, AccountId account, double cost, Duration patience); /**< Counted in ranLoads, not in the ledger. */
     void crash(std::size_t instance); /**< Restarts at once with a new process number and no state. */
     void changeOwner(std::size_t domain, bool graceful);
     void configure(double rate, double burst);
@@ -98,6 +100,7 @@
     std::uint64_t messages = 0;
     std::array<std::uint64_t, std::variant_size_v<Payload>> messagesByKind{};
     std::uint64_t ran = 0;
+    std::uint64_t ranLoads = 0;
     std::vector<RefusedCall> refused;
     Duration longestWait{};
     Duration callTime = milliseconds(400);
@@ -109,6 +112,7 @@
     void withOwner(std::size_t instance, Function function);
     void send(std::size_t from, InstanceId to, Payload payload);
     void deliver(const Packet &packet);
+    void start(std::size_t instance, const CallRecord &record, Duration patience);
     void started(RequestId id);
     void tickAll();
     void finishCalls();
--- a/tests/admission/tokenhistories.cpp
+++ b/tests/admission/tokenhistories.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
-#include <optional>
 
 using namespace mimosahollow;
 using namespace mimosahollow::tests;
@@ -23,8 +22,8 @@
 // Quiet, below the rate, overload, and a burst that empties every bucket and lease.
 constexpr std::array loads{0.0, 0.6, 3.0, 30.0};
 
-/** Random traffic of about @p load x the rate at all instances or one for @p steps x 10 ms. */
-void traffic(TokenFleet &fleet, double load, int steps, std::optional<std::size_t> only = std::nullopt)
+/** Random traffic of about @p load x the rate at all instances for @p steps x 10 ms. */
+void traffic(TokenFleet &fleet, double load, int steps)
 {
     std::uniform_real_distribution<double> unit(0, 1);
     const double mean = fleet.ledger.burst / 20;
@@ -33,7 +32,7 @@
         while (budget > 0 && unit(fleet.random) < budget / mean) {
             const double cost = 1 + std::floor(unit(fleet.random) * 2 * mean);
             budget -= mean;
-            fleet.call(only.value_or(fleet.random() % fleet.instances.size()), cost, std::floor(cost * unit(fleet.random)), milliseconds(500));
+            fleet.call(fleet.random() % fleet.instances.size(), cost, std::floor(cost * unit(fleet.random)), milliseconds(500));
         }
         fleet.advance(milliseconds(10));
     }
@@ -91,6 +90,12 @@
         TokenFleet fleet(3, 2, 1000, 1000, 7);
         fleet.mutant = mutant;
         fleet.faults.loss = 0.02;
+        fleet.advance(seconds(3));
+        // 1.5 x the rate at one instance, so that transfers carry most of its tokens.
+        for (int i = 0; i < 1000; ++i) {
+            fleet.call(0, 15, 15, milliseconds(500));
+            fleet.advance(milliseconds(10));
+        }
         for (int phase = 0; phase < 4; ++phase) {
             fleet.advance(seconds(3));
             traffic(fleet, 0.8, 200);
@@ -102,7 +107,6 @@
             }
             traffic(fleet, 30, 20);
         }
-        traffic(fleet, 3, 500, 0);
         return fleet.ledger;
     };
     REQUIRE(run(Mutant::None).holds());
--- /dev/null
+++ b/tests/routing/routing.cpp
@@ -0,0 +1,183 @@
+#include "mimosahollow/routing/poolchoice.h"
+#include "mimosahollow/routing/routingindex.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace mimosahollow;
+using namespace mimosahollow::routing;
+
+namespace {
+
+constexpr OrganisationId owner{1};
+constexpr OrganisationId stranger{2};
+
+control::Configuration sample()
+{
+    control::Configuration configuration;
+    configuration.baseModels = {"base", "large"};
+    configuration.adapters = {{AdapterId{1}, "base", "tone", "1", false, {owner}},
+                              {AdapterId{2}, "base", "tone", "2", true, {owner}},
+                              {AdapterId{3}, "large", "tone", "1", true, {stranger}},
+                              {AdapterId{4}, "base", "draft", "1", false, {owner}}};
+    configuration.routes = {{"/registry/", "registry", false, false, seconds(30), {}},
+                            {"/registry/open/", "notices", true, true, seconds(30), {}},
+                            {"/registry/owners/", "owners", true, false, seconds(30), {owner}}};
+    return configuration;
+}
+
+std::uint32_t adapterOf(const ResolveResult &result)
+{
+    const auto *resolution = std::get_if<Resolution>(&result);
+    return resolution == nullptr || resolution->adapter == nullptr ? 0 : number(resolution->adapter->id);
+}
+
+} // namespace
+
+// Guards against a request that runs on another adapter or version than it asked for (P1), or for the wrong organisation (P3).
+TEST_CASE("Model names resolve to one adapter and version")
+{
+    const control::Configuration configuration = sample();
+    const RoutingIndex index = buildRoutingIndex(configuration);
+    REQUIRE(adapterOf(resolveModel(index, "base:tone@1", owner)) == 1);
+    REQUIRE(adapterOf(resolveModel(index, "base:tone@2", owner)) == 2);
+    REQUIRE(adapterOf(resolveModel(index, "base:tone", owner)) == 2);
+    REQUIRE(adapterOf(resolveModel(index, "large:tone", stranger)) == 3);
+    REQUIRE(std::get<Resolution>(resolveModel(index, "base", stranger)).kind == "base");
+
+    SECTION("unknown parts and an adapter without a default version are refused")
+    {
+        for (const char *name : {"", "other", "base:", "base:tone@", "base:tone@3", "base:none", "base:draft", "large:draft@1", ":tone"}) {
+            REQUIRE(std::get<RefusalReason>(resolveModel(index, name, owner)) == RefusalReason::UnknownModel);
+        }
+    }
+    SECTION("another organisation may not use the adapter")
+    {
+        REQUIRE(std::get<RefusalReason>(resolveModel(index, "base:tone@1", stranger)) == RefusalReason::NotPermitted);
+    }
+    SECTION("an index without a configuration knows nothing")
+    {
+        REQUIRE(std::get<RefusalReason>(resolveModel({}, "base", owner)) == RefusalReason::UnknownModel);
+        REQUIRE(std::get<RefusalReason>(resolvePath({}, "/", owner)) == RefusalReason::UnknownRoute);
+    }
+}
+
+// Guards against hash collisions and lost entries at the future size.
+TEST_CASE("All of 93,000 adapters are found by version and by default")
+{
+    control::Configuration configuration;
+    configuration.baseModels = {"base"};
+    for (std::uint32_t i = 0; i < 93'000; ++i) {
+        configuration.adapters.push_back({AdapterId{i + 1}, "base", "a" + std::to_string(i), "7", true, {owner}});
+    }
+    const RoutingIndex index = buildRoutingIndex(configuration);
+    std::size_t found = 0;
+    for (std::uint32_t i = 0; i < 93'000; ++i) {
+        const std::string name = "base:a" + std::to_string(i);
+        found += adapterOf(resolveModel(index, name, owner)) == i + 1 && adapterOf(resolveModel(index, name + "@7", owner)) == i + 1 ? 1U : 0U;
+    }
+    REQUIRE(found == 93'000);
+    // The control state of a follower with 93,000 adapters has 32 MB; the index may take a tenth.
+    REQUIRE(memoryBytes(index) <= 3'200'000);
+}
+
+// Guards against a shorter prefix that hides a longer one, and against calls without a key on routes that need one.
+TEST_CASE("The longest path prefix decides")
+{
+    const control::Configuration configuration = sample();
+    const RoutingIndex index = buildRoutingIndex(configuration);
+    const auto kind = [&index](std::string_view path) {
+        return std::get<Resolution>(resolvePath(index, path, owner)).kind;
+    };
+    REQUIRE(kind("/registry/x") == "registry");
+    REQUIRE(kind("/registry/zzz") == "registry");
+    REQUIRE(kind("/registry/open/x") == "notices");
+    REQUIRE(kind("/registry/owners/x") == "owners");
+    REQUIRE(kind("/registry/ow") == "registry");
+    REQUIRE(std::get<RefusalReason>(resolvePath(index, "/registr", owner)) == RefusalReason::UnknownRoute);
+    REQUIRE(std::get<RefusalReason>(resolvePath(index, "", owner)) == RefusalReason::UnknownRoute);
+    REQUIRE(std::get<RefusalReason>(resolvePath(index, "/registry/x", std::nullopt)) == RefusalReason::InvalidKey);
+    REQUIRE(std::get<RefusalReason>(resolvePath(index, "/registry/owners/x", stranger)) == RefusalReason::NotPermitted);
+    REQUIRE(std::get<Resolution>(resolvePath(index, "/registry/open/x", std::nullopt)).kind == "notices");
+}
+
+// Guards against needless remote work, work for pools that must get none (P8), and all instances moving to the same pool.
+TEST_CASE("The choice of a pool prefers the local failure domain and spreads what spills over")
+{
+    std::mt19937_64 random(20261204);
+    const AdapterId adapter{9};
+    const auto pool = [](std::uint32_t domain, int waitMs) {
+        PoolSummary summary;
+        summary.pool = PoolId{domain};
+        summary.domain = DomainId{domain};
+        summary.kind = "base";
+        summary.expectedWait = milliseconds(waitMs);
+        summary.expectedLoad = milliseconds(250);
+        summary.freeCapacity = 8;
+        summary.distance = domain == 1 ? milliseconds(0) : milliseconds(2);
+        summary.resident = {AdapterId{9}};
+        return summary;
+    };
+    const PoolQuery query{"base", adapter, DomainId{1}};
+    std::vector<PoolSummary> pools{pool(1, 20), pool(2, 0), pool(3, 0), pool(4, 0), pool(5, 0)};
+    const auto choose = [&] {
+        return choosePool(pools, query, random);
+    };
+
+    SECTION("a gain within the margin stays local")
+    {
+        pools[0].expectedWait = milliseconds(22); // 2 ms of distance and the margin of 20 ms
+        REQUIRE(choose()->reason == PoolReason::Local);
+        pools[0].expectedWait += Duration(1);
+        REQUIRE(choose()->reason == PoolReason::SpilledOver);
+    }
+    SECTION("a load at home counts as wait")
+    {
+        pools[0].resident.clear();
+        REQUIRE(choose()->reason == PoolReason::SpilledOver);
+
+        SECTION("unless the remote pools have to load as well")
+        {
+            for (PoolSummary &summary : pools) {
+                summary.resident.clear();
+            }
+            REQUIRE(choose()->reason == PoolReason::Local);
+        }
+        SECTION("and the only pool with the adapter is found")
+        {
+            for (PoolSummary &summary : pools) {
+                summary.resident.clear();
+            }
+            pools[3].resident = {adapter};
+            REQUIRE(choose()->pool == 3);
+        }
+    }
+    SECTION("pools that are out of service, unreachable or of another kind are never chosen")
+    {
+        pools[0].inService = false;
+        pools[1].reachable = false;
+        pools[2].kind = "other";
+        for (int i = 0; i < 1000; ++i) {
+            const auto choice = choose();
+            REQUIRE(choice->pool >= 3);
+            REQUIRE(choice->reason == PoolReason::LocalAbsent);
+        }
+        pools[3].inService = false;
+        pools[4].reachable = false;
+        REQUIRE_FALSE(choose());
+    }
+    SECTION("340 instances with the same summaries spread over equal pools")
+    {
+        pools[0].expectedWait = milliseconds(500);
+        std::map<std::size_t, int> chosen;
+        for (int i = 0; i < 340; ++i) {
+            ++chosen[choose()->pool];
+        }
+        REQUIRE(chosen.size() == 4);
+        for (const auto &[position, count] : chosen) {
+            // Twice the even share of 85; a herd would give one pool all 340.
+            REQUIRE(count < 170);
+        }
+    }
+}
