Check the pool's properties on random events

Cause: single tests do not cover the order of events. Change: a ledger that shares no state with the decision code judges every action against P1, P2, P7, P8 and P12 and single answers, in shrinking RapidCheck runs and long runs; five broken variants show that it finds violations.

--- /dev/null
+++ b/tests/scheduling/ledger.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "mimosahollow/scheduling/pool.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::scheduling::testing {
+
+/**
+ * Records what happened outside the decision code, and judges every action against the properties P1, P2, P7, P8 and P12.
+ * Shares no state with the decision code.
+ */
+class Ledger
+{
+public:
+    struct Server
+    {
+        ServiceState declared = ServiceState::Out;
+        bool leaving = false;
+        std::uint32_t slots = 0;
+        std::uint32_t coldLimit = 1;
+        std::uint32_t limit = 1; /**< What the server bears. */
+        std::uint32_t good = 0;
+        std::uint32_t epoch = 0;
+        bool hasBaseline = false; /**< The present owner has seen its normal latency. */
+        std::set<AdapterId> adapters; /**< Resident as far as the owner was told. */
+    };
+
+    struct Running
+    {
+        AcquireRequest request;
+        Grant grant;
+        std::uint32_t epoch = 0;
+        bool unknown = false; /**< Granted by an earlier owner and not reported to the present one. */
+    };
+
+    std::string violation; /**< The first one; empty: none. */
+    ServiceState domain = ServiceState::InService;
+    std::map<ServerId, Server> servers;
+    std::map<RequestId, AcquireRequest> waiting;
+    std::map<RequestId, Running> running;
+    std::map<std::uint64_t, Order> orders; /**< In flight. */
+
+    void submitted(const AcquireRequest &request)
+    {
+        waiting[request.id] = request;
+    }
+
+    void restarted(ServerId id)
+    {
+        Server &server = servers[id];
+        server.adapters.clear();
+        cool(server);
+    }
+
+    /** @p good: a fast complete answer; @p cold: an outcome that shows a cold server. */
+    void ended(const Running &call, bool good, bool cold)
+    {
+        Server &server = servers[call.grant.server];
+        server.hasBaseline = server.hasBaseline || (call.epoch == server.epoch && good);
+        if (call.epoch == server.epoch && cold) {
+            cool(server);
+        } else if (call.epoch == server.epoch && good && server.limit < server.slots && ++server.good >= server.limit) {
+            server.limit = std::min(server.limit * 2, server.slots);
+            server.good = 0;
+        }
+        running.erase(call.request.id);
+    }
+
+    void ordered(std::uint64_t number, OrderOutcome outcome)
+    {
+        const auto found = orders.find(number);
+        Server &server = servers[found->second.server];
+        if (outcome == OrderOutcome::Done && found->second.kind == OrderKind::Load) {
+            server.adapters.insert(found->second.adapter);
+        }
+        orders.erase(found);
+    }
+
+    void expire(TimePoint now)
+    {
+        std::erase_if(running, [now](const auto &entry) {
+            return entry.second.request.deadline <= now;
+        });
+    }
+
+    void newOwner()
+    {
+        waiting.clear(); // the entry instances ask again
+        orders.clear();
+        for (auto &[id, call] : running) {
+            call.unknown = true;
+        }
+    }
+
+    void judge(const Actions &actions)
+    {
+        for (const Action &action : actions) {
+            std::visit(
+                [this](const auto &content) {
+                    judgeOne(content);
+                },
+                action);
+        }
+    }
+
+    [[nodiscard]] bool takesWork(ServerId id) const
+    {
+        const auto found = servers.find(id);
+        return domain == ServiceState::InService && found != servers.end() && found->second.declared == ServiceState::InService && !found->second.leaving;
+    }
+
+private:
+    void require(bool holds, const char *property)
+    {
+        if (!holds && violation.empty()) {
+            violation = property;
+        }
+    }
+
+    static void cool(Server &server)
+    {
+        server.limit = std::min(server.coldLimit, server.slots);
+        server.good = 0;
+        ++server.epoch;
+    }
+
+    [[nodiscard]] std::size_t inUse(ServerId server, AdapterId adapter) const
+    {
+        return static_cast<std::size_t>(std::count_if(running.begin(), running.end(), [&](const auto &entry) {
+            return entry.second.grant.server == server && (number(adapter) == 0 || entry.second.request.adapter == adapter);
+        }));
+    }
+
+    void judgeOne(const Grant &grant)
+    {
+        const auto request = waiting.find(grant.id);
+        require(request != waiting.end(), "a request is answered once");
+        if (request == waiting.end()) {
+            return;
+        }
+        const Server &server = servers[grant.server];
+        require(grant.adapter == request->second.adapter, "P1");
+        require(number(grant.adapter) == 0 || server.adapters.contains(grant.adapter), "P1");
+        require(takesWork(grant.server), "P8 or P12");
+        running[grant.id] = {request->second, grant, server.epoch, false};
+        waiting.erase(request);
+        require(inUse(grant.server, AdapterId{}) <= server.limit, "P7");
+    }
+
+    void judgeOne(const Refusal &refusal)
+    {
+        require(waiting.erase(refusal.id) == 1, "a request is answered once");
+    }
+
+    void judgeOne(const Order &order)
+    {
+        orders[order.order] = order;
+        if (order.kind == OrderKind::Load) {
+            require(takesWork(order.server), "P8 or P12");
+            return;
+        }
+        require(inUse(order.server, order.adapter) == 0, "P2");
+        require(std::none_of(waiting.begin(),
+                             waiting.end(),
+                             [&](const auto &entry) {
+                                 return entry.second.adapter == order.adapter;
+                             }),
+                "P2");
+        servers[order.server].adapters.erase(order.adapter);
+    }
+
+    void judgeOne(const DecisionRecord &)
+    {
+    }
+};
+
+} // namespace mimosahollow::scheduling::testing
--- /dev/null
+++ b/tests/scheduling/properties.cpp
@@ -0,0 +1,140 @@
+#include "randomrun.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <random>
+#include <sstream>
+
+using namespace mimosahollow;
+using namespace mimosahollow::scheduling;
+using testing::RandomEvent;
+using testing::RandomRun;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+
+std::vector<RandomEvent> randomEvents(std::uint64_t runSeed, std::size_t count)
+{
+    std::mt19937_64 random(runSeed);
+    std::vector<RandomEvent> events(count);
+    for (RandomEvent &event : events) {
+        for (std::uint8_t &operand : event) {
+            operand = static_cast<std::uint8_t>(random());
+        }
+    }
+    return events;
+}
+
+/** The first violation in some long runs. */
+std::string firstViolation(const std::function<void(PoolState &)> &sabotage)
+{
+    for (std::uint64_t run = 0; run < 20; ++run) {
+        RandomRun trial(sabotage);
+        trial.run(randomEvents(seed + run, 2000));
+        if (!trial.ledger.violation.empty()) {
+            return trial.ledger.violation;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+// Guards against any order of events that breaks P1, P2, P7, P8 or P12, or answers a request twice.
+TEST_CASE("Random events break no property")
+{
+    std::cout << "seed " << seed << '\n';
+    SECTION("in short runs, which shrink to the events that matter")
+    {
+        rc::detail::TestParams parameters;
+        parameters.seed = seed;
+        parameters.maxSuccess = 2000;
+        const auto property = [] {
+            const auto events =
+                *rc::gen::scale(4, rc::gen::container<std::vector<RandomEvent>>(rc::gen::container<RandomEvent>(rc::gen::arbitrary<std::uint8_t>())));
+            RandomRun run;
+            run.run(events);
+            RC_ASSERT(run.ledger.violation == std::string());
+        };
+        const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+        std::ostringstream message;
+        rc::detail::printResultMessage(result, message);
+        INFO(message.str());
+        REQUIRE(result.is<rc::detail::SuccessResult>());
+    }
+    SECTION("in long runs, which really grant and evict")
+    {
+        std::size_t grants = 0;
+        std::size_t unloads = 0;
+        for (std::uint64_t i = 0; i < 30; ++i) {
+            INFO("run " << i);
+            RandomRun run;
+            run.run(randomEvents(seed + i, 3000));
+            REQUIRE(run.ledger.violation == std::string());
+            grants += run.grants;
+            unloads += run.unloads;
+        }
+        REQUIRE(grants > 1000);
+        REQUIRE(unloads > 100);
+    }
+}
+
+// Guards against a checker that sees nothing: each broken variant must be found.
+TEST_CASE("The ledger finds deliberately broken variants")
+{
+    REQUIRE(firstViolation({}).empty());
+    SECTION("an owner that takes another server for a holder of the adapter")
+    {
+        REQUIRE(firstViolation([](PoolState &state) {
+                    for (AdapterState &adapter : state.adapters) {
+                        if (adapter.holders.size() == 1 && state.servers.size() > 1) {
+                            adapter.holders.push_back(adapter.holders[0] == 0 ? 1 : 0);
+                        }
+                    }
+                })
+                == "P1");
+    }
+    SECTION("an owner that forgets which adapters are in use")
+    {
+        REQUIRE(firstViolation([](PoolState &state) {
+                    for (ServerState &server : state.servers) {
+                        for (AdapterSlot &slot : server.slots) {
+                            slot.users = 0;
+                        }
+                    }
+                })
+                == "P2");
+    }
+    SECTION("an owner without slow start")
+    {
+        REQUIRE(firstViolation([](PoolState &state) {
+                    for (ServerState &server : state.servers) {
+                        server.slowStart.limit = server.slowStart.warmLimit;
+                    }
+                })
+                == "P7");
+    }
+    SECTION("a new owner that takes unknown slots for free")
+    {
+        REQUIRE(firstViolation([](PoolState &state) {
+                    for (ServerState &server : state.servers) {
+                        server.unknownGrants = 0;
+                    }
+                })
+                == "P7");
+    }
+    SECTION("an owner that ignores what was taken out")
+    {
+        REQUIRE(firstViolation([](PoolState &state) {
+                    state.domain = ServiceState::InService;
+                    for (ServerState &server : state.servers) {
+                        server.declared = ServiceState::InService;
+                        server.leaving = false;
+                    }
+                })
+                == "P8 or P12");
+    }
+}
--- /dev/null
+++ b/tests/scheduling/randomrun.h
@@ -0,0 +1,315 @@
+#pragma once
+
+#include "ledger.h"
+
+#include <array>
+#include <functional>
+
+namespace mimosahollow::scheduling::testing {
+
+/** One event of a random run: its kind and three operands. */
+using RandomEvent = std::array<std::uint8_t, 4>;
+
+/** Feeds events to a pool and to the ledger. */
+class RandomRun
+{
+public:
+    static constexpr std::uint32_t serverCount = 3;
+    static constexpr std::uint32_t adapterCount = 6;
+    static constexpr std::uint32_t slots = 4;
+    static constexpr std::uint32_t adapterSlots = 2;
+
+    /** @p sabotage is called after each event to break the state on purpose. */
+    explicit RandomRun(std::function<void(PoolState &)> sabotage = {}) : m_sabotage(std::move(sabotage)), m_state(makePool(PoolId{1}, settings(), m_now))
+    {
+        m_state.fencing = 1;
+        for (std::uint32_t i = 1; i <= serverCount; ++i) {
+            ledger.servers[ServerId{i}] = {ServiceState::InService, false, slots, 1, 1, 0, 0, false, {}};
+        }
+        declare();
+        for (std::uint32_t i = 1; i <= serverCount; ++i) {
+            announce(ServerId{i});
+        }
+    }
+
+    /** Runs until the end or the first violation. */
+    void run(const std::vector<RandomEvent> &events)
+    {
+        for (const RandomEvent &event : events) {
+            m_actions.clear();
+            apply(event);
+            if (m_sabotage) {
+                m_sabotage(m_state);
+            }
+            if (!ledger.violation.empty()) {
+                return;
+            }
+        }
+    }
+
+    Ledger ledger;
+    std::size_t grants = 0;
+    std::size_t unloads = 0;
+
+private:
+    static SchedulingSettings settings()
+    {
+        SchedulingSettings small;
+        small.expectedAdapters = adapterCount;
+        small.expectedRequests = 64;
+        return small;
+    }
+
+    void apply(const RandomEvent &event)
+    {
+        const ServerId server{1U + event[1] % serverCount};
+        switch (event[0] % 16) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            ask(event);
+            break;
+        case 4:
+        case 5:
+        case 6:
+            giveBack(event);
+            break;
+        case 7:
+        case 8:
+        case 9:
+            finishOrder(event);
+            break;
+        case 10:
+            pass(milliseconds(10 * (1 + event[1])));
+            break;
+        case 11:
+            report(server);
+            break;
+        case 12:
+            restart(server, event[2] % 2 == 0);
+            break;
+        case 13:
+            changeDeclaration(server, event);
+            break;
+        case 14:
+            cancelOne(event);
+            break;
+        default:
+            laterEvent(event);
+            break;
+        }
+    }
+
+    void laterEvent(const RandomEvent &event)
+    {
+        switch (event[1] % 8) {
+        case 0:
+            changeOwner();
+            break;
+        case 1:
+        case 2:
+            reconcile(InstanceId{2});
+            break;
+        default:
+            giveTokens(event);
+            break;
+        }
+    }
+
+    void judge()
+    {
+        for (const Action &action : m_actions) {
+            grants += std::holds_alternative<Grant>(action) ? 1 : 0;
+            const auto *order = std::get_if<Order>(&action);
+            unloads += order != nullptr && order->kind == OrderKind::Unload ? 1 : 0;
+        }
+        ledger.judge(m_actions);
+        m_actions.clear();
+    }
+
+    void ask(const RandomEvent &event)
+    {
+        AcquireRequest request;
+        request.id = {1, ++m_sequence};
+        request.entry = InstanceId{1U + event[3] % 2};
+        request.organisation = OrganisationId{1U + event[1] % 3U};
+        request.adapter = AdapterId{event[2] % (adapterCount + 1U)};
+        request.maximumOutputTokens = event[3];
+        request.deadline = m_now + milliseconds(200) * (1 + event[3]);
+        ledger.submitted(request);
+        submit(m_state, request, m_now, m_actions);
+        judge();
+    }
+
+    void giveBack(const RandomEvent &event)
+    {
+        if (ledger.running.empty()) {
+            return;
+        }
+        const Ledger::Running call = std::next(ledger.running.begin(), event[1] % static_cast<std::ptrdiff_t>(ledger.running.size()))->second;
+        constexpr ReleaseOutcome outcomes[] = {ReleaseOutcome::Completed,
+                                               ReleaseOutcome::Completed,
+                                               ReleaseOutcome::Completed,
+                                               ReleaseOutcome::Completed,
+                                               ReleaseOutcome::Cancelled,
+                                               ReleaseOutcome::ConnectionReset};
+        const ReleaseOutcome outcome = outcomes[event[2] % std::size(outcomes)];
+        const bool completed = outcome == ReleaseOutcome::Completed;
+        const bool slow = completed && event[3] % 32 == 0 && ledger.servers[call.grant.server].hasBaseline; // far above 4 x the baseline
+        // The owner learns nothing from a grant that it does not know.
+        ledger.ended(call, completed && !slow && !call.unknown, (slow || outcome == ReleaseOutcome::ConnectionReset) && !call.unknown);
+        const Duration latency = slow ? seconds(60) : milliseconds(50);
+        scheduling::release(m_state, {call.request.id, call.grant.grant, call.grant.fencing, outcome, 10, completed ? latency : Duration{}}, m_now, m_actions);
+        judge();
+    }
+
+    void finishOrder(const RandomEvent &event)
+    {
+        if (ledger.orders.empty()) {
+            return;
+        }
+        const std::uint64_t order = std::next(ledger.orders.begin(), event[1] % static_cast<std::ptrdiff_t>(ledger.orders.size()))->first;
+        constexpr OrderOutcome outcomes[] = {OrderOutcome::Done,
+                                             OrderOutcome::Done,
+                                             OrderOutcome::Done,
+                                             OrderOutcome::Done,
+                                             OrderOutcome::Refused,
+                                             OrderOutcome::NotSent,
+                                             OrderOutcome::Unknown,
+                                             OrderOutcome::StaleFencing};
+        const OrderOutcome outcome = outcomes[event[2] % std::size(outcomes)];
+        const Order finished = ledger.orders.at(order);
+        ledger.ordered(order, outcome);
+        if (finished.kind == OrderKind::Unload && outcome != OrderOutcome::Done) {
+            ledger.servers[finished.server].adapters.insert(finished.adapter); // still there
+        }
+        orderFinished(m_state, order, outcome, m_now, m_actions);
+        judge();
+    }
+
+    void pass(Duration duration)
+    {
+        m_now += duration;
+        ledger.expire(m_now);
+        tick(m_state, m_now, m_actions);
+        judge();
+    }
+
+    [[nodiscard]] std::vector<AdapterId> resident(ServerId server) const
+    {
+        const auto &adapters = ledger.servers.at(server).adapters;
+        return {adapters.begin(), adapters.end()};
+    }
+
+    void report(ServerId server)
+    {
+        std::uint32_t running = 0;
+        for (const auto &[id, call] : ledger.running) {
+            running += call.grant.server == server ? 1 : 0;
+        }
+        applyReport(m_state, {server, m_incarnations[number(server)], running, 0, resident(server)}, m_now, m_actions);
+        judge();
+    }
+
+    void restart(ServerId server, bool leaves)
+    {
+        ++m_incarnations[number(server)];
+        ledger.servers[server].leaving = leaves && m_incarnations[number(server)] % 4 == 0;
+        // Orders of the earlier process come to nothing.
+        std::erase_if(ledger.orders, [server](const auto &entry) {
+            return entry.second.server == server;
+        });
+        ledger.restarted(server);
+        announce(server);
+    }
+
+    void announce(ServerId server)
+    {
+        const Ledger::Server &known = ledger.servers[server];
+        announceServer(
+            m_state, {server, m_incarnations[number(server)], slots, adapterSlots, known.coldLimit, true, known.leaving, resident(server)}, m_now, m_actions);
+        judge();
+    }
+
+    void declare()
+    {
+        PoolDeclaration declaration{ledger.domain, {}};
+        for (const auto &[id, server] : ledger.servers) {
+            declaration.servers.push_back({id, server.declared});
+        }
+        setDeclaration(m_state, declaration, m_now, m_actions);
+        judge();
+    }
+
+    void changeDeclaration(ServerId server, const RandomEvent &event)
+    {
+        constexpr ServiceState states[] = {ServiceState::InService, ServiceState::InService, ServiceState::Out, ServiceState::Leaving};
+        ledger.servers[server].declared = states[event[2] % std::size(states)];
+        ledger.domain = event[3] % 8 == 0 ? ServiceState::Out : ServiceState::InService;
+        declare();
+    }
+
+    void cancelOne(const RandomEvent &event)
+    {
+        if (!ledger.waiting.empty()) {
+            const RequestId id = std::next(ledger.waiting.begin(), event[1] % static_cast<std::ptrdiff_t>(ledger.waiting.size()))->first;
+            ledger.waiting.erase(id);
+            cancel(m_state, id, m_now, m_actions);
+            judge();
+        }
+    }
+
+    void giveTokens(const RandomEvent &event)
+    {
+        grantLoadTokens(m_state, 1 + event[2] % 3, m_now, m_actions);
+        judge();
+    }
+
+    /** The owner is lost; the next one knows only what servers and entry instances tell. */
+    void changeOwner()
+    {
+        ledger.newOwner();
+        const std::uint64_t orders = m_state.nextOrder;
+        const FencingNumber fencing = m_state.fencing + 1;
+        m_state = makePool(PoolId{1}, settings(), m_now);
+        m_state.nextOrder = orders; // results of earlier orders do not arrive at the new owner
+        beginOwnership(m_state, {fencing, {InstanceId{1}, InstanceId{2}}, m_now + seconds(52), m_now}, m_now);
+        for (auto &[id, server] : ledger.servers) {
+            // Orders in flight may have taken effect; the servers list what they hold.
+            server.limit = std::min(server.coldLimit, server.slots);
+            server.good = 0;
+            ++server.epoch;
+            server.hasBaseline = false;
+        }
+        declare();
+        for (const auto &[id, server] : ledger.servers) {
+            announce(id);
+        }
+        reconcile(InstanceId{1});
+    }
+
+    void reconcile(InstanceId instance)
+    {
+        GrantReport report{instance, {}};
+        for (auto &[id, call] : ledger.running) {
+            if (call.unknown && call.request.entry == instance) {
+                report.grants.push_back(
+                    {id, call.grant.grant, call.grant.fencing, call.grant.server, call.request.organisation, call.request.adapter, 10, call.request.deadline});
+                call.unknown = false;
+                call.epoch = ledger.servers[call.grant.server].epoch;
+            }
+        }
+        reconcileGrants(m_state, report, m_now, m_actions);
+        judge();
+    }
+
+    std::function<void(PoolState &)> m_sabotage;
+    TimePoint m_now{seconds(1000)};
+    PoolState m_state;
+    Actions m_actions;
+    std::uint64_t m_sequence = 0;
+    std::array<std::uint64_t, serverCount + 1> m_incarnations{};
+};
+
+} // namespace mimosahollow::scheduling::testing
