Evict replicas that are not needed before single copies

Cause: a spare replica of a popular adapter counted as much as the only copy of a less popular one, so slots went to copies that no request needed. Change: a replica whose work the other holders can carry at half of their slots is worth a tenth.

--- a/src/scheduling/eviction.cpp
+++ b/src/scheduling/eviction.cpp
@@ -19,11 +19,34 @@
     return isUsable(state, server) && server.adapterSlots > 0 && ordersAllowed && !present;
 }
 
+// Without this replica, the others would have to carry its work; up to this part of their slots that causes no waits.
+constexpr double spareReplicaLoad = 0.5;
+// A replica that is not needed now may be needed again: it is worth a little more than nothing.
+constexpr double spareReplicaWorth = 0.1;
+
+/** Whether the other servers with the adapter can carry all of its requests. */
+bool isSpareReplica(const PoolState &state, const ServerState &server, AdapterId adapter) noexcept
+{
+    std::uint32_t users = 0;
+    std::uint32_t otherSlots = 0;
+    for (const std::uint16_t holder : state.adapters[number(adapter)].holders) {
+        const ServerState &other = state.servers[holder];
+        if (&other != &server && isUsable(state, other)) {
+            otherSlots += other.slowStart.limit;
+            for (const AdapterSlot &slot : other.slots) {
+                users += slot.adapter == adapter ? slot.users : 0;
+            }
+        }
+    }
+    return otherSlots > 0 && users <= spareReplicaLoad * otherSlots;
+}
+
 /** Popularity of the adapter in the slot for each of its replicas. */
-double usefulness(const PoolState &state, const AdapterSlot &slot) noexcept
+double usefulness(const PoolState &state, const ServerState &server, const AdapterSlot &slot) noexcept
 {
     const AdapterState &adapter = state.adapters[number(slot.adapter)];
-    return adapter.popularity / static_cast<double>(std::max<std::size_t>(1, adapter.holders.size()));
+    const double each = adapter.popularity / static_cast<double>(std::max<std::size_t>(1, adapter.holders.size()));
+    return isSpareReplica(state, server, slot.adapter) ? spareReplicaWorth * each : each;
 }
 
 struct Victim
@@ -37,7 +60,7 @@
     Victim victim;
     for (std::size_t i = 0; i < server.slots.size(); ++i) {
         if (isEvictable(state, server.slots[i])) {
-            const double value = usefulness(state, server.slots[i]);
+            const double value = usefulness(state, server, server.slots[i]);
             if (value < victim.usefulness) {
                 victim = {i, value};
             }
