Share loads fairly and keep what an active organisation is owed

Cause: while one organisation floods the pool, the other large one was late: its counter was raised to the flooding one's whenever its queue was empty for a moment, and replicas came after all first loads, so its popular adapters stayed on one full server. Change: an organisation with running requests stays active; activation also happens before a direct grant; replicas and first loads compete by the organisation's load counter, then by the oldest request with a bonus for each further one; a replica for the most served organisation needs a server with a free request slot.

--- a/include/mimosahollow/scheduling/poolstate.h
+++ b/include/mimosahollow/scheduling/poolstate.h
@@ -22,6 +22,7 @@
     double servedTokens = 0; /**< Virtual counter: tokens divided by weight. */
     double servedLoads = 0; /**< Virtual counter: loads divided by weight. */
     std::uint32_t waiting = 0;
+    std::uint32_t running = 0; /**< Grants. */
 };
 
 struct PrefixEntry
--- a/src/scheduling/eviction.cpp
+++ b/src/scheduling/eviction.cpp
@@ -82,7 +82,7 @@
     return slot.phase == SlotPhase::Resident && !slot.unknownUse && slot.users == 0 && state.adapters[number(slot.adapter)].waiting == 0;
 }
 
-LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, double worth, TimePoint now) noexcept
+LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, bool freeRequestSlot, double worth, TimePoint now) noexcept
 {
     const std::uint16_t failed = state.adapters[number(adapter)].failedServer;
     LoadTarget best;
@@ -91,7 +91,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::uint32_t i = 0; i < state.servers.size(); ++i) {
         const ServerState &server = state.servers[i];
-        if (!mayLoad(state, server, adapter, now)) {
+        if (!mayLoad(state, server, adapter, now) || (freeRequestSlot && !hasFreeSlot(server, now))) {
             continue;
         }
         const bool isFree = server.slots.size() < server.adapterSlots;
--- a/src/scheduling/eviction.h
+++ b/src/scheduling/eviction.h
@@ -20,8 +20,9 @@
 
 /**
  * The best server for a load. Only adapters with a popularity below @p worth (scaled like AdapterState::popularity) are
- * evicted.
+ * evicted. With @p freeRequestSlot
+ * only servers that could start a request at once are considered.
  */
-[[nodiscard]] LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, double worth, TimePoint now) noexcept;
+[[nodiscard]] LoadTarget chooseLoadTarget(const PoolState &state, AdapterId adapter, bool freeRequestSlot, double worth, TimePoint now) noexcept;
 
 } // namespace mimosahollow::scheduling
--- a/src/scheduling/loads.cpp
+++ b/src/scheduling/loads.cpp
@@ -15,6 +15,8 @@
 
 // A replica must be clearly more useful than what it displaces, or replicas of two adapters would displace each other.
 constexpr double replicaAdvantage = 0.5;
+// Each further request that a load would serve moves it ahead by this much waiting time.
+constexpr Duration waiterBonus = milliseconds(100);
 // Doublings of the retry delay beyond this exceed the longest delay by far.
 constexpr std::uint16_t mostDoublings = 16;
 
@@ -54,10 +56,10 @@
 
 bool isBetter(const LoadCandidate &left, const LoadCandidate &right) noexcept
 {
-    if (left.replica != right.replica) {
-        return right.replica;
+    if (left.served != right.served) {
+        return left.served < right.served;
     }
-    return left.served < right.served || (left.served == right.served && left.priority < right.priority);
+    return left.priority < right.priority;
 }
 
 struct LoadDemand
@@ -84,6 +86,7 @@
         }
         ++demand.adapters;
         setStandIn(state, adapter, candidate);
+        candidate.priority -= waiterBonus * (adapter.waiting - 1);
         if (demand.best.record == noIndex || isBetter(candidate, demand.best)) {
             demand.best = candidate;
         }
@@ -135,6 +138,18 @@
     actions.emplace_back(DecisionRecord{request.id, request.organisation, candidate.adapter, 1, server.id, reason, {}});
 }
 
+/**
+ * A replica on a full server helps only an organisation that is served before others there: not the one that was served
+ * most.
+ */
+bool needsFreeSlot(const PoolState &state, const LoadCandidate &candidate) noexcept
+{
+    const double served = state.organisations[number(state.records[candidate.record].request.organisation)].servedTokens;
+    return candidate.replica && std::none_of(state.organisations.begin(), state.organisations.end(), [served](const OrganisationState &other) {
+               return other.running > 0 && other.servedTokens > served;
+           });
+}
+
 /** Popularity below which other adapters give way to the candidate. */
 double worthOf(const PoolState &state, const LoadCandidate &candidate) noexcept
 {
@@ -159,7 +174,7 @@
     std::vector<AdapterId> skipped; // stays empty, without storage, unless every adapter slot is in use
     LoadDemand demand = findDemand(state, skipped, now);
     while (demand.best.record != noIndex && state.loadTokens >= 1 && state.loadsInFlight < state.settings.loadsInFlight) {
-        const LoadTarget target = chooseLoadTarget(state, demand.best.adapter, worthOf(state, demand.best), now);
+        const LoadTarget target = chooseLoadTarget(state, demand.best.adapter, needsFreeSlot(state, demand.best), worthOf(state, demand.best), now);
         if (target.server == noIndex) {
             skipped.push_back(demand.best.adapter);
         } else {
--- a/src/scheduling/ownership.cpp
+++ b/src/scheduling/ownership.cpp
@@ -62,7 +62,7 @@
     request.adapter = held.adapter;
     request.maximumOutputTokens = held.estimatedTokens;
     request.deadline = held.deadline;
-    static_cast<void>(organisationState(state, held.organisation));
+    ++organisationState(state, held.organisation).running;
     static_cast<void>(adapterState(state, held.adapter));
     const std::uint32_t position = newRecord(state, request, now);
     RequestRecord &record = state.records[position];
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -117,6 +117,7 @@
     OrganisationState &organisation = organisationState(state, request.organisation);
     state.servedFloor = std::max(state.servedFloor, organisation.servedTokens);
     organisation.servedTokens += granted.charged / organisation.weight;
+    ++organisation.running;
     if (request.prefixHash != 0) {
         prefixEntry(state, request.prefixHash) = {request.prefixHash, granted.server};
     }
@@ -134,6 +135,7 @@
         --slot->users;
     }
     OrganisationState &organisation = state.organisations[number(ended.request.organisation)];
+    --organisation.running;
     organisation.servedTokens = std::max(0.0, organisation.servedTokens + (tokensUsed - ended.charged) / organisation.weight);
     freeRecord(state, record);
 }
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -22,22 +22,6 @@
     return std::clamp(counter, lowest, lowest + debt);
 }
 
-void activate(PoolState &state, OrganisationState &organisation) noexcept
-{
-    double tokens = state.servedFloor;
-    double loads = state.loadsFloor;
-    bool others = false;
-    for (const OrganisationState &other : state.organisations) {
-        if (other.waiting > 0) {
-            tokens = others ? std::min(tokens, other.servedTokens) : other.servedTokens;
-            loads = others ? std::min(loads, other.servedLoads) : other.servedLoads;
-            others = true;
-        }
-    }
-    organisation.servedTokens = activated(organisation.servedTokens, tokens, largestDebtTokens / organisation.weight);
-    organisation.servedLoads = activated(organisation.servedLoads, loads, largestDebtLoads / organisation.weight);
-}
-
 TimePoint priorityOf(const PoolState &state, const RequestRecord &record)
 {
     const Duration handicap = handicapPerToken * static_cast<std::int64_t>(record.request.maximumOutputTokens);
@@ -64,6 +48,26 @@
 
 } // namespace
 
+void activate(PoolState &state, OrganisationState &organisation) noexcept
+{
+    // One that has requests running is active: it keeps what it is owed while its queue is empty for a moment.
+    if (organisation.waiting + organisation.running > 0) {
+        return;
+    }
+    double tokens = state.servedFloor;
+    double loads = state.loadsFloor;
+    bool others = false;
+    for (const OrganisationState &other : state.organisations) {
+        if (other.waiting + other.running > 0) {
+            tokens = others ? std::min(tokens, other.servedTokens) : other.servedTokens;
+            loads = others ? std::min(loads, other.servedLoads) : other.servedLoads;
+            others = true;
+        }
+    }
+    organisation.servedTokens = activated(organisation.servedTokens, tokens, largestDebtTokens / organisation.weight);
+    organisation.servedLoads = activated(organisation.servedLoads, loads, largestDebtLoads / organisation.weight);
+}
+
 double estimatedTokens(const AcquireRequest &request) noexcept
 {
     return static_cast<double>(request.promptTokens) + static_cast<double>(request.maximumOutputTokens);
@@ -103,9 +107,6 @@
     RequestRecord &entered = state.records[record];
     AdapterState &adapter = adapterState(state, entered.request.adapter);
     OrganisationState &organisation = organisationState(state, entered.request.organisation);
-    if (organisation.waiting == 0) {
-        activate(state, organisation);
-    }
     ++organisation.waiting;
     ++state.waiting;
     entered.phase = RequestPhase::Waiting;
--- a/src/scheduling/queue.h
+++ b/src/scheduling/queue.h
@@ -6,6 +6,9 @@
 
 // Waiting requests: one list for each adapter, fair between organisations by their virtual counters.
 
+/** Before a request of the organisation is queued or granted: idle time earns no credit. */
+void activate(PoolState &state, OrganisationState &organisation) noexcept;
+
 /** Takes a free record and enters it into the index. */
 [[nodiscard]] std::uint32_t newRecord(PoolState &state, const AcquireRequest &request, TimePoint now);
 void freeRecord(PoolState &state, std::uint32_t record) noexcept;
--- a/src/scheduling/requests.cpp
+++ b/src/scheduling/requests.cpp
@@ -100,6 +100,7 @@
         refuse(request, RefusalReason::NoCapacity, overloadedRetry, actions);
         return;
     }
+    activate(state, organisation);
     const ServerChoice choice = chooseServer(state, request, now);
     if (choice.server != noIndex) {
         grant(state, newRecord(state, request, now), choice, now, actions);
