Count an adapter's popularity when requests are granted

Cause: requests that only wait, or are refused, made the adapters of a flooding organisation look popular. Change: the demand is recorded at the grant instead of the submission.

--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -103,6 +103,9 @@
     const AcquireRequest &request = granted.request;
     ServerState &server = state.servers[choice.server];
     ++server.grants;
+    if (number(request.adapter) != 0) {
+        recordDemand(state, request.adapter, now);
+    }
     if (AdapterSlot *slot = findSlot(server, request.adapter)) {
         ++slot->users;
     }
--- a/src/scheduling/requests.cpp
+++ b/src/scheduling/requests.cpp
@@ -89,9 +89,6 @@
     }
     OrganisationState &organisation = organisationState(state, request.organisation);
     organisation.weight = request.weight > 0 ? request.weight : 1;
-    if (number(request.adapter) != 0) {
-        recordDemand(state, request.adapter, now);
-    }
     if (request.deadline <= now) {
         refuse(request, RefusalReason::DeadlineExceeded, {}, actions);
         return;
