Evict the idle adapters of an organisation with a long queue first

Cause: the adapters of a flooding organisation displaced those of the others, whose requests then needed loads that the weight store could not give. Change: while an organisation has 8 or more waiting requests, its idle adapters count a twentieth.

--- a/include/mimosahollow/scheduling/adapterstate.h
+++ b/include/mimosahollow/scheduling/adapterstate.h
@@ -14,6 +14,7 @@
 struct AdapterState
 {
     double popularity = 0; /**< Scaled by 2^((now - PoolState::popularityOrigin) / half-life), so that it needs no decay. */
+    OrganisationId organisation{}; /**< The last one that was granted a request for it. */
     TimePoint retryAt; /**< Next load at the earliest. */
     std::vector<std::uint16_t> holders; /**< Indexes of servers on which the adapter is resident. */
     std::uint32_t firstWaiting = noIndex; /**< Index of a RequestRecord. */
--- a/src/scheduling/eviction.cpp
+++ b/src/scheduling/eviction.cpp
@@ -41,12 +41,22 @@
     return otherSlots > 0 && users <= spareReplicaLoad * otherSlots;
 }
 
+// An organisation with this many waiting requests sends more than the pool can serve.
+constexpr std::uint32_t floodingQueue = 8;
+constexpr double floodingWorth = 0.05;
+
+bool isFlooding(const PoolState &state, OrganisationId organisation) noexcept
+{
+    return number(organisation) < state.organisations.size() && state.organisations[number(organisation)].waiting >= floodingQueue;
+}
+
 /** Popularity of the adapter in the slot for each of its replicas. */
 double usefulness(const PoolState &state, const ServerState &server, const AdapterSlot &slot) noexcept
 {
     const AdapterState &adapter = state.adapters[number(slot.adapter)];
     const double each = adapter.popularity / static_cast<double>(std::max<std::size_t>(1, adapter.holders.size()));
-    return isSpareReplica(state, server, slot.adapter) ? spareReplicaWorth * each : each;
+    const double share = isFlooding(state, adapter.organisation) ? floodingWorth * each : each;
+    return isSpareReplica(state, server, slot.adapter) ? spareReplicaWorth * share : share;
 }
 
 struct Victim
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -105,6 +105,7 @@
     ++server.grants;
     if (number(request.adapter) != 0) {
         recordDemand(state, request.adapter, now);
+        state.adapters[number(request.adapter)].organisation = request.organisation;
     }
     if (AdapterSlot *slot = findSlot(server, request.adapter)) {
         ++slot->users;
