Publish the expected wait of busy adapters

Cause: the requests of a popular adapter all went to the pool that held it although its servers were full there and other pools had room; the fair share of one pool was then too small for the organisation. Change: PoolSummary and its schema list the resident adapters that requests wait for, with the expected wait; the pool choice of the benchmark compares it with the wait for a load elsewhere.

--- a/benchmark/poolpolicy.h
+++ b/benchmark/poolpolicy.h
@@ -226,6 +226,14 @@
         }
     }
 
+    static double adapterWait(const scheduling::PoolSummary &summary, std::uint32_t adapter)
+    {
+        const auto found = std::lower_bound(summary.waits.begin(), summary.waits.end(), adapter, [](const scheduling::AdapterWait &wait, std::uint32_t id) {
+            return number(wait.adapter) < id;
+        });
+        return found != summary.waits.end() && number(found->adapter) == adapter ? mimosahollow::toSeconds(found->wait) : 0;
+    }
+
     std::uint32_t choosePool(std::uint32_t adapter)
     {
         std::uint32_t best = noPool;
@@ -236,7 +244,7 @@
                 continue;
             }
             const bool resident = std::binary_search(summary.adapters.begin(), summary.adapters.end(), AdapterId{adapter});
-            double cost = mimosahollow::toSeconds(summary.expectedWait) + (resident ? 0 : mimosahollow::toSeconds(summary.expectedLoadWait));
+            double cost = resident ? adapterWait(summary, adapter) : mimosahollow::toSeconds(summary.expectedLoadWait);
             // Among equals the pool with the smaller used share; absent adapters have a home pool each, so that not all load them.
             cost += resident ? 0.02 * (1 - static_cast<double>(summary.freeSlots) / std::max(1U, summary.totalSlots))
                              : 0.1 * static_cast<double>(std::mt19937_64(adapter * 1000003ULL + i)() >> 40U) / static_cast<double>(1U << 24U);
--- a/fuzz/poolcodec.cpp
+++ b/fuzz/poolcodec.cpp
@@ -32,7 +32,7 @@
     link::PoolAcquireReply(scheduling::Refusal{{1, 2}, InstanceId{3}, RefusalReason::NoCapacity, milliseconds(250)}),
     link::PoolRelease{PoolId{1}, {{2, 3}, 4, 5, scheduling::ReleaseOutcome::ConnectionReset, 6, milliseconds(7)}},
     link::PoolGrantReport{PoolId{1}, {InstanceId{2}, {{{3, 4}, 5, 6, ServerId{7}, OrganisationId{8}, AdapterId{9}, 10, now}}}},
-    scheduling::PoolSummary{PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}},
+    scheduling::PoolSummary{PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}, {{AdapterId{8}, milliseconds(10)}}},
     gateway::BackendAnnouncement{"s", "127.0.0.1:1", "a", "base", 2, 3, 4, 5, true, true, {"x@1", "y@2"}},
     gateway::BackendReport{"s", 2, 3, 4, {"x@1"}},
 };
--- a/src/link/poolcodec.cpp
+++ b/src/link/poolcodec.cpp
@@ -102,6 +102,11 @@
         for (const AdapterId adapter : summary.adapters) {
             adapters.push_back(number(adapter));
         }
+        std::vector<wire::AdapterWait> waits;
+        waits.reserve(summary.waits.size());
+        for (const scheduling::AdapterWait &wait : summary.waits) {
+            waits.emplace_back(microseconds(wait.wait), number(wait.adapter));
+        }
         const auto content = wire::CreatePoolSummary(builder,
                                                      number(summary.pool),
                                                      summary.fencing,
@@ -111,7 +116,8 @@
                                                      summary.waiting,
                                                      microseconds(summary.expectedWait),
                                                      microseconds(summary.expectedLoadWait),
-                                                     builder.CreateVector(adapters));
+                                                     builder.CreateVector(adapters),
+                                                     builder.CreateVectorOfStructs(waits));
         return {wire::PoolContent_PoolSummary, content.Union()};
     }
 
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -131,6 +131,14 @@
     for (const std::uint32_t adapter : *table.adapters()) {
         message.adapters.push_back(AdapterId{adapter});
     }
+    message.waits.reserve(table.waits()->size());
+    for (const wire::AdapterWait *wait : *table.waits()) {
+        const auto expected = duration(wait->wait_us());
+        if (!expected) {
+            return PoolCodecError::ValueOutOfRange;
+        }
+        message.waits.push_back({AdapterId{wait->adapter()}, *expected});
+    }
     return message;
 }
 
--- a/src/scheduling/summary.cpp
+++ b/src/scheduling/summary.cpp
@@ -7,6 +7,27 @@
 
 namespace mimosahollow::scheduling {
 
+namespace {
+
+void addAdapterWaits(const PoolState &state, PoolSummary &summary)
+{
+    for (const std::uint32_t position : state.waitingAdapters) {
+        const AdapterState &adapter = state.adapters[position];
+        std::uint32_t slots = 0;
+        for (const std::uint16_t holder : adapter.holders) {
+            slots += isUsable(state, state.servers[holder]) ? state.servers[holder].slowStart.limit : 0;
+        }
+        if (position != 0 && slots > 0) {
+            summary.waits.push_back({AdapterId{position}, fromSeconds((adapter.waiting + 1) * state.serviceSeconds / slots)});
+        }
+    }
+    std::sort(summary.waits.begin(), summary.waits.end(), [](const AdapterWait &left, const AdapterWait &right) {
+        return left.adapter < right.adapter;
+    });
+}
+
+} // namespace
+
 PoolSummary summarise(const PoolState &state, TimePoint now)
 {
     PoolSummary summary;
@@ -31,6 +52,7 @@
     if (summary.totalSlots > 0 && (summary.freeSlots == 0 || state.waiting > summary.freeSlots)) {
         summary.expectedWait = fromSeconds((state.waiting + 1) * state.serviceSeconds / summary.totalSlots);
     }
+    addAdapterWaits(state, summary);
     summary.expectedLoadWait = expectedLoadWait(state, AdapterId{}, OrganisationId{}, now);
     return summary;
 }
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -58,7 +58,8 @@
     }
     SECTION("a summary")
     {
-        const scheduling::PoolSummary summary{PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}};
+        const scheduling::PoolSummary summary{
+            PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}, {{AdapterId{8}, milliseconds(10)}}};
         REQUIRE(passOn(summary) == summary);
     }
     SECTION("an announcement and a report of a server")
