Load for organisations with a short queue first

Cause: a flooding organisation took as many loads as the other large one, which needed a few more than that. Change: loads for an organisation with 8 or more waiting requests come after those of the others.

--- a/src/scheduling/eviction.cpp
+++ b/src/scheduling/eviction.cpp
@@ -41,15 +41,9 @@
     return otherSlots > 0 && users <= spareReplicaLoad * otherSlots;
 }
 
-// An organisation with this many waiting requests sends more than the pool can serve.
-constexpr std::uint32_t floodingQueue = 8;
+// Its requests wait anyway, so its idle adapters are worth little now.
 constexpr double floodingWorth = 0.05;
 
-bool isFlooding(const PoolState &state, OrganisationId organisation) noexcept
-{
-    return number(organisation) < state.organisations.size() && state.organisations[number(organisation)].waiting >= floodingQueue;
-}
-
 /** Popularity of the adapter in the slot for each of its replicas. */
 double usefulness(const PoolState &state, const ServerState &server, const AdapterSlot &slot) noexcept
 {
--- a/src/scheduling/loads.cpp
+++ b/src/scheduling/loads.cpp
@@ -26,6 +26,7 @@
     AdapterId adapter{};
     std::uint32_t record = noIndex;
     bool replica = false;
+    bool flooding = false; /**< The organisation's queue is long; its loads come after those of others. */
     double served = std::numeric_limits<double>::infinity(); /**< Load counter of the organisation. */
     TimePoint priority = TimePoint::max();
 };
@@ -49,6 +50,7 @@
         if (served < candidate.served || (served == candidate.served && record.arrival < candidate.priority)) {
             candidate.record = i;
             candidate.served = served;
+            candidate.flooding = isFlooding(state, record.request.organisation);
             candidate.priority = record.arrival;
         }
     }
@@ -56,6 +58,9 @@
 
 bool isBetter(const LoadCandidate &left, const LoadCandidate &right) noexcept
 {
+    if (left.flooding != right.flooding) {
+        return right.flooding;
+    }
     if (left.served != right.served) {
         return left.served < right.served;
     }
--- a/src/scheduling/lookup.h
+++ b/src/scheduling/lookup.h
@@ -33,6 +33,13 @@
     return static_cast<double>(usedSlots(server)) / server.slowStart.limit;
 }
 
+/** Whether the organisation sends more than the pool can serve: its queue is long. */
+[[nodiscard]] inline bool isFlooding(const PoolState &state, OrganisationId organisation) noexcept
+{
+    constexpr std::uint32_t floodingQueue = 8; // about the requests that one server runs at a time
+    return number(organisation) < state.organisations.size() && state.organisations[number(organisation)].waiting >= floodingQueue;
+}
+
 /** Next pseudo-random number of the pool (splitmix64). */
 [[nodiscard]] std::uint64_t nextRandom(PoolState &state) noexcept;
 
