Say how many load tokens are urgent

Cause: tokens of the weight store went in turn to pools of which some only had loads of a flooding organisation. Change: PoolState::urgentLoadTokens counts the wanted tokens for organisations with a short queue; the giver serves them first.

--- a/benchmark/poolpolicy.h
+++ b/benchmark/poolpolicy.h
@@ -207,12 +207,18 @@
             scheduling::tick(m_pools[i], time(), actions);
             carryOut(i, actions);
         }
+        giveTokens(&scheduling::PoolState::urgentLoadTokens);
+        giveTokens(&scheduling::PoolState::wantedLoadTokens);
+    }
+
+    void giveTokens(std::uint32_t scheduling::PoolState::*wanted)
+    {
         bool anyWanted = true;
         while (anyWanted) {
             anyWanted = false;
             for (std::size_t i = 0; i < m_pools.size(); ++i) {
                 const auto pool = static_cast<std::uint32_t>(m_turn++ % m_pools.size());
-                if (m_pools[pool].wantedLoadTokens > 0) {
+                if (m_pools[pool].*wanted > 0) {
                     if (!m_fleet.takeStoreToken()) {
                         --m_turn;
                         return;
--- a/include/mimosahollow/scheduling/poolstate.h
+++ b/include/mimosahollow/scheduling/poolstate.h
@@ -55,6 +55,7 @@
     std::uint32_t loadsInFlight = 0;
     double loadTokens = 0;
     std::uint32_t wantedLoadTokens = 0; /**< How many tokens of the fleet-wide load budget the pool could use now. */
+    std::uint32_t urgentLoadTokens = 0; /**< Part of them for organisations with a short queue; to be given first. */
     double loadSeconds = 0.25; /**< Moving average of the time that a load takes. */
     double serviceSeconds = 1; /**< Moving average of the time that a grant is held. */
     double leastSecondsPerToken = 0; /**< Time of a fast grant by its maximum output tokens; 0: not known. */
--- a/src/scheduling/loads.cpp
+++ b/src/scheduling/loads.cpp
@@ -71,6 +71,7 @@
 {
     LoadCandidate best;
     std::uint32_t adapters = 0;
+    std::uint32_t urgent = 0; /**< Of organisations with a short queue. */
 };
 
 /** Adapters that wait for a load, except those at positions before @p skipped that found no server. */
@@ -92,6 +93,7 @@
         ++demand.adapters;
         setStandIn(state, adapter, candidate);
         candidate.priority -= waiterBonus * (adapter.waiting - 1);
+        demand.urgent += candidate.flooding ? 0 : 1;
         if (demand.best.record == noIndex || isBetter(candidate, demand.best)) {
             demand.best = candidate;
         }
@@ -188,6 +190,8 @@
         demand = findDemand(state, skipped, now);
     }
     const double wanted = demand.adapters + state.settings.loadTokenReserve - state.loadTokens;
+    const double urgent = demand.urgent - state.loadTokens;
+    state.urgentLoadTokens = urgent > 0 ? static_cast<std::uint32_t>(std::ceil(urgent)) : 0;
     state.wantedLoadTokens = wanted > 0 ? static_cast<std::uint32_t>(std::ceil(wanted)) : 0;
 }
 
