Load first what must start soonest

Cause: the oldest request decided the order of loads within an organisation, whatever time it had left. Change: the order follows the latest start that still meets the deadline, bounded by 10 s after the arrival.

--- a/src/scheduling/loads.cpp
+++ b/src/scheduling/loads.cpp
@@ -3,6 +3,7 @@
 #include "eviction.h"
 #include "lookup.h"
 #include "placement.h"
+#include "queue.h"
 #include "residency.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 constexpr double replicaAdvantage = 0.5;
 // Each further request that a load would serve moves it ahead by this much waiting time.
 constexpr Duration waiterBonus = milliseconds(100);
+// Requests with a distant deadline let others pass for at most this time.
+constexpr Duration longestLoadDelay = seconds(10);
 // Doublings of the retry delay beyond this exceed the longest delay by far.
 constexpr std::uint16_t mostDoublings = 16;
 
@@ -41,17 +44,23 @@
     return false;
 }
 
+/** When the load should be done: late enough loads of one organisation wait for urgent ones, but not forever. */
+TimePoint latestLoad(const PoolState &state, const RequestRecord &record) noexcept
+{
+    return std::min(record.request.deadline - leastRunTime(state, record.request), record.arrival + longestLoadDelay);
+}
+
 /** The request of the least served organisation, the oldest among them. */
 void setStandIn(const PoolState &state, const AdapterState &adapter, LoadCandidate &candidate) noexcept
 {
     for (std::uint32_t i = adapter.firstWaiting; i != noIndex; i = state.records[i].next) {
         const RequestRecord &record = state.records[i];
         const double served = state.organisations[number(record.request.organisation)].servedLoads;
-        if (served < candidate.served || (served == candidate.served && record.arrival < candidate.priority)) {
+        if (served < candidate.served || (served == candidate.served && latestLoad(state, record) < candidate.priority)) {
             candidate.record = i;
             candidate.served = served;
             candidate.flooding = isFlooding(state, record.request.organisation);
-            candidate.priority = record.arrival;
+            candidate.priority = latestLoad(state, record);
         }
     }
 }
