--- a/src/scheduling/loads.cpp
+++ b/src/scheduling/loads.cpp
@@ -3,6 +3,7 @@
 #include "eviction.h"
 #include "lookup.h"
 #include "placement.h"
+#include "queue.h"
 #include "residency.h"
 
 #include <algorithm>
@@ -15,6 +16,10 @@
 
 // A replica must be clearly more useful than what it displaces, or replicas of two adapters would displace each other.
 constexpr double replicaAdvantage = 0.5;
+// Each further request that a load would serve moves it ahead by this much waiting time.
+constexpr Duration waiterBonus = milliseconds(100);
+// Requests with a distant deadline let others pass for at most this time.
+constexpr Duration longestLoadDelay = seconds(10);
 // Doublings of the retry delay beyond this exceed the longest delay by far.
 constexpr std::uint16_t mostDoublings = 16;
 
@@ -24,6 +29,7 @@
     AdapterId adapter{};
     std::uint32_t record = noIndex;
     bool replica = false;
+    bool flooding = false; /**< The organisation's queue is long; its loads come after those of others. */
     double served = std::numeric_limits<double>::infinity(); /**< Load counter of the organisation. */
     TimePoint priority = TimePoint::max();
 };
@@ -38,32 +44,43 @@
     return false;
 }
 
+/** When the load should be done: late enough loads of one organisation wait for urgent ones, but not forever. */
+TimePoint latestLoad(const PoolState &state, const RequestRecord &record) noexcept
+{
+    return std::min(record.request.deadline - leastRunTime(state, record.request), record.arrival + longestLoadDelay);
+}
+
 /** The request of the least served organisation, the oldest among them. */
 void setStandIn(const PoolState &state, const AdapterState &adapter, LoadCandidate &candidate) noexcept
 {
     for (std::uint32_t i = adapter.firstWaiting; i != noIndex; i = state.records[i].next) {
         const RequestRecord &record = state.records[i];
         const double served = state.organisations[number(record.request.organisation)].servedLoads;
-        if (served < candidate.served || (served == candidate.served && record.arrival < candidate.priority)) {
+        if (served < candidate.served || (served == candidate.served && latestLoad(state, record) < candidate.priority)) {
             candidate.record = i;
             candidate.served = served;
-            candidate.priority = record.arrival;
+            candidate.flooding = isFlooding(state, record.request.organisation);
+            candidate.priority = latestLoad(state, record);
         }
     }
 }
 
 bool isBetter(const LoadCandidate &left, const LoadCandidate &right) noexcept
 {
-    if (left.replica != right.replica) {
-        return right.replica;
+    if (left.flooding != right.flooding) {
+        return right.flooding;
+    }
+    if (left.served != right.served) {
+        return left.served < right.served;
     }
-    return left.served < right.served || (left.served == right.served && left.priority < right.priority);
+    return left.priority < right.priority;
 }
 
 struct LoadDemand
 {
     LoadCandidate best;
     std::uint32_t adapters = 0;
+    std::uint32_t urgent = 0; /**< Of organisations with a short queue. */
 };
 
 /** Adapters that wait for a load, except those at positions before @p skipped that found no server. */
@@ -84,6 +101,8 @@
         }
         ++demand.adapters;
         setStandIn(state, adapter, candidate);
+        candidate.priority -= waiterBonus * (adapter.waiting - 1);
+        demand.urgent += candidate.flooding ? 0 : 1;
         if (demand.best.record == noIndex || isBetter(candidate, demand.best)) {
             demand.best = candidate;
         }
@@ -135,6 +154,18 @@
     actions.emplace_back(DecisionRecord{request.id, request.organisation, candidate.adapter, 1, server.id, reason, {}});
 }
 
+/**
+ * A replica on a full server helps only an organisation that is served before others there: not the one that was served
+ * most.
+ */
+bool needsFreeSlot(const PoolState &state, const LoadCandidate &candidate) noexcept
+{
+    const double served = state.organisations[number(state.records[candidate.record].request.organisation)].servedTokens;
+    return candidate.replica && std::none_of(state.organisations.begin(), state.organisations.end(), [served](const OrganisationState &other) {
+               return other.running > 0 && other.servedTokens > served;
+           });
+}
+
 /** Popularity below which other adapters give way to the candidate. */
 double worthOf(const PoolState &state, const LoadCandidate &candidate) noexcept
 {
@@ -159,7 +190,7 @@
     std::vector<AdapterId> skipped; // stays empty, without storage, unless every adapter slot is in use
     LoadDemand demand = findDemand(state, skipped, now);
     while (demand.best.record != noIndex && state.loadTokens >= 1 && state.loadsInFlight < state.settings.loadsInFlight) {
-        const LoadTarget target = chooseLoadTarget(state, demand.best.adapter, worthOf(state, demand.best), now);
+        const LoadTarget target = chooseLoadTarget(state, demand.best.adapter, needsFreeSlot(state, demand.best), worthOf(state, demand.best), now);
         if (target.server == noIndex) {
             skipped.push_back(demand.best.adapter);
         } else {
@@ -168,6 +199,8 @@
         demand = findDemand(state, skipped, now);
     }
     const double wanted = demand.adapters + state.settings.loadTokenReserve - state.loadTokens;
+    const double urgent = demand.urgent - state.loadTokens;
+    state.urgentLoadTokens = urgent > 0 ? static_cast<std::uint32_t>(std::ceil(urgent)) : 0;
     state.wantedLoadTokens = wanted > 0 ? static_cast<std::uint32_t>(std::ceil(wanted)) : 0;
 }
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -103,6 +103,10 @@
     const AcquireRequest &request = granted.request;
     ServerState &server = state.servers[choice.server];
     ++server.grants;
+    if (number(request.adapter) != 0) {
+        recordDemand(state, request.adapter, now);
+        state.adapters[number(request.adapter)].organisation = request.organisation;
+    }
     if (AdapterSlot *slot = findSlot(server, request.adapter)) {
         ++slot->users;
     }
@@ -117,6 +121,7 @@
     OrganisationState &organisation = organisationState(state, request.organisation);
     state.servedFloor = std::max(state.servedFloor, organisation.servedTokens);
     organisation.servedTokens += granted.charged / organisation.weight;
+    ++organisation.running;
     if (request.prefixHash != 0) {
         prefixEntry(state, request.prefixHash) = {request.prefixHash, granted.server};
     }
@@ -134,6 +139,7 @@
         --slot->users;
     }
     OrganisationState &organisation = state.organisations[number(ended.request.organisation)];
+    --organisation.running;
     organisation.servedTokens = std::max(0.0, organisation.servedTokens + (tokensUsed - ended.charged) / organisation.weight);
     freeRecord(state, record);
 }
