--- a/include/mimosahollow/membership/renewal.h
+++ b/include/mimosahollow/membership/renewal.h
@@ -4,6 +4,7 @@
 #include "mimosahollow/core/time.h"
 
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 namespace mimosahollow::membership {
@@ -14,7 +15,11 @@
     std::uint64_t term = 0;
     std::int64_t time = 0; /**< Clock of the leader in nanoseconds. */
 
-    friend auto operator<=>(const LeaderStamp &, const LeaderStamp &) = default;
+    friend bool operator==(const LeaderStamp &, const LeaderStamp &) = default;
+    friend bool operator<(const LeaderStamp &left, const LeaderStamp &right) noexcept
+    {
+        return std::tie(left.term, left.time) < std::tie(right.term, right.time);
+    }
 };
 
 /** State of one instance as it reports it to the control leader. */
@@ -55,7 +60,11 @@
     InstanceId instance{};
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(const ProcessId &, const ProcessId &) = default;
+    friend bool operator==(const ProcessId &, const ProcessId &) = default;
+    friend bool operator<(const ProcessId &left, const ProcessId &right) noexcept
+    {
+        return std::tie(left.instance, left.incarnation) < std::tie(right.instance, right.incarnation);
+    }
 };
 
 /** Answer to one RenewRequest. A relay answers when it has the answer of its own upstream instance. */
--- a/src/link/fleetcodec.cpp
+++ b/src/link/fleetcodec.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet_generated.h>
 
+#include <cstring>
 #include <string>
 
 namespace mimosahollow::link {
@@ -40,15 +41,21 @@
     return value == nullptr ? std::vector<std::uint8_t>() : std::vector<std::uint8_t>(value->begin(), value->end());
 }
 
-/** Converts each struct of a vector, which may be absent. */
+/**
+ * Converts each struct of a vector, which may be absent.
+ *
+ * The verifier does not check the alignment of the elements, so each is copied before its fields are read.
+ */
 template<typename Result, typename Wire, typename Convert>
 std::vector<Result> listOf(const flatbuffers::Vector<const Wire *> *values, Convert convert)
 {
     std::vector<Result> results;
     if (values != nullptr) {
         results.reserve(values->size());
-        for (const Wire *value : *values) {
-            results.push_back(convert(*value));
+        for (std::size_t i = 0; i < values->size(); ++i) {
+            Wire value;
+            std::memcpy(&value, values->Data() + i * sizeof(Wire), sizeof(Wire));
+            results.push_back(convert(value));
         }
     }
     return results;
