Replicate a log among the voters

Cause: control state must survive the loss of a minority of voters, and two sides of a partition must not both accept changes. Change: add the consensus as functions over a plain struct: pre-vote, terms, durable votes, replication with pipelining, reads confirmed by a majority,

Conclusion: decision code only; storage and links carry out its actions.

--- a/include/mimosahollow/control/command.h
+++ b/include/mimosahollow/control/command.h
@@ -18,7 +18,7 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const CommandId &, const CommandId &) = default;
+    friend auto operator<=>(const CommandId &, const CommandId &) = default; // NOLINT(modernize-use-nullptr): false report on the comparison
 };
 
 /** BLAKE2b with 32 bytes. */
@@ -114,7 +114,7 @@
     std::string route;
     std::string key; /**< Idempotency-Key of the caller. */
 
-    friend auto operator<=>(const CallKey &, const CallKey &) = default;
+    friend auto operator<=>(const CallKey &, const CallKey &) = default; // NOLINT(modernize-use-nullptr): false report on the comparison
 };
 
 struct BeginCall
--- a/include/mimosahollow/control/consensus.h
+++ b/include/mimosahollow/control/consensus.h
@@ -17,6 +17,12 @@
     std::vector<LogEntry> entries; /**< In order; the first one is at most snapshot.index + 1. */
 };
 
+/**
+ * Drops the entries when they do not continue the snapshot: they end before it, or have another term at its index.
+ * Returns whether it dropped them; storage then starts a new log after the snapshot.
+ */
+bool alignWithSnapshot(DurableLog &durable);
+
 enum class ProposalError : std::uint8_t {
     NotLeader,
     TooLarge,
--- a/include/mimosahollow/control/consensusstate.h
+++ b/include/mimosahollow/control/consensusstate.h
@@ -16,9 +16,9 @@
     Duration electionTimeoutMinimum = milliseconds(300);
     Duration electionTimeoutMaximum = milliseconds(600);
     Duration heartbeat = milliseconds(50);
-    std::size_t appendBytes = 1024 * 1024; /**< Entries in one AppendRequest; a frame holds at most 4 MiB. */
-    std::size_t entryBytes = 3 * 1024 * 1024; /**< Largest proposal; fits a frame together with its envelope. */
-    std::size_t chunkBytes = 512 * 1024; /**< Data in one SnapshotChunk. */
+    std::size_t appendBytes = 1024UL * 1024; /**< Entries in one AppendRequest; a frame holds at most 4 MiB. */
+    std::size_t entryBytes = 3UL * 1024 * 1024; /**< Largest proposal; fits a frame together with its envelope. */
+    std::size_t chunkBytes = 512UL * 1024; /**< Data in one SnapshotChunk. */
     std::size_t uncommittedEntries = 16'384; /**< Further proposals are rejected; bounds the memory of a leader without majority. */
     std::size_t inFlightEntries = 4'096; /**< Entries sent to one voter and not yet confirmed. */
     std::size_t keptEntries = 1'024; /**< Entries kept behind a snapshot, so that a slow voter needs no snapshot. */
@@ -39,14 +39,17 @@
     LogIndex match = 0; /**< Last entry known to be durable there. */
     std::uint64_t round = 0; /**< Last round that it confirmed. */
     TimePoint heard{}; /**< When its last reply arrived. */
-    LogIndex snapshot = 0; /**< Snapshot being sent, 0 when none. */
+    bool probing = false; /**< The last match is not known; no entries are sent until an answer confirms it. */
+    SnapshotPoint snapshot; /**< Snapshot being sent; its index is 0 when there is none. */
+    SharedBytes snapshotData;
     std::uint64_t snapshotOffset = 0; /**< Bytes of it that have arrived. */
+    TimePoint chunkSent{};
 };
 
 struct PendingWrite
 {
     WriteNumber write = 0;
-    LogIndex lastIndex = 0; /**< Log end that the write makes durable, 0 for writes of the vote. */
+    LogIndex lastIndex = 0; /**< Log end that the write makes durable, 0 for writes that append nothing. */
 };
 
 struct PendingRead
@@ -96,6 +99,8 @@
     LogIndex commitIndex = 0;
     LogIndex appliedIndex = 0; /**< Last entry handed to the state machine. */
     LogIndex syncedIndex = 0; /**< Last entry that is durable here. */
+    LogIndex matchedIndex = 0; /**< Log end that is known to match the leader of the term. */
+    LogIndex termStart = 0; /**< First entry of this leader's term. */
     WriteNumber lastWrite = 0;
     WriteNumber voteWrite = 0; /**< Newest write of the vote. */
     WriteNumber syncedWrite = 0;
--- a/include/mimosahollow/control/controlstate.h
+++ b/include/mimosahollow/control/controlstate.h
@@ -19,12 +19,13 @@
     std::int64_t resultAge = 24LL * 3600 * 1000; /**< Milliseconds for which the result of a command id is kept. */
     std::size_t results = 100'000; /**< 9 days of the expected 11,000 changes a day. */
     std::int64_t callAge = 24LL * 3600 * 1000; /**< Retention of idempotency records, milliseconds. */
-    std::size_t calls = 1'000'000;
-    std::size_t answer = 64 * 1024; /**< Largest stored answer, bytes. */
-    std::size_t answers = 256 * 1024 * 1024; /**< All stored answers, bytes; beyond it the oldest ones turn into "unknown". */
+    std::size_t calls = 1'000'000; /**< Further calls are refused: dropping a record early could let a call run twice. */
+    std::size_t answer = 64UL * 1024; /**< Largest stored answer, bytes. */
+    std::size_t answers = 256UL * 1024 * 1024; /**< All stored answers, bytes; beyond it the oldest ones turn into "unknown". */
     std::int64_t maximumDeadline = 600'000; /**< Milliseconds after which a call cannot be running any more. */
     std::size_t auditRecords = 100'000; /**< Records kept in memory and snapshots. */
     std::size_t bundles = 64; /**< Accepted bundles that conflicts can name. */
+    std::size_t incrementElements = 4'096; /**< A larger increment costs more than the whole configuration saves. */
     std::size_t increments = 4'096; /**< Changes that followers can catch up with instead of a full configuration. */
 };
 
@@ -85,6 +86,7 @@
     std::map<std::string, DomainId> domainIds;
     std::map<std::string, ServerId> serverIds;
     std::unordered_map<std::string, AdapterId> adapterIds; /**< By "base:name@version". */
+    std::map<std::pair<DomainId, std::string>, PoolId> poolIds; /**< By failure domain and kind. */
     std::uint32_t lastInstance = 0;
     std::uint32_t lastAdapter = 0;
     FencingNumber lastFencing = 0;
--- /dev/null
+++ b/src/control/consensusleader.cpp
@@ -0,0 +1,315 @@
+#include "consensusinternal.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace mimosahollow::control {
+
+namespace {
+
+/** A chunk without an answer is sent again after this time; an answer takes a few milliseconds between failure domains. */
+constexpr Duration chunkRetry = milliseconds(500);
+
+bool hearsMajority(const ConsensusState &state, TimePoint now)
+{
+    std::size_t heard = isVoter(state, state.self) ? 1 : 0;
+    for (const auto &[id, progress] : state.progress) {
+        if (isVoter(state, id) && now - progress.heard <= state.options.electionTimeoutMaximum) {
+            ++heard;
+        }
+    }
+    return heard >= majority(state);
+}
+
+void sendChunk(ConsensusState &state, VoterId to, MemberProgress &progress, TimePoint now, ConsensusActions &actions)
+{
+    const Bytes &data = *progress.snapshotData;
+    SnapshotChunk chunk{state.term, state.round, progress.snapshot, data.size(), progress.snapshotOffset, {}};
+    const std::uint64_t end = std::min<std::uint64_t>(data.size(), progress.snapshotOffset + state.options.chunkBytes);
+    chunk.data.assign(data.begin() + static_cast<std::ptrdiff_t>(progress.snapshotOffset), data.begin() + static_cast<std::ptrdiff_t>(end));
+    progress.chunkSent = now;
+    send(state, to, std::move(chunk), actions);
+}
+
+void startSnapshot(ConsensusState &state, VoterId to, MemberProgress &progress, TimePoint now, ConsensusActions &actions)
+{
+    progress.snapshot = state.snapshot;
+    progress.snapshotData = state.snapshotData;
+    progress.snapshotOffset = 0;
+    sendChunk(state, to, progress, now, actions);
+}
+
+void endSnapshot(MemberProgress &progress)
+{
+    progress.snapshot = {};
+    progress.snapshotData.reset();
+    progress.snapshotOffset = 0;
+}
+
+AppendRequest emptyRequest(const ConsensusState &state, LogIndex previous)
+{
+    previous = std::max(previous, state.logStart);
+    return {state.term, previous, termAt(state, previous), state.commitIndex, state.round, {}};
+}
+
+/** Adds entries from @p next on up to the size limit; at least one. */
+void fillEntries(const ConsensusState &state, LogIndex next, AppendRequest &request)
+{
+    std::size_t size = 0;
+    const LogIndex last = lastIndex(state);
+    while (next <= last) {
+        const LogEntry &entry = entryAt(state, next);
+        size += entry.payload ? entry.payload->size() : 0;
+        if (!request.entries.empty() && size > state.options.appendBytes) {
+            return;
+        }
+        request.entries.push_back(entry);
+        ++next;
+        if (request.entries.size() >= state.options.inFlightEntries) {
+            return;
+        }
+    }
+}
+
+void heartbeat(ConsensusState &state, VoterId to, TimePoint now, ConsensusActions &actions)
+{
+    MemberProgress &progress = state.progress[to];
+    if (progress.snapshot.index != 0) {
+        if (now - progress.chunkSent >= chunkRetry) {
+            sendChunk(state, to, progress, now, actions);
+        } else {
+            send(state, to, emptyRequest(state, state.logStart), actions);
+        }
+        return;
+    }
+    if (progress.next <= state.logStart) {
+        startSnapshot(state, to, progress, now, actions);
+        return;
+    }
+    // Entries that were lost show as a mismatch here.
+    send(state, to, emptyRequest(state, progress.next - 1), actions);
+}
+
+/** Gives a learner its vote once everything committed is durable there. */
+void promoteLearner(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    if (state.membersIndex > state.commitIndex || state.commitIndex < state.termStart) {
+        return;
+    }
+    for (Member &member : state.members) {
+        const auto progress = state.progress.find(member.id);
+        if (!member.learner || progress == state.progress.end() || progress->second.match < state.commitIndex) {
+            continue;
+        }
+        LogEntry entry{lastIndex(state) + 1, state.term, EntryKind::Members, nullptr, state.members};
+        entry.members[static_cast<std::size_t>(&member - state.members.data())].learner = false;
+        appendToLog(state, {std::move(entry)}, actions);
+        sendToAll(state, now, actions);
+        return;
+    }
+}
+
+} // namespace
+
+void updateProgress(ConsensusState &state, TimePoint now)
+{
+    std::erase_if(state.progress, [&state](const auto &element) {
+        return findMember(state, element.first) == nullptr;
+    });
+    for (const Member &member : state.members) {
+        if (member.id != state.self && !state.progress.contains(member.id)) {
+            MemberProgress progress;
+            progress.next = lastIndex(state) + 1;
+            progress.heard = now;
+            state.progress.emplace(member.id, std::move(progress));
+        }
+    }
+}
+
+void startLeading(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    state.role = VoterRole::Leader;
+    state.leader = state.self;
+    state.progress.clear();
+    updateProgress(state, now);
+    state.termStart = lastIndex(state) + 1;
+    actions.emplace_back(BecameLeader{state.term});
+    appendToLog(state, {LogEntry{state.termStart, state.term, EntryKind::Empty, nullptr, {}}}, actions);
+    ++state.round;
+    state.nextHeartbeat = now + state.options.heartbeat;
+    sendToAll(state, now, actions);
+}
+
+void sendEntries(ConsensusState &state, VoterId to, TimePoint now, ConsensusActions &actions)
+{
+    MemberProgress &progress = state.progress[to];
+    if (progress.snapshot.index != 0 || progress.probing) {
+        return;
+    }
+    const LogIndex last = lastIndex(state);
+    while (progress.next <= last && progress.next - progress.match <= state.options.inFlightEntries) {
+        if (progress.next <= state.logStart) {
+            startSnapshot(state, to, progress, now, actions);
+            return;
+        }
+        AppendRequest request = emptyRequest(state, progress.next - 1);
+        fillEntries(state, progress.next, request);
+        const LogIndex sent = request.entries.size();
+        send(state, to, std::move(request), actions);
+        progress.next += sent;
+    }
+}
+
+void sendToAll(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    updateProgress(state, now);
+    for (const auto &element : state.progress) {
+        sendEntries(state, element.first, now, actions);
+    }
+}
+
+void tickLeader(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    if (!hearsMajority(state, now)) {
+        becomeFollower(state, state.term, VoterId{}, now, actions);
+        return;
+    }
+    if (now < state.nextHeartbeat && !state.roundNeeded) {
+        return;
+    }
+    ++state.round;
+    state.roundNeeded = false;
+    state.nextHeartbeat = now + state.options.heartbeat;
+    updateProgress(state, now);
+    for (const auto &element : state.progress) {
+        heartbeat(state, element.first, now, actions);
+    }
+    confirmReads(state, actions);
+}
+
+void receiveAppendReply(ConsensusState &state, VoterId from, const AppendReply &reply, TimePoint now, ConsensusActions &actions)
+{
+    if (reply.term > state.term) {
+        becomeFollower(state, reply.term, VoterId{}, now, actions);
+        return;
+    }
+    const auto found = state.progress.find(from);
+    if (reply.term < state.term || state.role != VoterRole::Leader || found == state.progress.end()) {
+        return;
+    }
+    MemberProgress &progress = found->second;
+    progress.heard = now;
+    progress.round = std::max(progress.round, reply.round);
+    if (reply.accepted) {
+        const bool advanced = reply.matchIndex > progress.match;
+        progress.match = std::max(progress.match, reply.matchIndex);
+        progress.next = std::max(progress.next, progress.match + 1);
+        if (progress.snapshot.index != 0 && progress.match >= progress.snapshot.index) {
+            endSnapshot(progress);
+        }
+        progress.probing = false;
+        if (advanced) {
+            advanceCommit(state, now, actions);
+        }
+    } else if (progress.snapshot.index == 0 && reply.matchIndex < progress.next) {
+        progress.next = std::max(reply.matchIndex, progress.match + 1);
+        progress.probing = true;
+        heartbeat(state, from, now, actions);
+    }
+    confirmReads(state, actions);
+    // The commit may have ended the leadership or the membership of the sender.
+    const auto remaining = state.progress.find(from);
+    if (state.role != VoterRole::Leader || remaining == state.progress.end()) {
+        return;
+    }
+    sendEntries(state, from, now, actions);
+    promoteLearner(state, now, actions);
+}
+
+void receiveSnapshotReply(ConsensusState &state, VoterId from, const SnapshotReply &reply, TimePoint now, ConsensusActions &actions)
+{
+    if (reply.term > state.term) {
+        becomeFollower(state, reply.term, VoterId{}, now, actions);
+        return;
+    }
+    const auto found = state.progress.find(from);
+    if (reply.term < state.term || state.role != VoterRole::Leader || found == state.progress.end()) {
+        return;
+    }
+    MemberProgress &progress = found->second;
+    progress.heard = now;
+    progress.round = std::max(progress.round, reply.round);
+    // A repeated answer for an offset that was passed already would double the traffic.
+    const bool isNews = reply.received > progress.snapshotOffset || reply.received == 0;
+    if (progress.snapshot.index == reply.index && progress.snapshotData && isNews && reply.received <= progress.snapshotData->size()) {
+        progress.snapshotOffset = reply.received;
+        sendChunk(state, from, progress, now, actions);
+    }
+    confirmReads(state, actions);
+}
+
+void advanceCommit(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    std::vector<LogIndex> durable;
+    for (const Member &member : state.members) {
+        if (member.learner) {
+            continue;
+        }
+        if (member.id == state.self) {
+            durable.push_back(state.syncedIndex);
+        } else if (const auto progress = state.progress.find(member.id); progress != state.progress.end()) {
+            durable.push_back(progress->second.match);
+        } else {
+            durable.push_back(0);
+        }
+    }
+    if (durable.empty()) {
+        return;
+    }
+    std::sort(durable.begin(), durable.end(), std::greater<>());
+    const LogIndex index = durable[majority(state) - 1];
+    // An entry of an earlier term is only safe once one of this term behind it is on a majority.
+    if (index <= state.commitIndex || termAt(state, index) != state.term) {
+        return;
+    }
+    state.commitIndex = index;
+    applyCommitted(state, actions);
+    confirmReads(state, actions);
+    if (findMember(state, state.self) == nullptr && state.membersIndex <= state.commitIndex) {
+        // The others learn of the commit before this leader falls silent.
+        ++state.round;
+        for (const auto &element : state.progress) {
+            send(state, element.first, emptyRequest(state, std::min(element.second.next - 1, lastIndex(state))), actions);
+        }
+        becomeFollower(state, state.term, VoterId{}, now, actions);
+    }
+}
+
+void confirmReads(ConsensusState &state, ConsensusActions &actions)
+{
+    while (!state.reads.empty()) {
+        const PendingRead &read = state.reads.front();
+        std::size_t confirmed = isVoter(state, state.self) ? 1 : 0;
+        for (const auto &[id, progress] : state.progress) {
+            if (isVoter(state, id) && progress.round >= read.round) {
+                ++confirmed;
+            }
+        }
+        if (confirmed < majority(state) || state.appliedIndex < read.index || state.round < read.round) {
+            return;
+        }
+        actions.emplace_back(ReadConfirmed{read.read, state.appliedIndex});
+        state.reads.pop_front();
+    }
+}
+
+void rejectReads(ConsensusState &state, ConsensusActions &actions)
+{
+    for (const PendingRead &read : state.reads) {
+        actions.emplace_back(ReadRejected{read.read});
+    }
+    state.reads.clear();
+    state.roundNeeded = false;
+}
+
+} // namespace mimosahollow::control
