Add the control state machine and signed bundles

Cause: configuration, pool ownership, idempotency records and operator commands need one order and one outcome on every voter. Change: add the state machine with compare-and-set of bundles, keys that stay withdrawn, fencing numbers, idempotency records, results by command id and an audit log with a hash chain; increments for followers; bundles signed by an author and an approver, and their difference in readable lines.

--- /dev/null
+++ b/src/control/commands.cpp
@@ -0,0 +1,374 @@
+#include "commandsinternal.h"
+
+#include "elementkeys.h"
+
+#include <cmath>
+#include <type_traits>
+
+namespace mimosahollow::control {
+
+CommandResult failed(CommandOutcome outcome, std::string message, std::uint64_t number)
+{
+    return {outcome, std::move(message), number, {}};
+}
+
+CommandResult accepted(std::uint64_t number)
+{
+    return {CommandOutcome::Accepted, {}, number, {}};
+}
+
+std::string adapterName(const Adapter &adapter)
+{
+    return adapter.baseModel + ":" + adapter.name + "@" + adapter.version;
+}
+
+AdapterId adapterId(ControlState &state, const std::string &name)
+{
+    const auto [place, isNew] = state.adapterIds.try_emplace(name, AdapterId{});
+    if (isNew) {
+        place->second = static_cast<AdapterId>(++state.lastAdapter);
+    }
+    return place->second;
+}
+
+bool isRegistered(const ControlState &state, InstanceId instance)
+{
+    const auto &list = state.configuration.instances;
+    return std::any_of(list.begin(), list.end(), [instance](const Instance &element) {
+        return element.id == instance;
+    });
+}
+
+Increment startIncrement(const ControlState &state)
+{
+    Increment increment;
+    increment.from = state.configuration.logIndex;
+    increment.to = state.applied;
+    increment.version = state.configuration.version;
+    increment.loadRate = state.configuration.loadRate;
+    increment.loadsInFlight = state.configuration.loadsInFlight;
+    return increment;
+}
+
+void finishIncrement(ControlState &state, Increment increment)
+{
+    state.configuration.logIndex = state.applied;
+    state.increments.push_back(std::move(increment));
+    while (state.increments.size() > state.limits.increments) {
+        state.increments.pop_front();
+    }
+}
+
+namespace {
+
+template<typename Element>
+Element *findName(std::vector<Element> &list, const std::string &name)
+{
+    const auto found = std::find_if(list.begin(), list.end(), [&name](const Element &element) {
+        return element.name == name;
+    });
+    return found == list.end() ? nullptr : &*found;
+}
+
+CommandResult notFound(const char *kind, const std::string &name)
+{
+    return failed(CommandOutcome::NotFound, std::string("there is no ") + kind + " \"" + name + "\"");
+}
+
+CommandResult grantKey(ControlState &state, const GrantKey &command)
+{
+    const Organisation *organisation = findName(state.configuration.organisations, command.organisation);
+    if (organisation == nullptr) {
+        return notFound("organisation", command.organisation);
+    }
+    if (state.withdrawnKeys.contains(command.hash)) {
+        return failed(CommandOutcome::Invalid, "the key was withdrawn");
+    }
+    auto &keys = state.configuration.keys;
+    if (command.name.empty() || findName(keys, command.name) != nullptr || findElement(keys, command.hash) != nullptr) {
+        return failed(CommandOutcome::Invalid, "the name or the key is in use already");
+    }
+    const ApiKey key{command.name, command.hash, organisation->id};
+    putElement(keys, key);
+    state.grantedKeys.insert(key.hash);
+    Increment increment = startIncrement(state);
+    increment.keys.changed.push_back(key);
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+CommandResult withdrawKey(ControlState &state, const WithdrawKey &command)
+{
+    Increment increment = startIncrement(state);
+    for (const ApiKey &key : state.configuration.keys) {
+        if (key.name == command.name) {
+            increment.keys.removed.push_back(key.hash);
+        }
+    }
+    if (increment.keys.removed.empty()) {
+        return notFound("key", command.name);
+    }
+    for (const KeyHash &hash : increment.keys.removed) {
+        removeElement(state.configuration.keys, hash);
+        state.grantedKeys.erase(hash);
+        state.withdrawnKeys.insert(hash);
+    }
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+void mark(std::set<std::string> &marks, const std::string &name, bool out)
+{
+    if (out) {
+        marks.insert(name);
+    } else {
+        marks.erase(name);
+    }
+}
+
+CommandResult setDomainOut(ControlState &state, const SetDomainOut &command)
+{
+    FailureDomain *domain = findName(state.configuration.domains, command.domain);
+    if (domain == nullptr) {
+        return notFound("failure domain", command.domain);
+    }
+    mark(state.outDomains, command.domain, command.out);
+    domain->out = command.out || state.bundleOutDomains.contains(command.domain);
+    Increment increment = startIncrement(state);
+    increment.domains.changed.push_back(*domain);
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+CommandResult setServerOut(ControlState &state, const SetServerOut &command)
+{
+    BackendServer *server = findName(state.configuration.servers, command.server);
+    if (server == nullptr) {
+        return notFound("backend server", command.server);
+    }
+    mark(state.outServers, command.server, command.out);
+    server->out = command.out || state.bundleOutServers.contains(command.server);
+    Increment increment = startIncrement(state);
+    increment.servers.changed.push_back(*server);
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+/** Puts @p adapter in force; @p increment tells followers. */
+void putChangedAdapter(ControlState &state, const Adapter &adapter, Increment &increment)
+{
+    auto &list = state.configuration.adapters;
+    increment.adapters.changed.push_back(adapter);
+    if (putAdapter(list, adapter)) {
+        return;
+    }
+    // An adapter that was removed by a bundle comes back with its old number, in the middle of the list.
+    ChunkedList<Adapter> next;
+    bool placed = false;
+    for (const Adapter &other : list) {
+        if (!placed && adapter.id < other.id) {
+            next.push_back(adapter);
+            placed = true;
+        }
+        next.push_back(other);
+    }
+    list = std::move(next);
+}
+
+CommandResult publishAdapter(ControlState &state, const PublishAdapter &command)
+{
+    const auto &models = state.configuration.baseModels;
+    if (std::find(models.begin(), models.end(), command.baseModel) == models.end()) {
+        return notFound("base model", command.baseModel);
+    }
+    if (command.name.empty() || command.version.empty() || (command.name + command.version).find_first_of(":@") != std::string::npos) {
+        return failed(CommandOutcome::Invalid, "name and version must not be empty or contain ':' or '@'");
+    }
+    Adapter adapter{AdapterId{}, command.baseModel, command.name, command.version, command.isDefault, {}};
+    for (const std::string &name : command.organisations) {
+        const Organisation *organisation = findName(state.configuration.organisations, name);
+        if (organisation == nullptr) {
+            return notFound("organisation", name);
+        }
+        adapter.organisations.push_back(organisation->id);
+    }
+    adapter.id = adapterId(state, adapterName(adapter));
+    Increment increment = startIncrement(state);
+    if (adapter.isDefault) {
+        std::vector<Adapter> earlier;
+        for (const Adapter &other : state.configuration.adapters) {
+            if (other.isDefault && other.id != adapter.id && other.baseModel == adapter.baseModel && other.name == adapter.name) {
+                earlier.push_back(other);
+            }
+        }
+        for (Adapter &other : earlier) {
+            other.isDefault = false;
+            putChangedAdapter(state, other, increment);
+        }
+    }
+    putChangedAdapter(state, adapter, increment);
+    state.publishedAdapters.insert(adapter.id);
+    finishIncrement(state, std::move(increment));
+    return accepted(number(adapter.id));
+}
+
+CommandResult setRate(ControlState &state, const SetRate &command)
+{
+    Organisation *organisation = findName(state.configuration.organisations, command.organisation);
+    if (organisation == nullptr) {
+        return notFound("organisation", command.organisation);
+    }
+    if (!std::isfinite(command.rate) || !std::isfinite(command.burst) || command.rate < 0 || command.burst < 0) {
+        return failed(CommandOutcome::Invalid, "rate and burst must be numbers of at least 0");
+    }
+    organisation->rate = command.rate;
+    organisation->burst = command.burst;
+    Increment increment = startIncrement(state);
+    increment.organisations.changed.push_back(*organisation);
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+CommandResult registerInstance(ControlState &state, const RegisterInstance &command)
+{
+    const FailureDomain *domain = findName(state.configuration.domains, command.domain);
+    if (domain == nullptr) {
+        return notFound("failure domain", command.domain);
+    }
+    Increment increment = startIncrement(state);
+    if (const Instance *old = findName(state.configuration.instances, command.name)) {
+        if (old->process == command.process && old->address == command.address && old->domain == domain->id) {
+            return accepted(number(old->id));
+        }
+        // A restarted process knows nothing of the calls and grants of the one before.
+        increment.instances.removed.push_back(old->id);
+        removeElement(state.configuration.instances, InstanceId(old->id));
+    }
+    const Instance instance{static_cast<InstanceId>(++state.lastInstance), command.name, domain->id, command.address, command.process};
+    putElement(state.configuration.instances, instance);
+    increment.instances.changed.push_back(instance);
+    finishIncrement(state, std::move(increment));
+    return accepted(number(instance.id));
+}
+
+CommandResult removeInstance(ControlState &state, const RemoveInstance &command)
+{
+    if (!isRegistered(state, command.instance)) {
+        return failed(CommandOutcome::NotFound, "the instance is not registered");
+    }
+    removeElement(state.configuration.instances, command.instance);
+    Increment increment = startIncrement(state);
+    increment.instances.removed.push_back(command.instance);
+    finishIncrement(state, std::move(increment));
+    return accepted();
+}
+
+/** Common part of pools and bucket owners. */
+template<typename Lease, typename Changes>
+CommandResult assign(ControlState &state, Lease *lease, InstanceId owner, FencingNumber expected, Changes Increment::*changes)
+{
+    if (lease == nullptr) {
+        return failed(CommandOutcome::NotFound, "there is no such pool or failure domain");
+    }
+    if (owner != InstanceId{} && !isRegistered(state, owner)) {
+        return failed(CommandOutcome::NotFound, "the instance is not registered");
+    }
+    if (lease->fencing != expected) {
+        return failed(CommandOutcome::VersionConflict, "the fencing number is another one", lease->fencing);
+    }
+    lease->owner = owner;
+    lease->fencing = ++state.lastFencing;
+    Increment increment = startIncrement(state);
+    (increment.*changes).changed.push_back(*lease);
+    finishIncrement(state, std::move(increment));
+    return accepted(state.lastFencing);
+}
+
+CommandResult run(ControlState &state, const Command &command)
+{
+    return std::visit(
+        [&state, &command](const auto &body) -> CommandResult {
+            using Body = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<Body, ApplyBundle>) {
+                return applyBundle(state, body);
+            } else if constexpr (std::is_same_v<Body, GrantKey>) {
+                return grantKey(state, body);
+            } else if constexpr (std::is_same_v<Body, WithdrawKey>) {
+                return withdrawKey(state, body);
+            } else if constexpr (std::is_same_v<Body, SetDomainOut>) {
+                return setDomainOut(state, body);
+            } else if constexpr (std::is_same_v<Body, SetServerOut>) {
+                return setServerOut(state, body);
+            } else if constexpr (std::is_same_v<Body, PublishAdapter>) {
+                return publishAdapter(state, body);
+            } else if constexpr (std::is_same_v<Body, SetRate>) {
+                return setRate(state, body);
+            } else if constexpr (std::is_same_v<Body, RegisterInstance>) {
+                return registerInstance(state, body);
+            } else if constexpr (std::is_same_v<Body, RemoveInstance>) {
+                return removeInstance(state, body);
+            } else if constexpr (std::is_same_v<Body, AssignPool>) {
+                return assign(state, findElement(state.configuration.pools, body.pool), body.owner, body.expected, &Increment::pools);
+            } else if constexpr (std::is_same_v<Body, AssignBucketOwner>) {
+                return assign(state, findElement(state.configuration.bucketOwners, body.domain), body.owner, body.expected, &Increment::bucketOwners);
+            } else if constexpr (std::is_same_v<Body, BeginCall>) {
+                return beginCall(state, command.id, body);
+            } else if constexpr (std::is_same_v<Body, CompleteCall>) {
+                return completeCall(state, body);
+            } else {
+                return abandonCall(state, body);
+            }
+        },
+        command.body);
+}
+
+template<typename... Bodies>
+bool isOneOf(const CommandBody &body)
+{
+    return (std::holds_alternative<Bodies>(body) || ...);
+}
+
+void expireResults(ControlState &state)
+{
+    while (!state.resultOrder.empty()) {
+        const auto found = state.results.find(state.resultOrder.front());
+        if (state.results.size() <= state.limits.results && state.time - found->second.time < state.limits.resultAge) {
+            return;
+        }
+        state.results.erase(found);
+        state.resultOrder.pop_front();
+    }
+}
+
+} // namespace
+
+CommandResult apply(ControlState &state, LogIndex index, const Command &command)
+{
+    state.applied = index;
+    state.time = std::max(state.time, command.time);
+    expireCalls(state);
+    expireResults(state);
+    // The record of a call gives the answer to a resend; a table of results would double it.
+    if (isOneOf<BeginCall, CompleteCall, AbandonCall>(command.body)) {
+        return run(state, command);
+    }
+    const auto kind = static_cast<std::uint8_t>(command.body.index());
+    if (const auto known = state.results.find(command.id); known != state.results.end()) {
+        return known->second.kind == kind ? known->second.result : failed(CommandOutcome::IdReused, "the command id belongs to another command");
+    }
+    CommandResult result = run(state, command);
+    state.results.emplace(command.id, StoredResult{state.time, kind, result});
+    state.resultOrder.push_back(command.id);
+    if (!isOneOf<RegisterInstance, AssignPool, AssignBucketOwner>(command.body)) {
+        const std::string outcome = result.outcome == CommandOutcome::Accepted ? "accepted" : "rejected: " + result.message;
+        append(state.audit, {0, index, state.time, command.id, command.sender, describe(command.body), outcome, {}}, state.limits.auditRecords);
+    }
+    return result;
+}
+
+void skipTo(ControlState &state, LogIndex index)
+{
+    state.applied = index;
+}
+
+} // namespace mimosahollow::control
--- /dev/null
+++ b/src/control/distribution.cpp
@@ -0,0 +1,47 @@
+#include "commandsinternal.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace mimosahollow::control {
+
+std::shared_ptr<const Configuration> sharedConfiguration(const ControlState &state)
+{
+    return std::make_shared<const Configuration>(state.configuration);
+}
+
+namespace {
+
+std::size_t elements(const Increment &increment)
+{
+    return increment.keys.changed.size() + increment.keys.removed.size() + increment.adapters.changed.size() + increment.adapters.removed.size()
+           + increment.servers.changed.size() + increment.servers.removed.size();
+}
+
+} // namespace
+
+std::optional<Increment> changesSince(const ControlState &state, Version since)
+{
+    if (since == state.configuration.logIndex) {
+        Increment nothing = startIncrement(state);
+        nothing.to = since;
+        return nothing;
+    }
+    const auto first = std::find_if(state.increments.begin(), state.increments.end(), [since](const Increment &increment) {
+        return increment.from == since;
+    });
+    if (first == state.increments.end()) {
+        return std::nullopt;
+    }
+    Increment result = *first;
+    for (auto next = std::next(first); next != state.increments.end(); ++next) {
+        if (elements(result) + elements(*next) > state.limits.incrementElements) {
+            return std::nullopt;
+        }
+        result = combined(std::move(result), *next);
+    }
+    return result;
+}
+
+} // namespace mimosahollow::control
--- /dev/null
+++ b/tests/control/cluster.cpp
@@ -0,0 +1,345 @@
+#include "simulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace mimosahollow;
+using namespace mimosahollow::test;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 20261204;
+
+std::shared_ptr<const Configuration> bundle(Version version)
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = version;
+    configuration->baseModels = {"base"};
+    configuration->domains = {{DomainId{1}, "a", 0.5, false}, {DomainId{2}, "b", 0.5, false}};
+    configuration->organisations = {{OrganisationId{1}, "one", 100, 1000, 1}};
+    return configuration;
+}
+
+CommandBody applyBundle(Version expected, const std::string &author)
+{
+    return ApplyBundle{expected, bundle(expected + 1), author, "approver", {}};
+}
+
+CommandBody grantKey(std::uint64_t number)
+{
+    KeyHash hash{};
+    for (std::size_t i = 0; i < 8; ++i) {
+        hash[i] = static_cast<std::uint8_t>(number >> (8 * i));
+    }
+    return GrantKey{"key" + std::to_string(number), "one", hash};
+}
+
+std::string joined(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+/** Random faults and clients for some seconds, then a quiet end. */
+class Storm
+{
+public:
+    explicit Storm(const SimulationOptions &options) : simulation(options), m_options(options)
+    {
+    }
+
+    void run(unsigned rounds)
+    {
+        simulation.submit(0, applyBundle(0, "first"));
+        for (unsigned round = 0; round < rounds; ++round) {
+            // Between two faults the voters need time for an election, or nothing is ever committed.
+            if (round % 4 == 0) {
+                doFault();
+            }
+            for (unsigned client = 1; client <= 6; ++client) {
+                doOperation(client);
+            }
+            simulation.runFor(milliseconds(20 + simulation.random() % 200));
+        }
+        simulation.heal();
+        simulation.setFaults(0, 0);
+        for (unsigned id = 1; id <= m_options.voters; ++id) {
+            simulation.start(static_cast<VoterId>(id));
+        }
+    }
+
+    /** All clients have their answers and all voters the same state. */
+    bool settles()
+    {
+        return simulation.runUntil(
+            [this] {
+                return simulation.allDone() && simulation.isSettled();
+            },
+            seconds(60));
+    }
+
+    Simulation simulation;
+
+private:
+    VoterId anyVoter()
+    {
+        return static_cast<VoterId>(1 + simulation.random() % m_options.voters);
+    }
+
+    void doFault()
+    {
+        switch (simulation.random() % 12) {
+        case 0:
+            simulation.crash(anyVoter());
+            break;
+        case 1:
+        case 2:
+            simulation.crashOnDisk(anyVoter(), 1 + simulation.random() % 30);
+            break;
+        case 3: { // one voter isolated
+            const VoterId alone = anyVoter();
+            for (unsigned id = 1; id <= m_options.voters; ++id) {
+                simulation.cut(alone, static_cast<VoterId>(id));
+                simulation.cut(static_cast<VoterId>(id), alone);
+            }
+            break;
+        }
+        case 4: // a link that works in one direction
+            simulation.cut(anyVoter(), anyVoter());
+            break;
+        case 5: // power loss of a majority at once
+            for (unsigned id = 1; id <= m_options.voters / 2 + 1; ++id) {
+                simulation.crash(static_cast<VoterId>(id));
+            }
+            break;
+        case 6:
+        case 7:
+        case 8:
+            simulation.heal();
+            break;
+        default:
+            break;
+        }
+    }
+
+    void doOperation(unsigned client)
+    {
+        auto &last = m_last[client];
+        if (last && !simulation.operation(*last).done) {
+            return;
+        }
+        if (last && simulation.operation(*last).isRead) {
+            m_version = std::max(m_version, simulation.operation(*last).version);
+        }
+        switch (simulation.random() % 5) {
+        case 0:
+            last = simulation.submit(client, applyBundle(m_version, "client" + std::to_string(client)));
+            break;
+        case 1:
+            last = simulation.submit(client, grantKey(++m_keys));
+            break;
+        case 2:
+            last = simulation.submit(client, WithdrawKey{"key" + std::to_string(1 + simulation.random() % (m_keys + 1))});
+            break;
+        default:
+            last = simulation.submitRead(client);
+            break;
+        }
+    }
+
+    SimulationOptions m_options;
+    std::map<unsigned, std::optional<std::size_t>> m_last;
+    Version m_version = 0;
+    std::uint64_t m_keys = 0;
+};
+
+} // namespace
+
+// Guards against two leaders in a term, committed entries that are lost or changed, and histories that no sequential run
+// explains, under lost, doubled and reordered messages, partitions, one-way links, crashes and lost unsynced writes.
+TEST_CASE("voters agree under random faults")
+{
+    const unsigned voters = GENERATE(3U, 5U);
+    constexpr unsigned runs = 200;
+    LogIndex committed = 0;
+    std::uint64_t installed = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + runs; ++seed) {
+        CAPTURE(voters, seed);
+        SimulationOptions options;
+        options.seed = seed;
+        options.voters = voters;
+        Storm storm(options);
+        storm.run(120);
+        const bool settled = storm.settles();
+        storm.simulation.checkHistory();
+        INFO(joined(storm.simulation.violations()));
+        REQUIRE(storm.simulation.violations().empty());
+        REQUIRE(settled);
+        committed += storm.simulation.committed();
+        installed += storm.simulation.installedSnapshots;
+    }
+    std::cout << "voters " << voters << ", seeds from " << firstSeed << ": " << runs << " runs, " << committed << " entries committed, " << installed
+              << " snapshots installed\n";
+    // Otherwise the faults leave nothing to check.
+    REQUIRE(committed > runs * 50);
+    REQUIRE(installed > 0);
+}
+
+// Guards against a checker that accepts everything: each of these faults is known to lose data.
+TEST_CASE("the checker finds deliberate faults")
+{
+    SimulationOptions options;
+    SECTION("entries acknowledged before they are durable")
+    {
+        options.acknowledgesBeforeSync = true;
+    }
+    SECTION("votes acknowledged before they are durable")
+    {
+        options.forgetsVote = true;
+    }
+    unsigned found = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + 60 && found == 0; ++seed) {
+        options.seed = seed;
+        options.longestSync = milliseconds(60);
+        Storm storm(options);
+        storm.run(120);
+        storm.settles();
+        storm.simulation.checkHistory();
+        found += storm.simulation.violations().empty() ? 0 : 1;
+    }
+    REQUIRE(found > 0);
+}
+
+// Guards against changes that do not survive a restart, and results that change with it.
+TEST_CASE("a fleet restarts after 500 changes")
+{
+    SimulationOptions options;
+    options.seed = firstSeed;
+    Simulation simulation(options);
+    const auto settled = [&simulation] {
+        return simulation.allDone() && simulation.isSettled();
+    };
+    simulation.submit(1, applyBundle(0, "first"));
+    REQUIRE(simulation.runUntil(settled, seconds(20)));
+    std::vector<std::size_t> operations;
+    for (std::uint64_t i = 1; i <= 500; ++i) {
+        operations.push_back(simulation.submit(1, grantKey(i)));
+        if (i % 50 == 0) {
+            REQUIRE(simulation.runUntil(settled, seconds(20)));
+        }
+    }
+    for (unsigned id = 1; id <= 3; ++id) {
+        simulation.crash(static_cast<VoterId>(id), false);
+    }
+    for (unsigned id = 1; id <= 3; ++id) {
+        simulation.start(static_cast<VoterId>(id));
+    }
+    const auto read = simulation.submitRead(2);
+    REQUIRE(simulation.runUntil(settled, seconds(20)));
+    REQUIRE(simulation.operation(read).keys.size() == 500);
+
+    SECTION("a resend of an old command gets the old result")
+    {
+        ControlState &state = simulation.leader()->state;
+        for (const std::size_t number : operations) {
+            const Operation &operation = simulation.operation(number);
+            REQUIRE(apply(state, state.applied + 1, operation.command) == operation.result);
+        }
+        REQUIRE(state.configuration.keys.size() == 500);
+        REQUIRE_FALSE(firstBrokenRecord(state.audit));
+    }
+    REQUIRE(joined(simulation.violations()).empty());
+}
+
+// Guards against data loss when a voter is lost right after the replacement of another one has joined.
+TEST_CASE("a second voter is lost after a repair")
+{
+    SimulationOptions options;
+    options.seed = GENERATE(range(firstSeed, firstSeed + 20));
+    CAPTURE(options.seed);
+    Simulation simulation(options);
+    const auto settled = [&simulation] {
+        return simulation.allDone() && simulation.isSettled();
+    };
+    simulation.submit(1, applyBundle(0, "first"));
+    REQUIRE(simulation.runUntil(settled, seconds(20)));
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        simulation.submit(1, grantKey(i));
+    }
+    REQUIRE(simulation.runUntil(settled, seconds(20)));
+    simulation.crash(VoterId{1}, false);
+    REQUIRE(simulation.runUntil(
+        [&simulation] {
+            return simulation.leader() != nullptr && simulation.leader()->consensus.commitIndex >= simulation.leader()->consensus.termStart;
+        },
+        seconds(20)));
+
+    simulation.addNode(VoterId{4});
+    simulation.start(VoterId{4});
+    const auto joined4 = [](ConsensusState &state, TimePoint now, ConsensusActions &actions) {
+        return proposeMember(state, {VoterId{4}, "10.0.0.4:7000", false}, now, actions);
+    };
+    REQUIRE(std::holds_alternative<ProposalAccepted>(simulation.change(joined4)));
+    REQUIRE(std::get<ProposalRejected>(simulation.change(joined4)).error == ProposalError::ChangeInProgress);
+    const auto hasVote = [&simulation] {
+        const auto *leader = simulation.leader();
+        return leader != nullptr && leader->consensus.membersIndex <= leader->consensus.commitIndex && leader->consensus.members.size() == 4
+            && !leader->consensus.members.back().learner;
+    };
+    REQUIRE(simulation.runUntil(hasVote, seconds(20)));
+    const auto remove1 = [](ConsensusState &state, TimePoint now, ConsensusActions &actions) {
+        return proposeRemoval(state, VoterId{1}, now, actions);
+    };
+    REQUIRE(std::holds_alternative<ProposalAccepted>(simulation.change(remove1)));
+    REQUIRE(simulation.runUntil(
+        [&simulation] {
+            const auto *leader = simulation.leader();
+            return leader != nullptr && leader->consensus.members.size() == 3 && leader->consensus.membersIndex <= leader->consensus.commitIndex;
+        },
+        seconds(20)));
+    simulation.crash(GENERATE(VoterId{2}, VoterId{3}), false);
+    const auto read = simulation.submitRead(2);
+    REQUIRE(simulation.runUntil(
+        [&simulation] {
+            return simulation.allDone();
+        },
+        seconds(20)));
+    REQUIRE(simulation.operation(read).keys.size() == 100);
+    simulation.checkHistory();
+    REQUIRE(joined(simulation.violations()).empty());
+}
+
+// Guards against two bundles accepted under one version number, and a conflict that does not name the winner.
+TEST_CASE("operators race under one version number")
+{
+    SimulationOptions options;
+    options.seed = GENERATE(range(firstSeed, firstSeed + 20));
+    CAPTURE(options.seed);
+    Simulation simulation(options);
+    std::vector<std::size_t> operations;
+    for (unsigned client = 1; client <= 5; ++client) {
+        operations.push_back(simulation.submit(client, applyBundle(0, "author" + std::to_string(client))));
+    }
+    REQUIRE(simulation.runUntil(
+        [&simulation] {
+            return simulation.allDone();
+        },
+        seconds(20)));
+    std::string winner;
+    for (const std::size_t number : operations) {
+        const Operation &operation = simulation.operation(number);
+        if (operation.result.outcome == CommandOutcome::Accepted) {
+            REQUIRE(winner.empty());
+            winner = std::get<ApplyBundle>(operation.command.body).author;
+        }
+    }
+    REQUIRE_FALSE(winner.empty());
+    for (const std::size_t number : operations) {
+        const CommandResult &result = simulation.operation(number).result;
+        REQUIRE((result.outcome == CommandOutcome::Accepted || result.message.find("by " + winner + " with hash 00") != std::string::npos));
+    }
+}
--- /dev/null
+++ b/tests/control/statemachine.cpp
@@ -0,0 +1,393 @@
+#include "mimosahollow/control/controlstate.h"
+#include "mimosahollow/control/snapshot.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::control;
+
+namespace {
+
+constexpr std::int64_t second = 1000; // milliseconds
+constexpr std::int64_t hour = 3600 * second;
+
+/** A state machine with its own log. */
+struct Machine
+{
+    ControlState state;
+    std::int64_t time = 1'000'000;
+    std::uint64_t lastId = 0;
+    CommandId id;
+
+    CommandResult run(CommandBody body)
+    {
+        id = {7, ++lastId};
+        return rerun(std::move(body));
+    }
+
+    /** Under the command id of the last run(). */
+    CommandResult rerun(CommandBody body)
+    {
+        return apply(state, state.applied + 1, {id, time, "operator", std::move(body)});
+    }
+};
+
+Configuration smallBundle(Version version)
+{
+    Configuration bundle;
+    bundle.version = version;
+    bundle.baseModels = {"base"};
+    bundle.domains = {{DomainId{1}, "a", 0.5, false}, {DomainId{2}, "b", 0.5, false}};
+    bundle.organisations = {{OrganisationId{1}, "one", 100, 1000, 1}, {OrganisationId{2}, "two", 50, 500, 2}};
+    bundle.keys = {{"k1", KeyHash{1}, OrganisationId{1}}, {"k2", KeyHash{2}, OrganisationId{2}}};
+    bundle.adapters = {{AdapterId{1}, "base", "greeting", "1", true, {OrganisationId{1}}}};
+    bundle.routes = {{"/registry/", "registry", false, false, seconds(30), {OrganisationId{2}}}};
+    bundle.servers = {{ServerId{1}, "s1", DomainId{1}, "base", "10.0.0.1:80", false}, {ServerId{2}, "s2", DomainId{2}, "registry", "10.0.0.2:80", false}};
+    return bundle;
+}
+
+ApplyBundle command(Version expected, Configuration bundle, const std::string &author = "ann")
+{
+    return {expected, std::make_shared<const Configuration>(std::move(bundle)), author, "bob", Digest{9}};
+}
+
+template<typename List>
+std::vector<std::string> names(const List &list)
+{
+    std::vector<std::string> result;
+    for (const auto &element : list) {
+        result.push_back(element.name);
+    }
+    return result;
+}
+
+using Names = std::vector<std::string>;
+
+bool sameConfiguration(const Configuration &left, const Configuration &right)
+{
+    const Increment change = difference(left, right);
+    return !change.baseModels && !change.routes && change.domains.empty() && change.organisations.empty() && change.keys.empty() && change.adapters.empty()
+        && change.servers.empty() && change.pools.empty() && change.bucketOwners.empty() && change.instances.empty() && left.version == right.version
+        && left.logIndex == right.logIndex;
+}
+
+} // namespace
+
+// Guards against two configurations under one version, and ids that change their meaning.
+TEST_CASE("a bundle comes into force")
+{
+    Machine machine;
+    REQUIRE(machine.run(command(0, smallBundle(1))).outcome == CommandOutcome::Accepted);
+    REQUIRE(machine.state.configuration.version == 1);
+    REQUIRE(machine.state.configuration.pools.size() == 2);
+
+    SECTION("the second of two bundles gets a conflict that names the first")
+    {
+        const CommandResult result = machine.run(command(0, smallBundle(1), "eve"));
+        REQUIRE(result.outcome == CommandOutcome::VersionConflict);
+        REQUIRE(result.number == 1);
+        REQUIRE(result.message.find("version 1 by ann with hash 0900") != std::string::npos);
+    }
+    SECTION("a version never goes back")
+    {
+        REQUIRE(machine.run(command(1, smallBundle(5))).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(command(5, smallBundle(3))).outcome == CommandOutcome::VersionConflict);
+        REQUIRE(machine.state.configuration.version == 5);
+    }
+    SECTION("names keep their numbers, and numbers are not given again")
+    {
+        Configuration next = smallBundle(2);
+        next.organisations.erase(next.organisations.begin());
+        next.organisations.push_back({OrganisationId{3}, "three", 1, 1, 1});
+        next.keys = {{"k2", KeyHash{2}, OrganisationId{2}}, {"k3", KeyHash{3}, OrganisationId{3}}};
+        next.adapters = {{AdapterId{1}, "base", "other", "1", true, {OrganisationId{3}}}};
+        REQUIRE(machine.run(command(1, next)).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.state.configuration.organisations[0].id == OrganisationId{2});
+        REQUIRE(machine.state.configuration.organisations[1].id == OrganisationId{3});
+        REQUIRE(machine.state.configuration.adapters[0].id == AdapterId{2});
+        REQUIRE(machine.state.configuration.adapters[0].organisations == std::vector{OrganisationId{3}});
+        SECTION("an adapter that comes back has its old number and place")
+        {
+            Configuration back = smallBundle(3);
+            back.adapters = {{AdapterId{1}, "base", "other", "1", true, {}}, {AdapterId{2}, "base", "greeting", "1", true, {}}};
+            REQUIRE(machine.run(command(2, back)).outcome == CommandOutcome::Accepted);
+            REQUIRE(names(machine.state.configuration.adapters) == Names{"greeting", "other"});
+            REQUIRE(machine.state.configuration.organisations[0].id == OrganisationId{1});
+        }
+    }
+    SECTION("what operators did outside of bundles stays")
+    {
+        REQUIRE(machine.run(GrantKey{"granted", "one", KeyHash{8}}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(WithdrawKey{"k1"}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(SetDomainOut{"b", true}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(SetServerOut{"s1", true}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(PublishAdapter{"base", "greeting", "2", true, {"two"}}).number == 2);
+        REQUIRE_FALSE(machine.state.configuration.adapters[0].isDefault);
+        REQUIRE(machine.run(command(1, smallBundle(2))).outcome == CommandOutcome::Accepted);
+        const Configuration &now = machine.state.configuration;
+        REQUIRE(names(now.keys) == Names{"k2", "granted"});
+        REQUIRE(now.domains[1].out);
+        REQUIRE(now.servers[0].out);
+        REQUIRE(now.adapters.size() == 2);
+        REQUIRE(now.adapters[0].isDefault);
+        REQUIRE_FALSE(now.adapters[1].isDefault);
+        SECTION("and can be undone")
+        {
+            REQUIRE(machine.run(SetDomainOut{"b", false}).outcome == CommandOutcome::Accepted);
+            REQUIRE_FALSE(machine.state.configuration.domains[1].out);
+        }
+        SECTION("but a withdrawn key never comes back")
+        {
+            REQUIRE(machine.run(GrantKey{"again", "one", KeyHash{1}}).outcome == CommandOutcome::Invalid);
+        }
+    }
+    SECTION("a domain that the bundle takes out is not put in by undoing a mark")
+    {
+        Configuration next = smallBundle(2);
+        next.domains[0].out = true;
+        machine.run(command(1, next));
+        machine.run(SetDomainOut{"a", false});
+        REQUIRE(machine.state.configuration.domains[0].out);
+    }
+    SECTION("unknown names are rejected")
+    {
+        REQUIRE(machine.run(SetRate{"nobody", 1, 1}).outcome == CommandOutcome::NotFound);
+        REQUIRE(machine.run(SetRate{"one", -1, 1}).outcome == CommandOutcome::Invalid);
+        REQUIRE(machine.run(WithdrawKey{"nothing"}).outcome == CommandOutcome::NotFound);
+        REQUIRE(machine.run(PublishAdapter{"other", "x", "1", false, {}}).outcome == CommandOutcome::NotFound);
+        REQUIRE(machine.run(PublishAdapter{"base", "x@", "1", false, {}}).outcome == CommandOutcome::Invalid);
+    }
+}
+
+// Guards against a resend that is carried out twice or gets another answer.
+TEST_CASE("a command id gives the same result again")
+{
+    Machine machine;
+    machine.run(command(0, smallBundle(1)));
+    const CommandResult first = machine.run(WithdrawKey{"k1"});
+    REQUIRE(machine.rerun(WithdrawKey{"k1"}) == first);
+    REQUIRE(machine.rerun(SetDomainOut{"a", true}).outcome == CommandOutcome::IdReused);
+    REQUIRE(machine.state.audit.records.size() == 2);
+
+    SECTION("also after a snapshot")
+    {
+        machine.state = std::get<ControlState>(decodeSnapshot(encodeSnapshot(machine.state)));
+        REQUIRE(machine.rerun(WithdrawKey{"k1"}) == first);
+    }
+    SECTION("until it is too old")
+    {
+        machine.time += 25 * hour;
+        REQUIRE(machine.rerun(WithdrawKey{"k1"}).outcome == CommandOutcome::NotFound);
+    }
+    SECTION("the table is bounded")
+    {
+        machine.state.limits.results = 10;
+        for (int i = 0; i < 100; ++i) {
+            machine.run(SetRate{"one", 5, 5});
+        }
+        REQUIRE(machine.state.results.size() <= 11);
+        REQUIRE(machine.state.resultOrder.size() == machine.state.results.size());
+    }
+}
+
+// Guards against a stale leader that hands out a pool again, and fencing numbers that repeat.
+TEST_CASE("pools are assigned under growing fencing numbers")
+{
+    Machine machine;
+    machine.run(command(0, smallBundle(1)));
+    const auto registered = machine.run(RegisterInstance{"i1", "a", "10.0.1.1:7000", 11});
+    REQUIRE(registered.number == 1);
+    REQUIRE(machine.run(RegisterInstance{"i1", "a", "10.0.1.1:7000", 11}).number == 1);
+    REQUIRE(machine.run(RegisterInstance{"i2", "nowhere", "", 1}).outcome == CommandOutcome::NotFound);
+    REQUIRE(machine.run(AssignPool{PoolId{1}, InstanceId{1}, 0}).number == 1);
+    REQUIRE(machine.run(AssignPool{PoolId{1}, InstanceId{1}, 0}).outcome == CommandOutcome::VersionConflict);
+    REQUIRE(machine.run(AssignPool{PoolId{1}, InstanceId{5}, 1}).outcome == CommandOutcome::NotFound);
+    REQUIRE(machine.run(AssignBucketOwner{DomainId{1}, InstanceId{1}, 0}).number == 2);
+    REQUIRE(machine.run(AssignPool{PoolId{1}, InstanceId{}, 1}).number == 3);
+    REQUIRE(machine.state.configuration.pools[0].owner == InstanceId{});
+    REQUIRE(machine.run(RegisterInstance{"i1", "a", "10.0.1.1:7000", 12}).number == 2);
+    REQUIRE(machine.state.configuration.instances.size() == 1);
+    REQUIRE(machine.run(RemoveInstance{InstanceId{2}}).outcome == CommandOutcome::Accepted);
+    REQUIRE(machine.run(RemoveInstance{InstanceId{2}}).outcome == CommandOutcome::NotFound);
+}
+
+// Guards against a call that may not repeat and runs twice (P11), and against answers of other requests.
+TEST_CASE("idempotency records")
+{
+    Machine machine;
+    machine.run(command(0, smallBundle(1)));
+    const auto one = static_cast<InstanceId>(machine.run(RegisterInstance{"i1", "a", "x", 1}).number);
+    const auto two = static_cast<InstanceId>(machine.run(RegisterInstance{"i2", "a", "y", 2}).number);
+    const CallKey call{OrganisationId{1}, "/ledger/", "abc"};
+    const BeginCall begin{call, Digest{1}, one};
+    const BeginCall resend{call, Digest{1}, two};
+    REQUIRE(machine.run(begin).outcome == CommandOutcome::RunCall);
+    const CommandId started = machine.id;
+    REQUIRE(machine.rerun(begin).outcome == CommandOutcome::RunCall);
+    REQUIRE(machine.run(resend).outcome == CommandOutcome::CallInProgress);
+    REQUIRE(machine.run(BeginCall{call, Digest{2}, two}).outcome == CommandOutcome::CallConflict);
+    REQUIRE(machine.run(BeginCall{{OrganisationId{2}, "/ledger/", "abc"}, Digest{1}, two}).outcome == CommandOutcome::RunCall);
+
+    SECTION("a stored answer")
+    {
+        REQUIRE(machine.run(CompleteCall{call, {1, 1}, 200, "text/plain", "wrong"}).outcome == CommandOutcome::NotFound);
+        REQUIRE(machine.run(CompleteCall{call, started, 201, "text/plain", "done"}).outcome == CommandOutcome::Accepted);
+        const CommandResult stored = machine.run(resend);
+        REQUIRE(stored == CommandResult{CommandOutcome::StoredAnswer, "text/plain", 201, "done"});
+        REQUIRE(machine.run(AbandonCall{call, started}).outcome == CommandOutcome::Invalid);
+        SECTION("is kept for a day")
+        {
+            machine.time += 24 * hour - second;
+            REQUIRE(machine.run(resend).outcome == CommandOutcome::StoredAnswer);
+            machine.time += 2 * second;
+            REQUIRE(machine.run(resend).outcome == CommandOutcome::RunCall);
+            REQUIRE(machine.state.answerBytes == 0);
+        }
+        SECTION("gives way to newer ones and is unknown then")
+        {
+            machine.state.limits.answers = 10;
+            machine.run(BeginCall{{OrganisationId{1}, "/ledger/", "new"}, Digest{1}, one});
+            machine.run(CompleteCall{{OrganisationId{1}, "/ledger/", "new"}, machine.id, 200, "", "12345678"});
+            REQUIRE(machine.run(resend).outcome == CommandOutcome::CallUnknown);
+            REQUIRE(machine.state.answerBytes == 8);
+        }
+    }
+    SECTION("an answer that is too long is unknown")
+    {
+        REQUIRE(machine.run(CompleteCall{call, started, 200, "", std::string(64 * 1024 + 1, 'x')}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::CallUnknown);
+    }
+    SECTION("the entry instance is removed")
+    {
+        machine.run(RemoveInstance{one});
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::CallUnknown);
+        REQUIRE(machine.run(begin).outcome == CommandOutcome::CallUnknown);
+    }
+    SECTION("the entry instance restarts")
+    {
+        machine.run(RegisterInstance{"i1", "a", "x", 99});
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::CallUnknown);
+    }
+    SECTION("the call is past every deadline")
+    {
+        machine.time += 600 * second;
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::CallInProgress);
+        machine.time += second;
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::CallUnknown);
+    }
+    SECTION("a call that did not run may be begun again")
+    {
+        REQUIRE(machine.run(AbandonCall{call, started}).outcome == CommandOutcome::Accepted);
+        REQUIRE(machine.run(resend).outcome == CommandOutcome::RunCall);
+        REQUIRE(machine.run(CompleteCall{call, started, 200, "", "late"}).outcome == CommandOutcome::NotFound);
+    }
+    SECTION("a full table refuses instead of forgetting")
+    {
+        machine.state.limits.calls = 2;
+        REQUIRE(machine.run(BeginCall{{OrganisationId{1}, "/ledger/", "more"}, Digest{1}, one}).outcome == CommandOutcome::TooManyCalls);
+    }
+    SECTION("a removed instance may not begin one")
+    {
+        REQUIRE(machine.run(BeginCall{{OrganisationId{1}, "/l/", "z"}, Digest{}, InstanceId{77}}).outcome == CommandOutcome::Invalid);
+    }
+}
+
+// Guards against an audit log that can be changed afterwards, and one that grows without end.
+TEST_CASE("the audit log is a hash chain")
+{
+    Machine machine;
+    machine.state.limits.auditRecords = 5;
+    machine.run(command(0, smallBundle(1)));
+    for (int i = 0; i < 9; ++i) {
+        machine.run(SetRate{"one", 5, 5});
+    }
+    AuditLog log = machine.state.audit;
+    REQUIRE(log.records.size() == 5);
+    REQUIRE(log.dropped == 5);
+    REQUIRE_FALSE(firstBrokenRecord(log));
+    log.records[2].sender = "someone else";
+    REQUIRE(firstBrokenRecord(log) == 8);
+    log = machine.state.audit;
+    log.records.erase(log.records.begin() + 1);
+    REQUIRE(firstBrokenRecord(log) == 7);
+}
+
+// Guards against a follower whose configuration differs from that of the voters.
+TEST_CASE("followers follow by increments")
+{
+    Machine machine;
+    constexpr std::uint64_t seed = 20261204;
+    std::mt19937_64 random(seed);
+    INFO("seed " << seed);
+    std::shared_ptr<const Configuration> follower = sharedConfiguration(machine.state);
+    std::shared_ptr<const Configuration> slow = follower;
+    Version version = 0;
+    for (int round = 0; round < 400; ++round) {
+        CAPTURE(round);
+        const std::string name = "n" + std::to_string(random() % 20);
+        switch (random() % 8) {
+        case 0: {
+            Configuration next = smallBundle(version + 1);
+            for (std::uint32_t i = 0; i < random() % 9; ++i) {
+                next.adapters.push_back({static_cast<AdapterId>(10 + i), "base", "n" + std::to_string(random() % 20), std::to_string(i), false, {}});
+            }
+            version += machine.run(command(version, next)).outcome == CommandOutcome::Accepted ? 1 : 0;
+            break;
+        }
+        case 1:
+            machine.run(GrantKey{name, "one", KeyHash{static_cast<std::uint8_t>(random() % 200 + 10)}});
+            break;
+        case 2:
+            machine.run(WithdrawKey{name});
+            break;
+        case 3:
+            machine.run(SetDomainOut{"a", random() % 2 == 0});
+            break;
+        case 4:
+            machine.run(PublishAdapter{"base", name, std::to_string(random() % 3), random() % 2 == 0, {"one"}});
+            break;
+        case 5:
+            machine.run(RegisterInstance{name, "b", "x", random()});
+            break;
+        case 6:
+            machine.run(RemoveInstance{static_cast<InstanceId>(random() % 50)});
+            break;
+        default:
+            machine.run(AssignPool{PoolId{1}, InstanceId{}, machine.state.configuration.pools.empty() ? 0 : machine.state.configuration.pools[0].fencing});
+            break;
+        }
+        const auto change = changesSince(machine.state, follower->logIndex);
+        REQUIRE(change.has_value());
+        follower = std::get<std::shared_ptr<const Configuration>>(applyIncrement(*follower, *change));
+        REQUIRE(sameConfiguration(*follower, machine.state.configuration));
+        if (round % 10 == 9) {
+            const auto all = changesSince(machine.state, slow->logIndex);
+            REQUIRE(all.has_value());
+            slow = std::get<std::shared_ptr<const Configuration>>(applyIncrement(*slow, *all));
+            REQUIRE(sameConfiguration(*slow, machine.state.configuration));
+        }
+    }
+    SECTION("an increment fits only the configuration that it starts from")
+    {
+        const auto change = changesSince(machine.state, follower->logIndex);
+        REQUIRE(std::holds_alternative<IncrementError>(applyIncrement(Configuration{}, *change)));
+        REQUIRE_FALSE(changesSince(machine.state, 1'000'000).has_value());
+    }
+    SECTION("a snapshot has everything and its damage is noticed")
+    {
+        const Bytes bytes = encodeSnapshot(machine.state);
+        const ControlState copy = std::get<ControlState>(decodeSnapshot(bytes));
+        REQUIRE(sameConfiguration(copy.configuration, machine.state.configuration));
+        REQUIRE(encodeSnapshot(copy) == bytes);
+        REQUIRE_FALSE(firstBrokenRecord(copy.audit));
+        for (std::size_t i = 0; i < bytes.size(); i += 37) {
+            Bytes damaged = bytes;
+            damaged[i] ^= 4;
+            REQUIRE(std::holds_alternative<SnapshotError>(decodeSnapshot(damaged)));
+            REQUIRE(std::holds_alternative<SnapshotError>(decodeSnapshot(std::span(bytes).first(i))));
+        }
+        Bytes future = bytes;
+        future[8] = 2;
+        REQUIRE(std::get<SnapshotError>(decodeSnapshot(future)).kind == SnapshotErrorKind::UnknownFormat);
+    }
+}
