--- a/include/mimosahollow/control/consensusstate.h
+++ b/include/mimosahollow/control/consensusstate.h
@@ -16,9 +16,9 @@
     Duration electionTimeoutMinimum = milliseconds(300);
     Duration electionTimeoutMaximum = milliseconds(600);
     Duration heartbeat = milliseconds(50);
-    std::size_t appendBytes = 1024 * 1024; /**< Entries in one AppendRequest; a frame holds at most 4 MiB. */
-    std::size_t entryBytes = 3 * 1024 * 1024; /**< Largest proposal; fits a frame together with its envelope. */
-    std::size_t chunkBytes = 512 * 1024; /**< Data in one SnapshotChunk. */
+    std::size_t appendBytes = 1024UL * 1024; /**< Entries in one AppendRequest; a frame holds at most 4 MiB. */
+    std::size_t entryBytes = 3UL * 1024 * 1024; /**< Largest proposal; fits a frame together with its envelope. */
+    std::size_t chunkBytes = 512UL * 1024; /**< Data in one SnapshotChunk. */
     std::size_t uncommittedEntries = 16'384; /**< Further proposals are rejected; bounds the memory of a leader without majority. */
     std::size_t inFlightEntries = 4'096; /**< Entries sent to one voter and not yet confirmed. */
     std::size_t keptEntries = 1'024; /**< Entries kept behind a snapshot, so that a slow voter needs no snapshot. */
--- a/include/mimosahollow/control/controlstate.h
+++ b/include/mimosahollow/control/controlstate.h
@@ -20,8 +20,8 @@
     std::size_t results = 100'000; /**< 9 days of the expected 11,000 changes a day. */
     std::int64_t callAge = 24LL * 3600 * 1000; /**< Retention of idempotency records, milliseconds. */
     std::size_t calls = 1'000'000; /**< Further calls are refused: dropping a record early could let a call run twice. */
-    std::size_t answer = 64 * 1024; /**< Largest stored answer, bytes. */
-    std::size_t answers = 256 * 1024 * 1024; /**< All stored answers, bytes; beyond it the oldest ones turn into "unknown". */
+    std::size_t answer = 64UL * 1024; /**< Largest stored answer, bytes. */
+    std::size_t answers = 256UL * 1024 * 1024; /**< All stored answers, bytes; beyond it the oldest ones turn into "unknown". */
     std::int64_t maximumDeadline = 600'000; /**< Milliseconds after which a call cannot be running any more. */
     std::size_t auditRecords = 100'000; /**< Records kept in memory and snapshots. */
     std::size_t bundles = 64; /**< Accepted bundles that conflicts can name. */
--- a/src/control/bundledifference.cpp
+++ b/src/control/bundledifference.cpp
@@ -82,13 +82,12 @@
             {"rate", text(organisation.rate)}, {"burst", text(organisation.burst)}, {"weight", text(organisation.weight)}};
     }
     for (const ApiKey &key : configuration.keys) {
-        // A new hash under the same name is a change that the approver must see; the hash itself is not shown in full.
-        constexpr std::size_t shownBytes = 4;
+        // The whole hash: a changed key under the same name must not escape the approver.
         std::ostringstream hash;
-        for (std::size_t i = 0; i < shownBytes; ++i) {
-            hash << std::hex << (key.hash[i] >> 4) << (key.hash[i] & 15);
+        for (const std::uint8_t byte : key.hash) {
+            hash << std::hex << (byte >> 4) << (byte & 15);
         }
-        elements["key " + key.name] = {{"organisation", names.organisation(key.organisation)}, {"hash", hash.str() + "..."}};
+        elements["key " + key.name] = {{"organisation", names.organisation(key.organisation)}, {"hash", hash.str()}};
     }
     for (const Adapter &adapter : configuration.adapters) {
         elements["adapter " + adapter.baseModel + ":" + adapter.name + "@" + adapter.version] = {{"default", text(adapter.isDefault)},
@@ -124,7 +123,7 @@
 {
     std::string result;
     for (const auto &[name, value] : fields) {
-        result += (result.empty() ? ": " : ", ") + name + " " + value;
+        result.append(result.empty() ? ": " : ", ").append(name).append(" ").append(value);
     }
     return result;
 }
@@ -144,9 +143,9 @@
     for (const auto &[name, fields] : now) {
         const auto found = old.find(name);
         if (found == old.end()) {
-            lines.push_back("+ " + name + allFields(fields));
+            lines.push_back(std::string("+ ").append(name).append(allFields(fields)));
         } else if (const std::string changes = changedFields(found->second, fields); !changes.empty()) {
-            lines.push_back("~ " + name + ": " + changes);
+            lines.push_back(std::string("~ ").append(name).append(": ").append(changes));
         }
     }
     return lines;
--- a/src/control/wire.h
+++ b/src/control/wire.h
@@ -3,7 +3,7 @@
 #include "mimosahollow/control/increment.h"
 #include "mimosahollow/control/logentry.h"
 
-#include "generated/control_generated.h"
+#include "controltables.h"
 
 #include <array>
 #include <span>
--- a/src/storage/logformat.h
+++ b/src/storage/logformat.h
@@ -12,7 +12,7 @@
 inline constexpr std::size_t segmentHeaderBytes = 16;
 inline constexpr std::size_t recordHeaderBytes = 32;
 /** Larger groups are split and synced one by one. */
-inline constexpr std::size_t maximumRecordBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t maximumRecordBytes = 16UL * 1024 * 1024;
 
 void writeSegmentHeader(control::Bytes &out);
 
--- a/src/storage/logstore.cpp
+++ b/src/storage/logstore.cpp
@@ -52,7 +52,9 @@
     }
     Bytes record;
     writeRecord(record, nextSequence, lastIndex, operations);
-    const bool isNew = !active || activeBytes >= options.segmentBytes;
+    // A segment without records has the name that the new one would get.
+    const bool isFull = activeBytes >= options.segmentBytes && activeBytes > segmentHeaderBytes;
+    const bool isNew = !active || isFull;
     if (isNew) {
         if (auto error = startSegment(record)) {
             return error;
