--- a/include/mimosahollow/gateway/gateway.h
+++ b/include/mimosahollow/gateway/gateway.h
@@ -5,8 +5,10 @@
 #include "mimosahollow/gateway/servingreply.h"
 #include "mimosahollow/rings/boundedring.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,10 @@
 struct Settings;
 }
 
+namespace mimosahollow::observability {
+class Metrics;
+}
+
 namespace mimosahollow::gateway {
 
 class GatewayThread;
@@ -22,8 +28,9 @@
 struct GatewayPorts
 {
     std::function<KeyHash(std::string_view key)> hashKey;
-    std::function<std::string()> modelList; /**< JSON body of GET /v1/models. */
-    std::function<std::string()> metricsText; /**< Prometheus text. */
+    /** JSON body of GET /v1/models with what the key may use; empty when the key is not known. */
+    std::function<std::optional<std::string>(const KeyHash &key)> modelList;
+    std::function<std::string()> metricsText; /**< Prometheus text of the other parts, after the gateway's own. */
     std::function<bool()> isReady;
 };
 
@@ -38,7 +45,7 @@
 
     /** Opens the listeners and starts the threads. Throws std::runtime_error when an address cannot be used. */
     void start();
-    /** Delivers @p reply to the gateway thread that waits for it. Returns false when its ring is full. */
+    /** Delivers @p reply to the gateway thread that waits for it. Returns false, and leaves it untouched, when its ring is full: try again. */
     [[nodiscard]] bool reply(std::uint32_t gatewayThread, ServingReply &reply);
     /** Stops accepting, waits for running calls up to the drain timeout, then stops the threads. Returns whether all finished. */
     bool drain();
@@ -46,6 +53,8 @@
 private:
     const settings::Settings &m_settings;
     GatewayPorts m_ports;
+    std::unique_ptr<observability::Metrics> m_metrics;
+    std::atomic<std::uint32_t> m_connections = 0; /**< Of all threads. */
     std::vector<std::unique_ptr<GatewayThread>> m_threads;
 };
 
--- a/include/mimosahollow/gateway/servingresult.h
+++ b/include/mimosahollow/gateway/servingresult.h
@@ -14,9 +14,9 @@
     ConnectionRefused, /**< No byte was sent. */
     FailedBeforeAnswer, /**< Bytes were sent, none of the answer reached the caller. */
     FailedDuringAnswer,
-    CallerLeft,
+    CallerLeft, /**< With grant 0: while the call waited for a reply; none is needed any more. */
     AdapterMissing, /**< The server refused the call because the adapter is not resident; it did not run. */
-    DeadlineExceeded,
+    DeadlineExceeded, /**< With grant 0: no reply came in time. */
 };
 
 /** Report of the gateway after an attempt; the dispatch thread answers a repeatable failure with another reply. */
@@ -31,6 +31,7 @@
     bool awaitsReply = false; /**< The gateway holds the call open and waits for a retry or a refusal. */
     std::string answerContentType; /**< Answer to store, only for calls with an idempotency key. */
     std::string answerBody;
+    bool answerOmitted = false; /**< The answer is too large to be stored. */
 };
 
 } // namespace mimosahollow::gateway
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -19,8 +19,10 @@
 #include <boost/json/serialize.hpp>
 #include <sodium.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 
@@ -61,14 +63,23 @@
     return std::make_shared<control::Configuration>(std::get<control::Configuration>(std::move(result)));
 }
 
-std::string modelListBody(const control::Configuration &configuration)
+std::optional<std::string> modelListBody(const control::Configuration &configuration, const KeyHash &hash)
 {
+    const auto key = std::find_if(configuration.keys.begin(), configuration.keys.end(), [&](const control::ApiKey &candidate) {
+        return candidate.hash == hash;
+    });
+    if (key == configuration.keys.end()) {
+        return std::nullopt;
+    }
     boost::json::array models;
     for (const std::string &model : configuration.baseModels) {
         models.push_back(boost::json::object{{"id", model}, {"object", "model"}});
     }
     for (const control::Adapter &adapter : configuration.adapters) {
-        models.push_back(boost::json::object{{"id", adapter.baseModel + ":" + adapter.name + "@" + adapter.version}, {"object", "model"}});
+        const auto &organisations = adapter.organisations;
+        if (std::find(organisations.begin(), organisations.end(), key->organisation) != organisations.end()) {
+            models.push_back(boost::json::object{{"id", adapter.baseModel + ":" + adapter.name + "@" + adapter.version}, {"object", "model"}});
+        }
     }
     return boost::json::serialize(boost::json::object{{"object", "list"}, {"data", std::move(models)}});
 }
@@ -107,8 +118,8 @@
     gatewayPorts.hashKey = [&secret](std::string_view key) {
         return settings::hashKey(secret, key);
     };
-    gatewayPorts.modelList = [configuration] {
-        return modelListBody(*configuration);
+    gatewayPorts.modelList = [configuration](const KeyHash &key) {
+        return modelListBody(*configuration, key);
     };
     gatewayPorts.metricsText = [] {
         return std::string("# TYPE mimosahollow_up gauge\nmimosahollow_up 1\n");
--- a/src/gateway/answers.cpp
+++ b/src/gateway/answers.cpp
@@ -26,6 +26,23 @@
     return std::to_string(std::max<std::int64_t>(whole.count(), 1));
 }
 
+/** Type names that OpenAI clients map to their own error classes. */
+std::string_view errorType(unsigned status)
+{
+    switch (status) {
+    case 401:
+        return "authentication_error";
+    case 403:
+        return "permission_error";
+    case 404:
+        return "not_found_error";
+    case 429:
+        return "rate_limit_error";
+    default:
+        return status >= 500 ? "server_error" : "invalid_request_error";
+    }
+}
+
 } // namespace
 
 std::string toText(const RequestId &id)
@@ -40,18 +57,21 @@
 {
     HttpResponse response(static_cast<http::status>(status), request.version());
     response.set(http::field::content_type, boost::beast::string_view(contentType.data(), contentType.size()));
-    response.body() = std::move(body);
     response.keep_alive(request.keep_alive());
-    response.prepare_payload();
+    response.content_length(body.size());
+    if (request.method() != http::verb::head) {
+        response.body() = std::move(body);
+    }
     return response;
 }
 
 std::string refusalBody(const RequestId &id, const ServingRefusal &refusal, std::string_view message)
 {
     json::object error;
-    error["outcome"] = toString(refusal.outcome);
-    error["code"] = toString(refusal.reason);
     error["message"] = message.empty() ? toString(refusal.reason) : message;
+    error["type"] = errorType(httpStatus(refusal.reason));
+    error["code"] = toString(refusal.reason);
+    error["outcome"] = toString(refusal.outcome);
     error["request_id"] = toText(id);
     return json::serialize(json::object{{"error", std::move(error)}});
 }
@@ -60,12 +80,24 @@
 {
     HttpResponse response = makeResponse(request, httpStatus(refusal.reason), "application/json", refusalBody(id, refusal, message));
     response.set("X-Request-Id", toText(id));
+    if (refusal.reason == RefusalReason::InvalidKey) {
+        response.set(http::field::www_authenticate, "Bearer");
+    }
     if (refusal.retryAfter > Duration::zero()) {
         response.set(http::field::retry_after, retryAfterSeconds(refusal.retryAfter));
     }
     return response;
 }
 
+HttpResponse makeProtocolError(const RequestId &id, unsigned status, std::string_view message)
+{
+    const ServingRefusal refusal{RefusalReason::InvalidRequest, CallOutcome::NotRun, {}};
+    HttpResponse response = makeResponse(HttpRequest(http::verb::get, "/", 11), status, "application/json", refusalBody(id, refusal, message));
+    response.set("X-Request-Id", toText(id));
+    response.keep_alive(false);
+    return response;
+}
+
 asio::awaitable<ConnectionState> sendResponse(boost::beast::tcp_stream &stream, HttpResponse response)
 {
     const bool keepAlive = response.keep_alive();
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,44 +1,33 @@
-#include "attempt.h"
+#include "attemptstate.h"
 
 #include "answers.h"
+#include "eventstream.h"
 #include "gatewaythread.h"
-#include "upstream.h"
+#include "mimosahollow/observability/metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
-
-#include <array>
-#include <span>
 
 namespace mimosahollow::gateway {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace {
 
-constexpr std::size_t chunkBytes = 16'384;
 // Answers of model calls and plain services that are not streamed are held in memory up to this size.
 constexpr std::uint64_t maximumAnswerBytes = 16ULL << 20U;
-constexpr seconds callerWriteTimeout{30};
+// Larger answers are not stored for resends (section 15 of the design page).
+constexpr std::size_t maximumStoredBytes = 65'536;
 // Status with which a backend server says that the adapter is not resident and the call did not run.
 constexpr unsigned adapterMissingStatus = 409;
-constexpr std::string_view streamEndMark = "data: [DONE]";
-
-using ResponseParser = http::response_parser<http::buffer_body>;
+// Time for the last bytes of an answer to arrive after its end mark; a slower connection is not reused.
+constexpr seconds trailerTimeout{1};
 
-HttpRequest upstreamRequest(const AttemptRequest &request, const ServingGrant &grant)
+HttpRequest upstreamRequest(const AttemptRequest &request, const ServingGrant &grant, std::uint32_t resumeFrom)
 {
     // Built from nothing: headers of the caller, and with them its key, are never copied.
     HttpRequest upstream(request.method, request.target, 11);
@@ -48,228 +37,218 @@
     }
     upstream.set("X-Request-Id", toText(request.id));
     upstream.set("X-Fencing-Number", std::to_string(grant.fencing));
+    if (resumeFrom > 0) {
+        upstream.set("X-Resume-From", std::to_string(resumeFrom));
+    }
     upstream.body() = request.body;
     upstream.prepare_payload();
     return upstream;
 }
 
-std::uint32_t countEvents(std::string_view text)
+/** Opens or reuses a connection. Null when the server cannot be reached. */
+asio::awaitable<UpstreamPointer> openConnection(Attempt &attempt, bool fresh)
 {
-    std::uint32_t count = 0;
-    for (std::size_t at = text.find("data: "); at != std::string_view::npos; at = text.find("data: ", at + 1)) {
-        ++count;
-    }
-    return count;
+    UpstreamConnections &connections = attempt.thread.upstream();
+    UpstreamPointer connection = fresh ? nullptr : connections.takeIdle(attempt.grant.address);
+    const bool open = connection != nullptr;
+    if (!open) {
+        connection = connections.create();
+    }
+    attempt.watch.setInterrupt([&attempt, raw = connection.get()] {
+        attempt.cancelled = true;
+        raw->stream.close();
+    });
+    if (!open && !co_await connections.connect(*connection, attempt.grant.address, attempt.grant.deadline)) {
+        attempt.watch.clearInterrupt();
+        co_return nullptr;
+    }
+    if (!attempt.grant.repeatable) {
+        // Cancelling would leave the outcome unknown although the call may have run.
+        attempt.watch.clearInterrupt();
+    }
+    co_return attempt.cancelled ? nullptr : std::move(connection);
 }
 
-std::uint32_t usageTokens(const std::string &body)
+enum class HeadState : std::uint8_t {
+    Ready,
+    ClosedWhileIdle, /**< The server closed a reused connection before any byte of the answer. */
+    Failed,
+};
+
+asio::awaitable<HeadState> exchangeHead(Attempt &attempt, OpenAnswer &answer, std::uint32_t resumeFrom)
 {
-    beast::error_code error;
-    const boost::json::value value = boost::json::parse(body, error);
-    if (error) {
-        return 0;
+    UpstreamConnection &connection = *answer.connection;
+    connection.stream.expires_at(attempt.grant.deadline);
+    const HttpRequest upstream = upstreamRequest(attempt.request, attempt.grant, resumeFrom);
+    attempt.end.sent = true;
+    const auto limit = attempt.request.stream ? boost::none : boost::optional<std::uint64_t>(maximumAnswerBytes);
+    answer.reader = std::make_unique<AnswerReader>(connection, limit, attempt.request.method == http::verb::head);
+    const auto [writeError, written] = co_await http::async_write(connection.stream, upstream, asio::as_tuple(asio::use_awaitable));
+    static_cast<void>(written);
+    boost::system::error_code error = writeError;
+    if (!error) {
+        error = co_await answer.reader->readHead();
+    }
+    if (!error) {
+        // An answer to another request must not reach this caller, and the connection is out of step.
+        co_return answer.reader->head()["X-Request-Id"] == toText(attempt.request.id) ? HeadState::Ready : HeadState::Failed;
     }
-    const auto *tokens = value.find_pointer("/usage/completion_tokens", error);
-    return tokens != nullptr && tokens->is_int64() && tokens->get_int64() > 0 ? static_cast<std::uint32_t>(tokens->get_int64()) : 0;
+    const bool mayTryAgain =
+        connection.reused && attempt.grant.repeatable && !answer.reader->anyByteArrived() && !attempt.cancelled && !attempt.deadlinePassed();
+    co_return mayTryAgain ? HeadState::ClosedWhileIdle : HeadState::Failed;
 }
 
-/** State of one attempt while its coroutine runs. */
-struct Attempt
+asio::awaitable<void> readTrailer(GatewayThread &thread, std::string address, OpenAnswer answer)
 {
-    GatewayThread &thread;
-    beast::tcp_stream &caller;
-    const AttemptRequest &request;
-    const ServingGrant &grant;
-    AttemptEnd end;
-    bool lost = false; /**< The backend server failed; the outcome is set. */
+    answer.connection->stream.expires_after(trailerTimeout);
+    std::string rest;
+    const ReadState state = co_await answer.reader->readSome(rest);
+    if (state == ReadState::Done && answer.reader->leavesConnectionUsable()) {
+        answer.reader.reset();
+        thread.upstream().release(address, std::move(answer.connection));
+    }
+}
 
-    void fail(AttemptOutcome outcome)
-    {
-        end.result.outcome = std::chrono::steady_clock::now() >= grant.deadline ? AttemptOutcome::DeadlineExceeded : outcome;
-        lost = true;
+void storeAnswer(ServingResult &result, const std::string &contentType, const std::string &body)
+{
+    if (body.size() > maximumStoredBytes) {
+        result.answerOmitted = true;
+        return;
     }
-};
+    result.answerContentType = contentType;
+    result.answerBody = body;
+}
 
-/** Reads the next piece of the body. Returns an empty view at the end or after a failure, which sets @p attempt. */
-asio::awaitable<std::string_view> readPiece(Attempt &attempt, UpstreamConnection &connection, ResponseParser &parser, std::span<char> space)
+HttpResponse wholeResponse(const Attempt &attempt, const AnswerReader &reader, std::string body)
 {
-    while (!parser.is_done()) {
-        parser.get().body().data = space.data();
-        parser.get().body().size = space.size();
-        auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::as_tuple(asio::use_awaitable));
-        static_cast<void>(bytes);
-        if (error && error != http::error::need_buffer) {
-            attempt.fail(AttemptOutcome::FailedDuringAnswer);
-            co_return std::string_view{};
-        }
-        const std::size_t length = space.size() - parser.get().body().size;
-        if (length > 0) {
-            co_return std::string_view(space.data(), length);
+    const auto &head = reader.head();
+    HttpResponse response(head.result(), attempt.request.httpVersion);
+    const auto contentType = head.find(http::field::content_type);
+    if (contentType != head.end()) {
+        response.set(http::field::content_type, contentType->value());
+    }
+    response.set("X-Request-Id", toText(attempt.request.id));
+    if (!attempt.grant.served.empty()) {
+        response.set("X-Model-Served", attempt.grant.served);
+    }
+    const bool bodyless = head.result() == http::status::no_content || head.result() == http::status::not_modified;
+    if (attempt.request.method == http::verb::head) {
+        const auto length = head.find(http::field::content_length);
+        if (length != head.end()) {
+            response.set(http::field::content_length, length->value());
         }
+    } else if (!bodyless) {
+        response.content_length(body.size());
+        response.body() = std::move(body);
     }
-    co_return std::string_view{};
+    return response;
 }
 
-void setAnswerHeaders(auto &response, const AttemptRequest &request, const ServingGrant &grant)
+} // namespace
+
+void Attempt::fail(AttemptOutcome outcome) noexcept
 {
-    response.set("X-Request-Id", toText(request.id));
-    if (!grant.served.empty()) {
-        response.set("X-Model-Served", grant.served);
+    if (cancelled) {
+        end.result.outcome = AttemptOutcome::CallerLeft;
+    } else {
+        end.result.outcome = deadlinePassed() ? AttemptOutcome::DeadlineExceeded : outcome;
     }
 }
 
-asio::awaitable<bool> writeChunk(Attempt &attempt, std::string_view piece)
+bool Attempt::deadlinePassed() const noexcept
 {
-    attempt.caller.expires_after(callerWriteTimeout);
-    const auto [error, bytes] = co_await asio::async_write(attempt.caller, http::make_chunk(asio::buffer(piece)), asio::as_tuple(asio::use_awaitable));
-    static_cast<void>(bytes);
-    co_return !error;
+    return std::chrono::steady_clock::now() >= grant.deadline;
 }
 
-/** Carries a stream of server-sent events. It counts as complete only when the end mark has passed. */
-asio::awaitable<void> carryStream(Attempt &attempt, UpstreamConnection &connection, ResponseParser &parser)
+asio::awaitable<OpenAnswer> openAnswer(Attempt &attempt, std::uint32_t resumeFrom)
 {
-    http::response<http::empty_body> head(http::status::ok, attempt.request.httpVersion);
-    head.set(http::field::content_type, "text/event-stream");
-    head.set(http::field::cache_control, "no-store");
-    setAnswerHeaders(head, attempt.request, attempt.grant);
-    head.keep_alive(attempt.request.keepAlive);
-    head.chunked(true);
-    http::response_serializer<http::empty_body> serializer(head);
-    std::array<char, chunkBytes> space{};
-    std::string tail;
-    bool headSent = false;
-    bool endMarkSeen = false;
+    // A call that may not be repeated never uses a connection that the server may be closing at this moment.
+    bool fresh = !attempt.grant.repeatable || resumeFrom > 0;
     for (;;) {
-        const std::string_view piece = co_await readPiece(attempt, connection, parser, space);
-        if (piece.empty()) {
-            break;
+        OpenAnswer answer;
+        answer.connection = co_await openConnection(attempt, fresh);
+        if (!answer.connection) {
+            attempt.fail(AttemptOutcome::ConnectionRefused);
+            co_return OpenAnswer{};
         }
-        if (!headSent) {
-            attempt.end.result.firstTokenLatency = std::chrono::steady_clock::now() - attempt.request.arrival;
-            attempt.caller.expires_after(callerWriteTimeout);
-            const auto [error, bytes] = co_await http::async_write_header(attempt.caller, serializer, asio::as_tuple(asio::use_awaitable));
-            static_cast<void>(bytes);
-            if (error) {
-                attempt.end.result.outcome = AttemptOutcome::CallerLeft;
-                attempt.end.answerStarted = true;
-                co_return;
-            }
-            headSent = true;
-            attempt.end.answerStarted = true;
+        const HeadState state = co_await exchangeHead(attempt, answer, resumeFrom);
+        if (state == HeadState::Ready) {
+            co_return answer;
         }
-        attempt.end.result.outputTokens += countEvents(piece);
-        tail.append(piece);
-        endMarkSeen = endMarkSeen || tail.find(streamEndMark) != std::string::npos;
-        tail.erase(0, tail.size() - std::min(tail.size(), streamEndMark.size()));
-        if (!co_await writeChunk(attempt, piece)) {
-            attempt.end.result.outcome = AttemptOutcome::CallerLeft;
-            co_return;
+        attempt.watch.clearInterrupt(); // it refers to the connection
+        if (state == HeadState::Failed) {
+            attempt.fail(AttemptOutcome::FailedBeforeAnswer);
+            co_return OpenAnswer{};
         }
+        attempt.thread.metrics().attemptRetried();
+        fresh = true;
     }
-    if (!attempt.lost && !endMarkSeen) {
-        attempt.fail(AttemptOutcome::FailedDuringAnswer);
-    }
-    if (!headSent) {
-        if (attempt.lost) {
-            attempt.end.result.outcome = AttemptOutcome::FailedBeforeAnswer;
-        }
-        co_return;
-    }
-    if (attempt.lost) {
-        const ServingRefusal cause{RefusalReason::BackendFailed, CallOutcome::Unknown, {}};
-        const std::string event = "event: error\ndata: " + refusalBody(attempt.request.id, cause, "the answer is not complete") + "\n\n";
-        if (!co_await writeChunk(attempt, event)) {
-            co_return;
-        }
-    } else {
-        attempt.end.result.outcome = AttemptOutcome::Completed;
-        attempt.end.result.status = 200;
-        // The end mark is an event, not a token.
-        attempt.end.result.outputTokens -= std::min(attempt.end.result.outputTokens, 1U);
+}
+
+void recycle(Attempt &attempt, OpenAnswer answer)
+{
+    attempt.watch.clearInterrupt();
+    if (attempt.cancelled) {
+        return;
     }
-    attempt.caller.expires_after(callerWriteTimeout);
-    const auto [error, bytes] = co_await asio::async_write(attempt.caller, http::make_chunk_last(), asio::as_tuple(asio::use_awaitable));
-    static_cast<void>(bytes);
-    if (!error && attempt.request.keepAlive) {
-        attempt.end.connection = ConnectionState::KeepAlive;
+    if (answer.reader->leavesConnectionUsable()) {
+        answer.reader.reset();
+        attempt.thread.upstream().release(attempt.grant.address, std::move(answer.connection));
+    } else if (answer.reader->head().keep_alive()) {
+        const auto executor = answer.connection->stream.get_executor();
+        asio::co_spawn(executor, readTrailer(attempt.thread, attempt.grant.address, std::move(answer)), asio::detached);
     }
 }
 
-/** Reads the whole answer before the first byte goes to the caller, so that a failed attempt can be repeated. */
-asio::awaitable<void> carryWhole(Attempt &attempt, UpstreamConnection &connection, ResponseParser &parser)
+asio::awaitable<void> carryWhole(Attempt &attempt, OpenAnswer &answer)
 {
+    // The whole answer is read before the first byte goes to the caller, so that a failed attempt can be repeated.
     std::string body;
-    std::array<char, chunkBytes> space{};
-    for (;;) {
-        const std::string_view piece = co_await readPiece(attempt, connection, parser, space);
-        if (piece.empty()) {
-            break;
-        }
-        body.append(piece);
+    ReadState state = ReadState::More;
+    while (state == ReadState::More) {
+        state = co_await answer.reader->readSome(body);
     }
-    if (attempt.lost) {
-        attempt.end.result.outcome = AttemptOutcome::FailedBeforeAnswer;
+    if (state == ReadState::Failed) {
+        attempt.fail(AttemptOutcome::FailedBeforeAnswer);
         co_return;
     }
-    attempt.end.result.firstTokenLatency = std::chrono::steady_clock::now() - attempt.request.arrival;
-    attempt.end.result.outputTokens = usageTokens(body);
-    HttpResponse response(parser.get().result(), attempt.request.httpVersion);
-    response.set(http::field::content_type, parser.get()[http::field::content_type]);
-    setAnswerHeaders(response, attempt.request, attempt.grant);
-    response.keep_alive(attempt.request.keepAlive);
-    attempt.end.result.status = parser.get().result_int();
-    attempt.end.result.outcome = AttemptOutcome::Completed;
-    attempt.end.result.answerContentType = std::string(parser.get()[http::field::content_type]);
-    attempt.end.result.answerBody = body;
+    ServingResult &result = attempt.end.result;
+    result.firstTokenLatency = std::chrono::steady_clock::now() - attempt.request.arrival;
+    if (!attempt.grant.served.empty()) {
+        attempt.thread.metrics().firstToken(result.firstTokenLatency);
+        body = rewriteAnswer(std::move(body), attempt.grant.served, result.outputTokens);
+    }
+    result.status = answer.reader->head().result_int();
+    result.outcome = AttemptOutcome::Completed;
+    if (attempt.request.storeAnswer) {
+        storeAnswer(result, std::string(answer.reader->head()[http::field::content_type]), body);
+    }
     attempt.end.answerStarted = true;
-    response.body() = std::move(body);
-    response.prepare_payload();
+    HttpResponse response = wholeResponse(attempt, *answer.reader, std::move(body));
+    response.keep_alive(attempt.request.keepAlive && !attempt.thread.isDraining());
+    recycle(attempt, std::move(answer));
     attempt.end.connection = co_await sendResponse(attempt.caller, std::move(response));
 }
 
-} // namespace
-
-asio::awaitable<AttemptEnd> runAttempt(GatewayThread &thread, beast::tcp_stream &caller, const AttemptRequest &request, const ServingGrant &grant)
+asio::awaitable<AttemptEnd>
+runAttempt(GatewayThread &thread, boost::beast::tcp_stream &caller, CallerWatch &watch, const AttemptRequest &request, const ServingGrant &grant)
 {
-    Attempt attempt{thread, caller, request, grant, {}};
+    Attempt attempt{thread, caller, watch, request, grant, {}};
     attempt.end.result.id = request.id;
     attempt.end.result.grant = grant.grant;
-    auto connection = co_await thread.upstream().acquire(grant.address, grant.deadline);
-    if (!connection) {
-        attempt.fail(AttemptOutcome::ConnectionRefused);
+    OpenAnswer answer = co_await openAnswer(attempt, 0);
+    if (!answer.reader) {
         co_return std::move(attempt.end);
     }
-    connection->stream.expires_at(grant.deadline);
-    const HttpRequest upstream = upstreamRequest(request, grant);
-    const auto [writeError, written] = co_await http::async_write(connection->stream, upstream, asio::as_tuple(asio::use_awaitable));
-    static_cast<void>(written);
-    if (writeError) {
-        attempt.fail(AttemptOutcome::FailedBeforeAnswer);
-        co_return std::move(attempt.end);
-    }
-    ResponseParser parser;
-    parser.body_limit(request.stream ? boost::none : boost::optional<std::uint64_t>(maximumAnswerBytes));
-    const auto [readError, read] = co_await http::async_read_header(connection->stream, connection->buffer, parser, asio::as_tuple(asio::use_awaitable));
-    static_cast<void>(read);
-    // An answer to another request must not reach this caller, and the connection is out of step.
-    const bool matches = !readError && parser.get()["X-Request-Id"] == toText(request.id);
-    if (!matches) {
-        attempt.fail(AttemptOutcome::FailedBeforeAnswer);
-        co_return std::move(attempt.end);
-    }
-    if (parser.get().result_int() == adapterMissingStatus && parser.get()["X-Not-Run"] == "adapter-missing") {
+    const auto &head = answer.reader->head();
+    if (head.result_int() == adapterMissingStatus && head["X-Not-Run"] == "adapter-missing") {
         attempt.end.result.outcome = AttemptOutcome::AdapterMissing;
-        co_return std::move(attempt.end);
-    }
-    if (request.stream && parser.get().result() == http::status::ok) {
-        co_await carryStream(attempt, *connection, parser);
+    } else if (request.stream && head.result() == http::status::ok) {
+        co_await carryStream(attempt, answer);
     } else {
-        co_await carryWhole(attempt, *connection, parser);
-    }
-    if (parser.is_done() && !attempt.lost && parser.get().keep_alive()) {
-        thread.upstream().release(grant.address, std::move(connection));
+        co_await carryWhole(attempt, answer);
     }
+    watch.clearInterrupt();
     co_return std::move(attempt.end);
 }
 
--- a/src/gateway/modelcall.cpp
+++ b/src/gateway/modelcall.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace mimosahollow::gateway {
 
@@ -21,6 +22,8 @@
 constexpr std::size_t prefixBytes = 256;
 // Engines nest at most a few levels; deep nesting only costs stack.
 constexpr std::size_t maximumJsonDepth = 32;
+// "base:name@version"; longer names only fill log lines.
+constexpr std::size_t maximumModelBytes = 512;
 
 // Fields that are passed on. Anything else that a caller sends stays here, so no form of a key can slip through.
 constexpr std::array<std::string_view, 15> forwardedFields{"prompt",
@@ -55,14 +58,32 @@
     return static_cast<std::uint32_t>(*number);
 }
 
+bool isModelText(std::string_view text)
+{
+    return !text.empty() && text.size() <= maximumModelBytes && std::none_of(text.begin(), text.end(), [](char character) {
+        return static_cast<unsigned char>(character) < 0x20 || character == 0x7f;
+    });
+}
+
+/** Only the one option that the gateway knows is passed on. Empty when @p value is not valid. */
+std::optional<json::object> streamOptions(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    const json::value *include = object == nullptr ? nullptr : object->if_contains("include_usage");
+    if (object == nullptr || (include != nullptr && !include->is_bool())) {
+        return std::nullopt;
+    }
+    return json::object{{"include_usage", include != nullptr && include->get_bool()}};
+}
+
 } // namespace
 
 std::variant<ModelCall, std::string> parseModelCall(ModelEndpoint endpoint, std::string_view body)
 {
     json::error_code error;
-    json::parse_options options;
-    options.max_depth = maximumJsonDepth;
-    const json::value value = json::parse(body, error, {}, options);
+    json::parse_options limits;
+    limits.max_depth = maximumJsonDepth;
+    const json::value value = json::parse(body, error, {}, limits);
     if (error) {
         return "body is not valid JSON: " + error.message();
     }
@@ -71,8 +92,8 @@
         return std::string("body must be a JSON object");
     }
     const json::value *model = object->if_contains("model");
-    if (model == nullptr || !model->is_string() || model->get_string().empty()) {
-        return std::string("model must be a non-empty string");
+    if (model == nullptr || !model->is_string() || !isModelText(model->get_string())) {
+        return std::string("model must be a string of 1 to 512 characters without control characters");
     }
     const std::string_view promptField = endpoint == ModelEndpoint::ChatCompletions ? "messages" : "prompt";
     const json::value *prompt = object->if_contains(promptField);
@@ -89,6 +110,12 @@
         return std::string("stream must be true or false");
     }
 
+    const json::value *options = object->if_contains("stream_options");
+    const auto forwardedOptions = options == nullptr || options->is_null() ? std::optional(json::object()) : streamOptions(*options);
+    if (!forwardedOptions) {
+        return std::string("stream_options must be an object with include_usage true or false");
+    }
+
     const std::string promptText = json::serialize(*prompt);
     json::object forwarded;
     for (const std::string_view field : forwardedFields) {
@@ -103,6 +130,9 @@
     call.promptTokens = static_cast<std::uint32_t>(promptText.size() / bytesPerToken + 1);
     call.maximumOutputTokens = std::get<std::uint32_t>(tokens);
     call.prefixHash = XXH3_64bits(promptText.data(), std::min(promptText.size(), prefixBytes));
+    if (call.stream && !forwardedOptions->empty()) {
+        forwarded["stream_options"] = *forwardedOptions;
+    }
     forwarded["max_tokens"] = call.maximumOutputTokens;
     call.upstreamBody = json::serialize(forwarded);
     return call;
--- a/src/gateway/modelcall.h
+++ b/src/gateway/modelcall.h
@@ -24,7 +24,8 @@
     std::uint32_t promptTokens = 0; /**< Estimate from the size of the prompt. */
     std::uint32_t maximumOutputTokens = 0;
     std::uint64_t prefixHash = 0;
-    std::string upstreamBody; /**< JSON for the backend server without "model" and "adapter"; never contains headers of the caller. */
+    std::string upstreamBody; /**< JSON for the backend server without "model" and "adapter"; never contains headers of the caller. A key that the
+                                   caller writes into its prompt is content; see repeatsKey() in calls.cpp. */
 };
 
 /** Parses the body of a model call. Returns a message for the caller when it is not valid. */
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -1,17 +1,19 @@
 #include "session.h"
 
 #include "answers.h"
-#include "attempt.h"
 #include "backendmessages.h"
-#include "gatewaythread.h"
-#include "modelcall.h"
+#include "calls.h"
+#include "mimosahollow/observability/metrics.h"
+#include "servicepath.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
 
 namespace mimosahollow::gateway {
 
@@ -21,247 +23,243 @@
 
 namespace {
 
-constexpr std::string_view bearerPrefix = "Bearer ";
-constexpr std::size_t maximumIdempotencyKeyBytes = 256;
+using RequestParser = http::request_parser<http::string_body>;
 
-std::string_view view(beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
+// An idle connection holds only this much; 10,000 of them hold 10 MB.
+constexpr std::size_t idleBufferBytes = 1024;
+// Space for the body bytes that arrive together with the largest head.
+constexpr std::size_t bufferBytesBeyondHead = 131'072;
+// What is read and dropped of a refused request, so that the refusal is not lost in a connection reset.
+constexpr std::size_t maximumDroppedBytes = 1U << 20U;
+constexpr seconds dropTimeout{2};
 
-/** One connection of a caller or of a backend server. */
-struct Session
-{
-    GatewayThread &thread;
-    beast::tcp_stream stream;
-};
+constexpr std::array serviceMethods{http::verb::get, http::verb::head, http::verb::post, http::verb::put, http::verb::patch, http::verb::delete_};
 
-std::optional<KeyHash> callerKey(const Session &session, const HttpRequest &request)
-{
-    const std::string_view header = view(request[http::field::authorization]);
-    if (!header.starts_with(bearerPrefix)) {
-        return std::nullopt;
-    }
-    return session.thread.ports().hashKey(header.substr(bearerPrefix.size()));
-}
-
-AttemptRequest makeAttempt(const HttpRequest &request, const RequestId &id, TimePoint arrival)
-{
-    AttemptRequest attempt;
-    attempt.id = id;
-    attempt.method = request.method();
-    attempt.arrival = arrival;
-    attempt.keepAlive = request.keep_alive();
-    attempt.httpVersion = request.version();
-    return attempt;
-}
-
-ServingRefusal refusalAfter(const AttemptEnd &end, const ServingGrant &grant)
+HttpResponse plainResponse(const HttpRequest &request, unsigned status, std::string_view text)
 {
-    const bool neverSent = end.result.outcome == AttemptOutcome::ConnectionRefused || end.result.outcome == AttemptOutcome::AdapterMissing;
-    const bool late = std::chrono::steady_clock::now() >= grant.deadline;
-    return {late ? RefusalReason::DeadlineExceeded : RefusalReason::BackendFailed, neverSent ? CallOutcome::NotRun : CallOutcome::Unknown, {}};
+    return makeResponse(request, status, "text/plain; charset=utf-8", std::string(text));
 }
 
-/** Runs a call until it has an answer, or a refusal of the dispatch thread. */
-template<typename PrepareAttempt>
-asio::awaitable<ConnectionState> runCall(Session &session, const HttpRequest &request, ServingRequest serving, AttemptRequest attempt, PrepareAttempt prepare)
+asio::awaitable<ConnectionState> handleModelList(Session &session, const HttpRequest &request)
 {
-    const RequestId id = serving.id;
-    ServingReply reply = co_await session.thread.submit(std::move(serving));
-    bool mayHaveRun = false;
-    for (;;) {
-        if (auto *refusal = std::get_if<ServingRefusal>(&reply.content)) {
-            // A refusal after an attempt that may have run must not claim that the call did not run.
-            refusal->outcome = mayHaveRun ? CallOutcome::Unknown : refusal->outcome;
-            co_return co_await sendResponse(session.stream, makeRefusal(request, id, *refusal));
-        }
-        if (auto *stored = std::get_if<StoredAnswer>(&reply.content)) {
-            HttpResponse response = makeResponse(request, stored->status, stored->contentType, std::move(stored->body));
-            response.set("X-Request-Id", toText(id));
-            co_return co_await sendResponse(session.stream, std::move(response));
-        }
-        const ServingGrant grant = std::get<ServingGrant>(reply.content);
-        prepare(attempt, grant);
-        AttemptEnd end = co_await runAttempt(session.thread, session.stream, attempt, grant);
-        if (end.answerStarted) {
-            session.thread.report(std::move(end.result));
-            co_return end.connection;
-        }
-        const bool notSent = end.result.outcome == AttemptOutcome::ConnectionRefused || end.result.outcome == AttemptOutcome::AdapterMissing;
-        mayHaveRun = mayHaveRun || !notSent;
-        if (!grant.repeatable && !notSent) {
-            const ServingRefusal refusal = refusalAfter(end, grant);
-            session.thread.report(std::move(end.result));
-            co_return co_await sendResponse(session.stream, makeRefusal(request, id, refusal));
-        }
-        reply = co_await session.thread.reportAndWait(std::move(end.result));
+    const std::string_view key = callerKey(request);
+    auto list = key.empty() ? std::nullopt : session.thread.ports().modelList(session.thread.ports().hashKey(key));
+    if (!list) {
+        co_return co_await refuse(session, request, session.thread.nextRequestId(), {RefusalReason::InvalidKey, CallOutcome::NotRun, {}});
     }
+    co_return co_await answer(session, makeResponse(request, 200, "application/json", std::move(*list)));
 }
 
-asio::awaitable<ConnectionState> handleModelCall(Session &session, const HttpRequest &request, ModelEndpoint endpoint)
+asio::awaitable<ConnectionState> handleOwnPath(Session &session, const HttpRequest &request, const std::string &path)
 {
-    const RequestId id = session.thread.nextRequestId();
-    auto parsed = parseModelCall(endpoint, request.body());
-    if (const auto *message = std::get_if<std::string>(&parsed)) {
-        co_return co_await sendResponse(session.stream, makeRefusal(request, id, {RefusalReason::InvalidRequest, CallOutcome::NotRun, {}}, *message));
+    if (path == "/v1/models") {
+        co_return co_await handleModelList(session, request);
     }
-    const ModelCall &call = std::get<ModelCall>(parsed);
-    const TimePoint arrival = std::chrono::steady_clock::now();
-    ServingRequest serving;
-    serving.id = id;
-    serving.kind = CallKind::Model;
-    serving.keyHash = callerKey(session, request);
-    serving.target = call.model;
-    serving.promptTokens = call.promptTokens;
-    serving.maximumOutputTokens = call.maximumOutputTokens;
-    serving.prefixHash = call.prefixHash;
-    serving.arrival = arrival;
-    serving.deadline = arrival + session.thread.settings().requestDeadline;
-
-    AttemptRequest attempt = makeAttempt(request, id, arrival);
-    attempt.contentType = "application/json";
-    attempt.stream = call.stream;
-    attempt.target = endpoint == ModelEndpoint::ChatCompletions ? "/v1/chat/completions" : "/v1/completions";
-    co_return co_await runCall(session, request, std::move(serving), std::move(attempt), [&call](AttemptRequest &next, const ServingGrant &grant) {
-        next.body = upstreamBody(call, grant.served.substr(0, grant.served.find(':')), grant.adapter);
-    });
-}
-
-asio::awaitable<ConnectionState> handleServiceCall(Session &session, const HttpRequest &request)
-{
-    const RequestId id = session.thread.nextRequestId();
-    const std::string_view target = view(request.target());
-    const std::string_view path = target.substr(0, target.find('?'));
-    const std::string_view idempotencyKey = view(request["Idempotency-Key"]);
-    if (idempotencyKey.size() > maximumIdempotencyKeyBytes) {
-        co_return co_await sendResponse(session.stream,
-                                        makeRefusal(request, id, {RefusalReason::InvalidRequest, CallOutcome::NotRun, {}}, "Idempotency-Key is too long"));
+    if (path == "/healthz") {
+        co_return co_await answer(session, plainResponse(request, 200, "ok\n"));
     }
-    const TimePoint arrival = std::chrono::steady_clock::now();
-    ServingRequest serving;
-    serving.id = id;
-    serving.kind = CallKind::PlainService;
-    serving.keyHash = callerKey(session, request);
-    serving.target = std::string(path);
-    serving.safeMethod = request.method() == http::verb::get || request.method() == http::verb::head;
-    serving.idempotencyKey = std::string(idempotencyKey);
-    serving.bodyHash = XXH3_64bits(request.body().data(), request.body().size());
-    serving.arrival = arrival;
-    serving.deadline = arrival + session.thread.settings().requestDeadline;
-
-    AttemptRequest attempt = makeAttempt(request, id, arrival);
-    attempt.contentType = std::string(view(request[http::field::content_type]));
-    // The query is not forwarded: it could carry a key.
-    attempt.target = std::string(path);
-    attempt.body = request.body();
-    co_return co_await runCall(session, request, std::move(serving), std::move(attempt), [](AttemptRequest &, const ServingGrant &) {});
-}
-
-HttpResponse plainResponse(const HttpRequest &request, unsigned status, std::string_view text)
-{
-    return makeResponse(request, status, "text/plain; charset=utf-8", std::string(text));
+    if (path == "/readyz") {
+        const bool ready = !session.thread.isDraining() && session.thread.ports().isReady();
+        co_return co_await answer(session, plainResponse(request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+    }
+    co_return co_await answer(session, makeResponse(request, 200, "text/plain; version=0.0.4", session.thread.metricsText()));
 }
 
 asio::awaitable<ConnectionState> handleCallerRequest(Session &session, const HttpRequest &request)
 {
-    const std::string_view target = view(request.target());
-    const std::string_view path = target.substr(0, target.find('?'));
-    const bool get = request.method() == http::verb::get;
-    const bool post = request.method() == http::verb::post;
-    if (post && path == "/v1/chat/completions") {
+    const auto path = normalisePath({request.target().data(), request.target().size()});
+    if (!path || std::find(serviceMethods.begin(), serviceMethods.end(), request.method()) == serviceMethods.end()) {
+        const char *message = path ? "the method is not supported" : "the path is not valid";
+        co_return co_await refuse(session, request, session.thread.nextRequestId(), {RefusalReason::InvalidRequest, CallOutcome::NotRun, {}}, message);
+    }
+    if (request.method() == http::verb::post && *path == "/v1/chat/completions") {
         co_return co_await handleModelCall(session, request, ModelEndpoint::ChatCompletions);
     }
-    if (post && path == "/v1/completions") {
+    if (request.method() == http::verb::post && *path == "/v1/completions") {
         co_return co_await handleModelCall(session, request, ModelEndpoint::Completions);
     }
-    if (get && path == "/v1/models") {
-        co_return co_await sendResponse(session.stream, makeResponse(request, 200, "application/json", session.thread.ports().modelList()));
+    const bool reads = request.method() == http::verb::get || request.method() == http::verb::head;
+    if (reads && (*path == "/v1/models" || *path == "/healthz" || *path == "/readyz" || *path == "/metrics")) {
+        co_return co_await handleOwnPath(session, request, *path);
     }
-    if (get && path == "/healthz") {
-        co_return co_await sendResponse(session.stream, plainResponse(request, 200, "ok\n"));
-    }
-    if (get && path == "/readyz") {
-        const bool ready = !session.thread.isDraining() && session.thread.ports().isReady();
-        co_return co_await sendResponse(session.stream, plainResponse(request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
-    }
-    if (get && path == "/metrics") {
-        co_return co_await sendResponse(session.stream, makeResponse(request, 200, "text/plain; version=0.0.4", session.thread.ports().metricsText()));
-    }
-    co_return co_await handleServiceCall(session, request);
+    co_return co_await handleServiceCall(session, request, *path);
 }
 
 asio::awaitable<ConnectionState> handleBackendRequest(Session &session, const HttpRequest &request)
 {
-    const std::string_view path = view(request.target());
     std::optional<ServingEvent> event;
-    if (request.method() == http::verb::post && path == "/backend/v1/announce") {
+    if (request.method() == http::verb::post && request.target() == "/backend/v1/announce") {
         if (auto announcement = parseAnnouncement(request.body())) {
             event = std::move(*announcement);
         }
-    } else if (request.method() == http::verb::post && path == "/backend/v1/report") {
+    } else if (request.method() == http::verb::post && request.target() == "/backend/v1/report") {
         if (auto report = parseReport(request.body())) {
             event = std::move(*report);
         }
     } else {
-        co_return co_await sendResponse(session.stream, plainResponse(request, 404, "unknown path\n"));
+        co_return co_await answer(session, plainResponse(request, 404, "unknown path\n"));
     }
     if (!event) {
-        co_return co_await sendResponse(session.stream, plainResponse(request, 400, "a field is missing or has the wrong type\n"));
+        session.thread.logRejected("backend message with a missing or wrong field");
+        co_return co_await answer(session, plainResponse(request, 400, "a field is missing or has the wrong type\n"));
     }
     const bool accepted = session.thread.forward(std::move(*event));
-    co_return co_await sendResponse(session.stream, plainResponse(request, accepted ? 200 : 503, accepted ? "ok\n" : "busy\n"));
+    co_return co_await answer(session, plainResponse(request, accepted ? 200 : 503, accepted ? "ok\n" : "busy\n"));
 }
 
+/** Status for a request that could not be read; 0 when the connection ended and nobody waits for an answer. */
 unsigned statusOfReadError(const boost::system::error_code &error)
 {
     if (error == http::error::body_limit) {
         return 413;
     }
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return 431;
     }
-    return error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream ? 400 : 0;
+    const bool malformed = error.category() == make_error_code(http::error::bad_method).category();
+    return malformed && error != http::error::end_of_stream && error != http::error::partial_message ? 400 : 0;
+}
+
+/** Tells the caller why its request could not be read, then drops what it still sends. */
+asio::awaitable<void> rejectAndClose(Session &session, unsigned status, std::string_view message)
+{
+    session.thread.logRejected(message);
+    session.thread.metrics().refused(RefusalReason::InvalidRequest);
+    co_await sendResponse(session.stream, makeProtocolError(session.thread.nextRequestId(), status, message));
+    boost::system::error_code ignored;
+    session.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    session.stream.expires_after(dropTimeout);
+    std::size_t dropped = 0;
+    std::array<char, idleBufferBytes> space{};
+    while (dropped < maximumDroppedBytes) {
+        const auto [error, bytes] = co_await session.stream.async_read_some(asio::buffer(space), asio::as_tuple(asio::use_awaitable));
+        if (error) {
+            break;
+        }
+        dropped += bytes;
+    }
+}
+
+/** Waits for the first byte of a request, which may take long. Returns false when the connection has ended. */
+asio::awaitable<bool> waitForRequest(Session &session)
+{
+    if (session.buffer.size() > 0) {
+        co_return true;
+    }
+    if (session.buffer.capacity() > idleBufferBytes) {
+        session.buffer.shrink_to_fit();
+    }
+    session.stream.expires_after(session.thread.settings().idleTimeout);
+    session.thread.connectionIdle(session.stream);
+    const auto [error, bytes] = co_await session.stream.async_read_some(session.buffer.prepare(idleBufferBytes), asio::as_tuple(asio::use_awaitable));
+    session.thread.connectionBusy(session.stream);
+    session.buffer.commit(bytes);
+    co_return !error;
+}
+
+/** Reads one request, which must arrive within the time limit once it has begun. */
+asio::awaitable<boost::system::error_code> readRequest(Session &session, RequestParser &parser)
+{
+    const settings::Settings &settings = session.thread.settings();
+    parser.header_limit(static_cast<std::uint32_t>(settings.maximumHeadBytes));
+    parser.body_limit(settings.maximumBodyBytes);
+    session.stream.expires_after(settings.headTimeout);
+    const auto [headError, headBytes] = co_await http::async_read_header(session.stream, session.buffer, parser, asio::as_tuple(asio::use_awaitable));
+    static_cast<void>(headBytes);
+    if (headError || parser.is_done()) {
+        co_return headError;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue") && parser.get().version() >= 11) {
+        // Limits on the head and the declared body have been checked; the caller may send the body.
+        constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const auto [error, bytes] = co_await asio::async_write(session.stream, asio::buffer(interim), asio::as_tuple(asio::use_awaitable));
+        static_cast<void>(bytes);
+        if (error) {
+            co_return error;
+        }
+    }
+    const auto [error, bytes] = co_await http::async_read(session.stream, session.buffer, parser, asio::as_tuple(asio::use_awaitable));
+    static_cast<void>(bytes);
+    co_return error;
+}
+
+/** Counts a request as running from its first byte, so that a graceful shutdown waits for it. */
+class RunningCall
+{
+public:
+    explicit RunningCall(GatewayThread &thread) : m_thread(thread)
+    {
+        m_thread.callStarted();
+    }
+    ~RunningCall()
+    {
+        m_thread.callEnded();
+    }
+    RunningCall(const RunningCall &) = delete;
+    RunningCall &operator=(const RunningCall &) = delete;
+
+private:
+    GatewayThread &m_thread;
+};
+
+/** Watches the caller for as long as it lives; the watch refers to the session only in that time. */
+class WatchedCall
+{
+public:
+    explicit WatchedCall(CallerWatch &watch) : m_watch(watch)
+    {
+        m_watch.beginCall();
+    }
+    ~WatchedCall()
+    {
+        m_watch.endCall();
+    }
+    WatchedCall(const WatchedCall &) = delete;
+    WatchedCall &operator=(const WatchedCall &) = delete;
+
+private:
+    CallerWatch &m_watch;
+};
+
+asio::awaitable<ConnectionState> serveRequest(Session &session, ListenerRole role)
+{
+    const RunningCall running(session.thread);
+    RequestParser parser;
+    const boost::system::error_code error = co_await readRequest(session, parser);
+    if (error) {
+        if (error == beast::error::timeout) {
+            session.thread.logRejected("the request did not arrive in time"); // the timer has closed the connection
+        } else if (const unsigned status = statusOfReadError(error)) {
+            co_await rejectAndClose(session, status, error.message());
+        }
+        co_return ConnectionState::Close;
+    }
+    const HttpRequest request = parser.release();
+    if (role == ListenerRole::Backends) {
+        co_return co_await handleBackendRequest(session, request);
+    }
+    ConnectionState state = ConnectionState::Close;
+    {
+        const WatchedCall watched(*session.watch);
+        state = co_await handleCallerRequest(session, request);
+    }
+    co_return session.watch->callerLeft() ? ConnectionState::Close : state;
 }
 
 } // namespace
 
 asio::awaitable<void> serveConnection(GatewayThread &thread, asio::ip::tcp::socket socket, ListenerRole role)
 {
-    Session session{thread, beast::tcp_stream(std::move(socket))};
+    Session session{thread, beast::tcp_stream(std::move(socket)), beast::flat_buffer(), nullptr};
+    session.buffer.max_size(thread.settings().maximumHeadBytes + bufferBytesBeyondHead);
+    session.watch = std::make_shared<CallerWatch>(session.stream, session.buffer);
     boost::system::error_code ignored;
     session.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    beast::flat_buffer buffer;
-    const settings::Settings &settings = thread.settings();
+    session.stream.socket().non_blocking(true, ignored);
     ConnectionState state = ConnectionState::KeepAlive;
-    while (state == ConnectionState::KeepAlive && !thread.isDraining()) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(settings.maximumHeadBytes));
-        parser.body_limit(settings.maximumBodyBytes);
-        if (buffer.size() == 0) {
-            // Waiting for the first byte may take long; once a request has begun, it must arrive quickly.
-            session.stream.expires_after(settings.idleTimeout);
-            const auto [waitError, waited] = co_await session.stream.async_read_some(buffer.prepare(4096), asio::as_tuple(asio::use_awaitable));
-            if (waitError) {
-                break;
-            }
-            buffer.commit(waited);
-        }
-        session.stream.expires_after(settings.headTimeout);
-        const auto [error, bytes] = co_await http::async_read(session.stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
-        static_cast<void>(bytes);
-        if (error) {
-            if (const unsigned status = statusOfReadError(error)) {
-                HttpResponse response = plainResponse(HttpRequest(http::verb::get, "/", 11), status, error.message() + "\n");
-                response.keep_alive(false);
-                co_await sendResponse(session.stream, std::move(response));
-            }
-            break;
-        }
-        const HttpRequest request = parser.release();
-        thread.callStarted();
-        state = role == ListenerRole::Callers ? co_await handleCallerRequest(session, request) : co_await handleBackendRequest(session, request);
-        thread.callEnded();
+    while (state == ConnectionState::KeepAlive) {
+        const bool begun = co_await waitForRequest(session);
+        state = begun ? co_await serveRequest(session, role) : ConnectionState::Close;
     }
     session.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -16,6 +16,9 @@
 // Enough for the slots of one server; more idle connections only hold memory.
 constexpr std::size_t maximumIdlePerServer = 64;
 constexpr seconds connectTimeout{2};
+// Connections to servers that left are closed after this time; servers that get calls reuse theirs much sooner.
+constexpr seconds maximumIdleTime{30};
+constexpr seconds sweepInterval{5};
 
 /** An idle connection on which the server has sent something, or which it has closed, must not carry another call. */
 bool isQuiet(boost::beast::tcp_stream &stream)
@@ -36,38 +39,81 @@
 {
 }
 
-asio::awaitable<std::unique_ptr<UpstreamConnection>> UpstreamConnections::acquire(std::string address, TimePoint deadline)
+UpstreamPointer UpstreamConnections::takeIdle(const std::string &address)
 {
-    auto &idle = m_idle[address];
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    auto &idle = found->second;
     while (!idle.empty()) {
-        auto connection = std::move(idle.back());
+        UpstreamPointer connection = std::move(idle.back());
         idle.pop_back();
         if (isQuiet(connection->stream)) {
             connection->reused = true;
-            co_return connection;
+            return connection;
         }
     }
+    return nullptr;
+}
+
+UpstreamPointer UpstreamConnections::create()
+{
+    return std::make_unique<UpstreamConnection>(m_context);
+}
+
+asio::awaitable<bool> UpstreamConnections::connect(UpstreamConnection &connection, const std::string &address, TimePoint deadline)
+{
     const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        co_return nullptr;
+        co_return false;
     }
-    auto connection = std::make_unique<UpstreamConnection>(m_context);
-    connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + connectTimeout));
-    const auto [error] = co_await connection->stream.async_connect(*endpoint, asio::as_tuple(asio::use_awaitable));
+    connection.stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + connectTimeout));
+    const auto [error] = co_await connection.stream.async_connect(*endpoint, asio::as_tuple(asio::use_awaitable));
     if (error) {
+        co_return false;
+    }
+    boost::system::error_code ignored;
+    connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+asio::awaitable<UpstreamPointer> UpstreamConnections::acquire(std::string address, TimePoint deadline)
+{
+    if (UpstreamPointer idle = takeIdle(address)) {
+        co_return idle;
+    }
+    UpstreamPointer connection = create();
+    if (!co_await connect(*connection, address, deadline)) {
         co_return nullptr;
     }
-    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
     co_return connection;
 }
 
-void UpstreamConnections::release(const std::string &address, std::unique_ptr<UpstreamConnection> connection)
+void UpstreamConnections::release(const std::string &address, UpstreamPointer connection)
 {
+    const TimePoint now = std::chrono::steady_clock::now();
+    closeOld(now);
     auto &idle = m_idle[address];
     if (idle.size() < maximumIdlePerServer && connection->buffer.size() == 0) {
         connection->stream.expires_never();
+        connection->idleSince = now;
         idle.push_back(std::move(connection));
     }
 }
 
+void UpstreamConnections::closeOld(TimePoint now)
+{
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + sweepInterval;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second, [now](const UpstreamPointer &connection) {
+            return now - connection->idleSince > maximumIdleTime || !isQuiet(connection->stream);
+        });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
 } // namespace mimosahollow::gateway
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -24,23 +23,36 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool reused = false; /**< The server may have closed it while it was idle. */
+    TimePoint idleSince{};
 };
 
-/** Idle connections to backend servers of one gateway thread. */
+using UpstreamPointer = std::unique_ptr<UpstreamConnection>;
+
+/** Idle connections to backend servers of one event loop. */
 class UpstreamConnections
 {
 public:
     explicit UpstreamConnections(boost::asio::io_context &context);
 
+    /** An idle connection that the server has neither closed nor written to; null when there is none. */
+    [[nodiscard]] UpstreamPointer takeIdle(const std::string &address);
+    /** A connection that is not open yet. */
+    [[nodiscard]] UpstreamPointer create();
+    /** Opens @p connection. After false no byte of a call was sent. */
+    [[nodiscard]] boost::asio::awaitable<bool> connect(UpstreamConnection &connection, const std::string &address, TimePoint deadline);
+
     /** Takes an idle connection or opens one. Null when the server cannot be reached; no byte of a call was sent then. */
-    [[nodiscard]] boost::asio::awaitable<std::unique_ptr<UpstreamConnection>> acquire(std::string address, TimePoint deadline);
+    [[nodiscard]] boost::asio::awaitable<UpstreamPointer> acquire(std::string address, TimePoint deadline);
 
     /** Keeps a connection for reuse. Only for connections whose last answer was read to its end. */
-    void release(const std::string &address, std::unique_ptr<UpstreamConnection> connection);
+    void release(const std::string &address, UpstreamPointer connection);
 
 private:
+    void closeOld(TimePoint now);
+
     boost::asio::io_context &m_context;
-    std::unordered_map<std::string, std::vector<std::unique_ptr<UpstreamConnection>>> m_idle;
+    std::unordered_map<std::string, std::vector<UpstreamPointer>> m_idle;
+    TimePoint m_nextSweep{};
 };
 
 } // namespace mimosahollow::gateway
