Let the stand-in engine misbehave and show its calls

Change: EngineFaults (die or end in the middle of a stream, wrong or foreign answers, silent close, hang, late answers, refused, hung or slow loads, cold without notice), options for resumption, fencing, batch slowdown and the calls that a cold server bears, GET /standin/calls, POST /standin/faults and POST /standin/restart. The server is split into state, listener, model calls, orders, inspection and announcements.

Conclusion: the same faults are available in one process and over HTTP.

--- a/include/mimosahollow/standin/engine.h
+++ b/include/mimosahollow/standin/engine.h
@@ -1,14 +1,21 @@
 #pragma once
 
+#include "mimosahollow/standin/enginecall.h"
 #include "mimosahollow/standin/engineoptions.h"
 
 #include <memory>
+#include <vector>
 
 namespace mimosahollow::standin {
 
 class EngineServer;
 
-/** A backend server for trials and tests: speaks the engines' protocol and generates filler text. Runs on its own thread. */
+/**
+ * A backend server for trials and tests: speaks the engines' protocol and generates filler text. Runs on its own thread.
+ *
+ * For tests in other processes, GET /standin/calls lists the calls that it received with their headers and bodies,
+ * POST /standin/faults sets faults, and POST /standin/restart makes it empty with a new incarnation.
+ */
 class Engine
 {
 public:
@@ -21,6 +28,14 @@
     void start();
     void stop();
 
+    // May be called on any thread while the engine runs.
+
+    /** The last 10,000 calls, oldest first. */
+    [[nodiscard]] std::vector<EngineCall> calls() const;
+    void setFaults(const EngineFaults &faults);
+    /** Closes all connections, forgets the adapters and takes a new incarnation, as a restarted process does. */
+    void restart();
+
 private:
     std::unique_ptr<EngineServer> m_server;
 };
--- a/include/mimosahollow/standin/engineoptions.h
+++ b/include/mimosahollow/standin/engineoptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/standin/enginefaults.h"
 
 #include <cstdint>
 #include <string>
@@ -19,10 +20,15 @@
     std::vector<std::string> announceTo; /**< Backend listeners of instances. */
     std::uint32_t slots = 8;
     std::uint32_t adapterSlots = 8;
-    std::uint32_t coldLimit = 1;
-    bool checksFencing = true;
+    std::uint32_t coldLimit = 1; /**< Announced: calls at one time when freshly started. */
+    std::uint32_t bearsWhenCold = 0; /**< A cold server resets connections above so many running calls; 0: bears any number. */
+    std::uint32_t warmAfterCalls = 32; /**< Completed calls after which a started server is warm. */
+    bool checksFencing = true; /**< Otherwise orders with old fencing numbers are carried out. */
+    bool supportsResume = false; /**< Goes on from token n of a stream on request. */
+    double batchSlowdown = 0.0; /**< Part of the token time that each further running call adds. */
     Duration tokenTime = milliseconds(20); /**< Time between two tokens. */
     Duration loadTime = milliseconds(250);
+    EngineFaults faults;
 };
 
 } // namespace mimosahollow::standin
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -82,6 +82,10 @@
     standin::EngineOptions engineOptions;
     std::int64_t tokenMicroseconds = 20'000;
     std::int64_t loadMilliseconds = 250;
+    std::int64_t delayMilliseconds = 0;
+    std::int64_t loadDelayMilliseconds = 0;
+    bool ignoreFencing = false;
+    standin::EngineFaults &faults = engineOptions.faults;
     options::options_description description("mimosahollow engine: runs a stand-in backend server for trials and tests");
     description.add_options()("help,h", "shows this text")("name", options::value(&engineOptions.name), "name of the backend server")(
         "listen", options::value(&engineOptions.address), "address, IP:port")("domain", options::value(&engineOptions.failureDomain), "failure domain")(
@@ -92,13 +96,29 @@
         "adapter-slots", options::value(&engineOptions.adapterSlots), "adapters at one time")(
         "cold-limit", options::value(&engineOptions.coldLimit), "calls at one time when freshly started")(
         "token-us", options::value(&tokenMicroseconds), "microseconds for each token")(
-        "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load");
+        "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load")(
+        "bears-when-cold", options::value(&engineOptions.bearsWhenCold), "resets connections above so many calls while cold; 0: never")(
+        "warm-after", options::value(&engineOptions.warmAfterCalls), "completed calls after which it is warm")(
+        "ignore-fencing", options::bool_switch(&ignoreFencing), "carries out orders with old fencing numbers")(
+        "resume", options::bool_switch(&engineOptions.supportsResume), "resumes streams")(
+        "batch-slowdown", options::value(&engineOptions.batchSlowdown), "part of the token time that each further call adds")(
+        "die-after", options::value(&faults.dieAfterTokens), "resets streams after so many tokens; 0: never")(
+        "end-after", options::value(&faults.endAfterTokens), "ends streams early after so many tokens; 0: never")(
+        "wrong-id", options::bool_switch(&faults.wrongRequestId), "answers with another request id")(
+        "close-silently", options::bool_switch(&faults.closeSilently), "closes connections after each answer")(
+        "hang", options::bool_switch(&faults.hang), "never answers calls")("answer-delay-ms", options::value(&delayMilliseconds), "answers late")(
+        "refuse-loads", options::bool_switch(&faults.refuseLoads), "refuses loads")("hang-loads", options::bool_switch(&faults.hangLoads), "never ends a load")(
+        "load-delay-ms", options::value(&loadDelayMilliseconds), "added to the time of each load")(
+        "cold", options::bool_switch(&faults.cold), "is slower by a factor of 10 without notice");
     options::variables_map values;
     if (!parse(description, {}, arguments, values)) {
         return app::Success;
     }
     engineOptions.tokenTime = std::chrono::microseconds(tokenMicroseconds);
     engineOptions.loadTime = milliseconds(loadMilliseconds);
+    engineOptions.checksFencing = !ignoreFencing;
+    faults.answerDelay = milliseconds(delayMilliseconds);
+    faults.loadDelay = milliseconds(loadDelayMilliseconds);
     standin::Engine engine(std::move(engineOptions));
     engine.start();
     boost::asio::io_context context(1);
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -20,4 +20,19 @@
     m_server->stop();
 }
 
+std::vector<EngineCall> Engine::calls() const
+{
+    return m_server->calls();
+}
+
+void Engine::setFaults(const EngineFaults &faults)
+{
+    m_server->setFaults(faults);
+}
+
+void Engine::restart()
+{
+    m_server->restart();
+}
+
 } // namespace mimosahollow::standin
--- a/src/standin/engineserver.h
+++ b/src/standin/engineserver.h
@@ -1,20 +1,18 @@
 #pragma once
 
-#include "mimosahollow/standin/engineoptions.h"
-
-#include "gateway/httptypes.h"
+#include "enginestate.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/json/object.hpp>
 
-#include <map>
+#include <functional>
 #include <thread>
+#include <vector>
 
 namespace mimosahollow::standin {
 
-/** The server behind Engine. All state belongs to its one thread. */
+/** The server behind Engine: its listener, its connections and its thread. */
 class EngineServer
 {
 public:
@@ -25,23 +23,17 @@
 
     void start();
     void stop();
+    [[nodiscard]] std::vector<EngineCall> calls();
+    void setFaults(const EngineFaults &faults);
+    void restart();
 
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<bool> handle(boost::beast::tcp_stream &stream, const gateway::HttpRequest &request);
-    boost::asio::awaitable<bool> generate(boost::beast::tcp_stream &stream, const gateway::HttpRequest &request);
-    boost::asio::awaitable<bool> takeOrder(boost::beast::tcp_stream &stream, const gateway::HttpRequest &request);
-    boost::asio::awaitable<void> announce(std::string target);
-    boost::asio::awaitable<bool> sendAnnouncement(std::string target);
-    [[nodiscard]] std::string announcementBody() const;
-
-    EngineOptions m_options;
-    std::uint64_t m_incarnation;
-    std::uint64_t m_highestFencing = 0;
-    std::uint32_t m_running = 0;
-    std::uint64_t m_serviceCalls = 0;
-    std::map<std::string, std::uint32_t> m_adapters; /**< Resident adapters and their running calls. */
+    boost::asio::awaitable<bool> handle(EngineConnection &connection, const gateway::HttpRequest &request);
+    void runOnThread(const std::function<void()> &task);
+
+    EngineState m_state;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::thread m_thread;
