--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds drainPollInterval{10};
+// Closing an idle connection takes no time; connections of callers that do not read end with the process.
+constexpr milliseconds closeTimeout{500};
 // One quarter of the open files; running calls are far fewer than idle connections.
 constexpr rlim_t descriptorShareKept = 4;
 
@@ -49,7 +51,7 @@
     : m_settings(settings), m_ports(std::move(ports)), m_metrics(std::make_unique<observability::Metrics>(settings.gatewayThreads))
 {
     const std::uint32_t connectionLimit = std::min(settings.maximumConnections, raiseDescriptorLimit());
-    const GatewayShared shared{m_settings, m_ports, dispatchRing, *m_metrics, m_connections, randomProcessNumber()};
+    const GatewayShared shared{m_settings, m_ports, dispatchRing, *m_metrics, m_connections, m_bodyBytes, randomProcessNumber()};
     for (std::uint32_t i = 0; i < settings.gatewayThreads; ++i) {
         m_threads.push_back(std::make_unique<GatewayThread>(shared, i, connectionLimit));
     }
@@ -90,6 +92,18 @@
         std::this_thread::sleep_for(drainPollInterval);
     }
     const bool finished = allIdle();
+    const auto anyConnection = [this] {
+        return std::any_of(m_threads.begin(), m_threads.end(), [](const auto &thread) {
+            return thread->hasConnections();
+        });
+    };
+    for (const auto &thread : m_threads) {
+        thread->closeIdleConnections();
+    }
+    const auto closeDeadline = std::chrono::steady_clock::now() + closeTimeout;
+    while (finished && anyConnection() && std::chrono::steady_clock::now() < closeDeadline) {
+        std::this_thread::sleep_for(drainPollInterval);
+    }
     for (const auto &thread : m_threads) {
         thread->stop();
     }
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -7,12 +7,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 #include <atomic>
 #include <deque>
 #include <optional>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace mimosahollow::observability {
 class Metrics;
@@ -32,6 +34,7 @@
     BoundedRing<ServingEvent> &dispatchRing;
     observability::Metrics &metrics;
     std::atomic<std::uint32_t> &connections;
+    std::atomic<std::uint64_t> &bodyBytes; /**< Of requests that are being received or carried out. */
     std::uint64_t processNumber = 0;
 };
 
@@ -53,6 +56,9 @@
     void start();
     void stopAccepting();
     [[nodiscard]] bool isIdle() const noexcept;
+    /** Closes the connections that wait for a request, once no call runs any more. */
+    void closeIdleConnections();
+    [[nodiscard]] bool hasConnections() const noexcept;
     void stop();
     [[nodiscard]] BoundedRing<ServingReply> &replies() noexcept;
 
@@ -75,8 +81,14 @@
     [[nodiscard]] UpstreamConnections &upstream() noexcept;
     [[nodiscard]] observability::ThreadMetrics &metrics() noexcept;
     [[nodiscard]] std::string metricsText() const;
+    /** Takes space for the body of a request. Returns false when the bodies of all requests hold too much memory. */
+    [[nodiscard]] bool reserveBody(std::uint64_t bytes) noexcept;
+    void releaseBody(std::uint64_t bytes) noexcept;
     /** Logs input that was rejected; at most a few lines each second, so that a flood of it cannot fill the log. */
     void logRejected(std::string_view message);
+    /** The connection of @p stream waits for a request, or no longer does. */
+    void connectionIdle(boost::beast::tcp_stream &stream);
+    void connectionBusy(boost::beast::tcp_stream &stream);
     void callStarted() noexcept;
     void callEnded() noexcept;
 
@@ -114,7 +126,9 @@
     std::unordered_map<RequestId, std::shared_ptr<Waiter>> m_waiters;
     std::deque<ServingEvent> m_unsentResults; // bounded by the number of running calls
     bool m_resending = false;
-    std::uint32_t m_connections = 0;
+    std::atomic<std::uint32_t> m_connections = 0;
+    std::unordered_set<boost::beast::tcp_stream *> m_idleConnections;
+    bool m_closing = false;
     TimePoint m_rejectionWindow{};
     std::uint32_t m_rejections = 0; // in the window
     std::atomic<std::uint32_t> m_runningCalls = 0;
--- a/src/standin/modelcalls.cpp
+++ b/src/standin/modelcalls.cpp
@@ -186,6 +186,7 @@
         co_return false;
     }
     const auto [before, after] = eventFrame(generation);
+    std::string event;
     for (std::uint32_t token = call.firstToken; token < generation.tokens; ++token) {
         if (isFaulty(state.options.faults.dieAfterTokens, token, call)) {
             call.state = EngineCallState::Failed;
@@ -198,7 +199,11 @@
             call.state = EngineCallState::Failed;
             co_return co_await writeLast(connection);
         }
-        if (!co_await pauseFor(connection, stretched(state, state.options.tokenTime)) || !co_await writeText(connection, before + tokenText(token) + after)) {
+        if (!co_await pauseFor(connection, stretched(state, state.options.tokenTime))) {
+            co_return false;
+        }
+        event.assign(before).append(tokenText(token)).append(after);
+        if (!co_await writeText(connection, event)) {
             co_return false;
         }
         ++call.tokens;
--- a/tests/gateway/paths.cpp
+++ b/tests/gateway/paths.cpp
@@ -1,7 +1,7 @@
 #include "gateway/servicepath.h"
+#include "support/property.h"
 
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
 
 using mimosahollow::gateway::normalisePath;
 
@@ -45,8 +45,7 @@
 
     SECTION("and normalising twice changes nothing, whatever the text")
     {
-        // Fixed seed, printed with a failure: RC_PARAMS="seed=20261204".
-        const bool holds = rc::check("idempotent", [] {
+        const bool holds = mimosahollow::tests::holdsForSeed("normalising twice changes nothing", 20261204, [] {
             const auto parts = *rc::gen::container<std::vector<std::string>>(
                 rc::gen::element<std::string>("/", ".", "..", "%2e", "%2F", "%25", "2e", "a", ";", "//", "%c3%a4", "\\", "?", "#"));
             std::string text = "/";
