--- a/fuzz/controlcodec.cpp
+++ b/fuzz/controlcodec.cpp
@@ -1,5 +1,5 @@
-#include "mimosahollow/control/snapshot.h"
 #include "mimosahollow/link/controlcodec.h"
+#include "mimosahollow/control/snapshot.h"
 
 #include <xxhash.h>
 
--- a/src/control/wire.cpp
+++ b/src/control/wire.cpp
@@ -142,8 +142,12 @@
 
 void unpack(WireReader &reader, const wire::Instance &table, Instance &instance)
 {
-    instance = {
-        static_cast<InstanceId>(table.id()), reader.text(table.name()), static_cast<DomainId>(table.domain()), reader.text(table.address()), table.process(), table.since()};
+    instance = {static_cast<InstanceId>(table.id()),
+                reader.text(table.name()),
+                static_cast<DomainId>(table.domain()),
+                reader.text(table.address()),
+                table.process(),
+                table.since()};
 }
 
 void unpack(WireReader &reader, const wire::Pool &table, Pool &pool)
--- a/src/coordination/coordination.cpp
+++ b/src/coordination/coordination.cpp
@@ -121,7 +121,7 @@
         state.upstreamHeardAt = now;
     }
     if (const auto *heartbeat = std::get_if<membership::Heartbeat>(&message)) {
-        membership::onHeartbeat(state.view, *heartbeat, now);
+        membership::onHeartbeat(state.view, peer, *heartbeat, now);
     } else if (const auto *promise = std::get_if<membership::Promise>(&message)) {
         onPromise(state, *promise, now, actions);
     } else if (const auto *subscribe = std::get_if<membership::Subscribe>(&message)) {
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -65,8 +65,9 @@
     if (now < state.nextRenewal || state.self == InstanceId{}) {
         return;
     }
-    state.nextRenewal = now + membership::renewalInterval(state.options.times.freshness);
     const auto pools = membership::poolsToRenew(state.holder);
+    const bool often = !pools.empty() || state.view.relay == state.options.name;
+    state.nextRenewal = now + membership::renewalInterval(state.options.times.freshness, often);
     membership::RenewRequest request = membership::makeRenewRequest(state.renewal, pools, now);
     if (isLeader(state)) {
         static_cast<void>(membership::onRenewRequest(*state.voter->leader, state.options.name, std::move(request), now));
@@ -219,7 +220,7 @@
     if (isLeader(state)) {
         static_cast<void>(membership::onRenewRequest(*state.voter->leader, peer, std::move(request), now));
     } else {
-        membership::onDownstreamRequest(state.renewal, request, now);
+        membership::onDownstreamRequest(state.renewal, std::move(request));
     }
 }
 
