--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -163,6 +163,7 @@
     state.home = home;
     state.quotas.self = self;
     state.quotas.home = home;
+    state.buckets.self = self;
     state.buckets.domain = home;
     // The routing index and the summaries point into the configuration, so the old one stays alive until both are replaced.
     const auto previous = state.index.configuration;
