--- a/src/admin/adminrequests.cpp
+++ b/src/admin/adminrequests.cpp
@@ -126,6 +126,7 @@
     CheckedBundle checked;
     checked.bundle = std::get<control::SignedBundle>(std::move(unpacked));
     std::vector<control::Operator> identities;
+    identities.reserve(operators.size());
     for (const OperatorRecord &record : operators) {
         identities.push_back(record.identity);
     }
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -35,7 +35,7 @@
     if (state.voter) {
         return state.view.leader == state.options.name ? std::string() : state.view.leader;
     }
-    const std::string relay = membership::chooseRelay(state.view, now);
+    std::string relay = membership::chooseRelay(state.view, now);
     if (relay != state.options.name && state.peersUp.contains(relay)) {
         return relay;
     }
