Keep absent adapters in their home pool for longer

Cause: small differences of the load queues moved adapters between pools, which lost their popularity and copied them. Change: the pool choice of the benchmark accepts up to 0.5 s of additional wait for the home pool instead of 0.1 s.

--- a/benchmark/poolpolicy.h
+++ b/benchmark/poolpolicy.h
@@ -130,6 +130,7 @@
     static constexpr std::uint32_t leaveTimer = 5;
     static constexpr std::uint32_t returnTimer = 6;
     static constexpr std::uint32_t mostAttempts = 4;
+    static constexpr double homeSeconds = 0.5; /**< Longer wait for a load at which an absent adapter leaves its home pool. */
     static constexpr std::uint32_t noPool = 0xffffffffU;
 
     struct CallState
@@ -253,7 +254,7 @@
             double cost = resident ? adapterWait(summary, adapter) : mimosahollow::toSeconds(summary.expectedLoadWait);
             // Among equals the pool with the smaller used share; absent adapters have a home pool each, so that not all load them.
             cost += resident ? 0.02 * (1 - static_cast<double>(summary.freeSlots) / std::max(1U, summary.totalSlots))
-                             : 0.1 * static_cast<double>(std::mt19937_64(adapter * 1000003ULL + i)() >> 40U) / static_cast<double>(1U << 24U);
+                             : homeSeconds * static_cast<double>(std::mt19937_64(adapter * 1000003ULL + i)() >> 40U) / static_cast<double>(1U << 24U);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = i;
