Test the load order of organisations and the eviction of spare replicas

Change: tests of urgent loads, of evictions from an organisation with a long queue, and of spare replicas.

--- a/tests/scheduling/fairness.cpp
+++ b/tests/scheduling/fairness.cpp
@@ -40,6 +40,38 @@
     }
 }
 
+// Guards against an organisation that spends the load budget, or holds the adapter slots, because it asks most.
+TEST_CASE("Loads go to an organisation with a short queue first")
+{
+    PoolFixture pool(1, 1, 2, 1);
+    pool.state.loadTokens = 0;
+    for (std::uint32_t adapter = 10; adapter < 20; ++adapter) {
+        pool.ask(adapter, 1);
+    }
+    REQUIRE(pool.state.urgentLoadTokens == 0);
+    pool.ask(30, 2);
+    REQUIRE(pool.state.urgentLoadTokens == 1);
+    pool.actions.clear();
+    grantLoadTokens(pool.state, 1, pool.now, pool.actions);
+    REQUIRE(pool.only<Order>()->adapter == AdapterId{30});
+
+    SECTION("and idle adapters of the one with the long queue are evicted first")
+    {
+        pool.finish(pool.only<Order>().value());
+        const auto running = pool.only<Grant>().value();
+        pool.actions.clear();
+        grantLoadTokens(pool.state, 1, pool.now, pool.actions);
+        const auto load = pool.only<Order>().value();
+        pool.finish(load);
+        pool.giveBack(running);
+        pool.giveBack(pool.only<Grant>().value());
+        pool.actions.clear();
+        grantLoadTokens(pool.state, 1, pool.now, pool.actions);
+        REQUIRE(pool.only<Order>()->kind == OrderKind::Unload);
+        REQUIRE(pool.only<Order>()->adapter == load.adapter);
+    }
+}
+
 // Guards against credit for idle time, which would shut out the others for as long.
 TEST_CASE("An organisation that becomes active starts at the lowest active counter")
 {
--- a/tests/scheduling/loads.cpp
+++ b/tests/scheduling/loads.cpp
@@ -300,12 +300,31 @@
     pool.ask(1);
     const auto first = pool.only<Order>().value();
     pool.finish(first);
+    const auto running = pool.only<Grant>().value();
     pool.ask(1);
     REQUIRE(pool.all<Order>().empty());
     pool.pass(milliseconds(300));
     const auto replica = pool.only<Order>().value();
     REQUIRE(replica.server != first.server);
     pool.finish(replica);
-    REQUIRE(pool.only<Grant>()->server == replica.server);
+    const auto second = pool.only<Grant>().value();
+    REQUIRE(second.server == replica.server);
     REQUIRE(pool.state.adapters[1].holders.size() == 2);
+
+    SECTION("and loses it before a less popular adapter loses its only copy")
+    {
+        pool.giveBack(running);
+        pool.giveBack(second);
+        pool.ask(2);
+        while (const auto order = pool.only<Order>()) {
+            pool.finish(*order);
+        }
+        pool.giveBack(pool.only<Grant>().value());
+        pool.ask(3);
+        pool.finish(pool.only<Order>().value());
+        pool.giveBack(pool.only<Grant>().value());
+        pool.ask(4);
+        REQUIRE(pool.only<Order>()->kind == OrderKind::Unload);
+        REQUIRE(pool.only<Order>()->adapter == AdapterId{1});
+    }
 }
