Encode adapter waits as tables

Cause: the fuzz target found a damaged summary whose vector of structs is misaligned; the verifier of FlatBuffers 2.0 does not check that, and reading it is undefined. Change: AdapterWait is a table; a test damages every byte of a summary. Conclusion: schemas of messages should avoid vectors of structs.

--- a/src/link/poolcodec.cpp
+++ b/src/link/poolcodec.cpp
@@ -102,10 +102,10 @@
         for (const AdapterId adapter : summary.adapters) {
             adapters.push_back(number(adapter));
         }
-        std::vector<wire::AdapterWait> waits;
+        std::vector<flatbuffers::Offset<wire::AdapterWait>> waits;
         waits.reserve(summary.waits.size());
         for (const scheduling::AdapterWait &wait : summary.waits) {
-            waits.emplace_back(microseconds(wait.wait), number(wait.adapter));
+            waits.push_back(wire::CreateAdapterWait(builder, number(wait.adapter), microseconds(wait.wait)));
         }
         const auto content = wire::CreatePoolSummary(builder,
                                                      number(summary.pool),
@@ -117,7 +117,7 @@
                                                      microseconds(summary.expectedWait),
                                                      microseconds(summary.expectedLoadWait),
                                                      builder.CreateVector(adapters),
-                                                     builder.CreateVectorOfStructs(waits));
+                                                     builder.CreateVector(waits));
         return {wire::PoolContent_PoolSummary, content.Union()};
     }
 
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -85,6 +85,21 @@
             REQUIRE(std::get<PoolCodecError>(decodePoolMessage(std::span(bytes).first(size), received)) == PoolCodecError::Malformed);
         }
     }
+    SECTION("any single damaged byte of a summary, with aligned access only") // found by the fuzz target under the sanitizers
+    {
+        const scheduling::PoolSummary summary{
+            PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}}, {{AdapterId{8}, milliseconds(10)}}};
+        const std::vector<std::uint8_t> whole = encode(summary, sent);
+        for (std::size_t i = 0; i < whole.size() * 256; ++i) {
+            bytes = whole;
+            bytes[i / 256] = static_cast<std::uint8_t>(i % 256);
+            const auto decoded = decodePoolMessage(bytes, received);
+            if (const auto *message = std::get_if<PoolMessage>(&decoded)) {
+                const auto again = decodePoolMessage(encode(*message, sent), received);
+                REQUIRE(std::holds_alternative<PoolMessage>(again));
+            }
+        }
+    }
     SECTION("a weight that is not a positive number, and a deadline that would overflow")
     {
         for (const double weight : {0.0, -1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
