--- a/tests/scheduling/randomrun.h
+++ b/tests/scheduling/randomrun.h
@@ -63,41 +63,25 @@
     void apply(const RandomEvent &event)
     {
         const ServerId server{1U + event[1] % serverCount};
-        switch (event[0] % 16) {
-        case 0:
-        case 1:
-        case 2:
-        case 3:
+        const int kind = event[0] % 16;
+        if (kind < 4) {
             ask(event);
-            break;
-        case 4:
-        case 5:
-        case 6:
+        } else if (kind < 7) {
             giveBack(event);
-            break;
-        case 7:
-        case 8:
-        case 9:
+        } else if (kind < 10) {
             finishOrder(event);
-            break;
-        case 10:
+        } else if (kind == 10) {
             pass(milliseconds(10 * (1 + event[1])));
-            break;
-        case 11:
+        } else if (kind == 11) {
             report(server);
-            break;
-        case 12:
+        } else if (kind == 12) {
             restart(server, event[2] % 2 == 0);
-            break;
-        case 13:
+        } else if (kind == 13) {
             changeDeclaration(server, event);
-            break;
-        case 14:
+        } else if (kind == 14) {
             cancelOne(event);
-            break;
-        default:
+        } else {
             laterEvent(event);
-            break;
         }
     }
 
