Measure a release with full queues

Cause: only server choices without waiting requests were timed. Change: benchmark_scheduling also times releases while five organisations have 1,024 waiting requests each.

--- a/benchmark/scheduling.cpp
+++ b/benchmark/scheduling.cpp
@@ -126,17 +126,61 @@
     return result;
 }
 
+/** The worst case: every slot is in use and five organisations have full queues; a release grants the next request. */
+Result runFullQueues()
+{
+    constexpr std::uint32_t releases = 2000;
+    constexpr std::uint32_t organisations = 5;
+    std::mt19937_64 random(seed);
+    TimePoint now{seconds(1000)};
+    std::vector<std::uint32_t> resident;
+    PoolState state = warmPool(now, random, resident);
+    Result result{"release with 5,120 waiting requests", {}, 0, 0};
+    result.microseconds.reserve(releases);
+    Actions actions;
+    std::vector<Grant> running;
+    std::uint64_t sequence = 0;
+    while (state.waiting < organisations * state.settings.waitingPerOrganisation) {
+        AcquireRequest request;
+        request.id = {7, ++sequence};
+        request.organisation = OrganisationId{static_cast<std::uint32_t>(1 + sequence % organisations)};
+        request.adapter = AdapterId{static_cast<std::uint32_t>(1 + random() % 4)};
+        request.maximumOutputTokens = 200;
+        request.deadline = now + seconds(600);
+        actions.clear();
+        submit(state, request, now, actions);
+        if (const auto *grant = actions.empty() ? nullptr : std::get_if<Grant>(&actions.front())) {
+            running.push_back(*grant);
+        }
+    }
+    for (std::uint32_t i = 0; i < releases; ++i) {
+        const Grant ended = running[i % running.size()];
+        actions.clear();
+        const std::size_t before = allocations;
+        const auto start = Clock::now();
+        release(state, {ended.id, ended.grant, ended.fencing, ReleaseOutcome::Completed, 200, milliseconds(50)}, now, actions);
+        result.microseconds.push_back(std::chrono::duration<double, std::micro>(Clock::now() - start).count());
+        result.allocations += allocations - before;
+        if (const auto *grant = actions.empty() ? nullptr : std::get_if<Grant>(&actions.front())) {
+            running[i % running.size()] = *grant;
+            ++result.granted;
+        }
+    }
+    return result;
+}
+
 void print(Result result)
 {
     auto &times = result.microseconds;
     std::sort(times.begin(), times.end());
+    const auto count = static_cast<double>(times.size());
     std::printf("%-44s median %.2f us, p99 %.2f us, worst %.0f us, %.4f allocations and %.4f grants a choice\n",
                 result.name,
                 times[times.size() / 2],
                 times[times.size() * 99 / 100],
                 times.back(),
-                static_cast<double>(result.allocations) / rounds,
-                static_cast<double>(result.granted) / rounds);
+                static_cast<double>(result.allocations) / count,
+                static_cast<double>(result.granted) / count);
 }
 
 } // namespace
@@ -149,4 +193,5 @@
     print(run("adapters with 33 replicas", 1, 4, false));
     print(run("adapters with 33 replicas, prefix affinity", 1, 4, true));
     print(run("adapters with one or two replicas", 0, 0, false));
+    print(runFullQueues());
 }
