Refuse silent peers and check a failed reload of certificates

Cause: a connection without a Hello must not stay open, and a broken certificate file must not replace a working one. Change: tests of both; echoes of processes that are not registered are ignored, which bounds the leader's table.

--- a/include/mimosahollow/link/linknetwork.h
+++ b/include/mimosahollow/link/linknetwork.h
@@ -29,7 +29,7 @@
 
     /** Opens the listener and starts the thread. Returns an error message or nothing. */
     [[nodiscard]] std::string start();
-    /** Closes all connections and ends the thread. */
+    /** Closes all connections and ends the thread; start() cannot follow. */
     void stop();
 
     /**
--- a/src/membership/leaderstate.cpp
+++ b/src/membership/leaderstate.cpp
@@ -28,6 +28,9 @@
 
 void noteEcho(LeaderState &state, const FollowerEntry &entry, TimePoint now)
 {
+    if (!isRegistered(state, {entry.instance, entry.incarnation})) {
+        return; // bounds the table
+    }
     Reachability &reachability = state.reachability[entry.instance];
     if (entry.echo.term == state.term && timeOf(entry.echo.time) >= state.since && timeOf(entry.echo.time) <= now) {
         reachability.provenAt = std::max(reachability.provenAt, timeOf(entry.echo.time));
--- a/tests/link/network.cpp
+++ b/tests/link/network.cpp
@@ -286,6 +286,22 @@
         client.sendHello();
         REQUIRE(a.waitFor<PeerUp>().peer.name == "raw");
     }
+    SECTION("a peer that connects and stays silent")
+    {
+        BoundedRing<LinkEvent> ring(16);
+        LinkOptions options;
+        options.fleet = "fleet";
+        options.self = {"c1", "a", "127.0.0.1:0", 1};
+        options.handshakeTimeout = milliseconds(20);
+        LinkNetwork impatient(options, ring);
+        REQUIRE(impatient.start().empty());
+        RawClient client(impatient.port());
+        std::vector<LinkEvent> events;
+        ring.waitAndTake(events, eventTimeout);
+        REQUIRE(events.size() == 1);
+        REQUIRE(std::holds_alternative<PeerRefused>(events.front()));
+        impatient.stop();
+    }
     SECTION("a Hello with its own name")
     {
         RawClient client(a.network->port());
@@ -329,6 +345,8 @@
             std::filesystem::copy_file(foreign.privateKey, files.privateKey, std::filesystem::copy_options::overwrite_existing);
             std::filesystem::copy_file(foreign.authority, files.authority, std::filesystem::copy_options::overwrite_existing);
             REQUIRE(a.network->reloadTls().empty());
+            std::filesystem::remove(files.certificate);
+            REQUIRE_FALSE(a.network->reloadTls().empty()); // the files of the last good reload stay in use
             Instance c("c1", "fleet", foreign);
             REQUIRE(c.network->start().empty());
             c.network->connect(a.address());
