Check that an unknown instance cannot succeed an isolated owner

Cause: an isolated owner asks only the instances that it knows for promises, so a newer instance must not get its pools. Change: a simulated case with and without that rule of the leader. Conclusion: the rule holds, and without it the check finds two owners.

--- a/tests/membership/leases.cpp
+++ b/tests/membership/leases.cpp
@@ -118,6 +118,21 @@
     return world.doubleOwners;
 }
 
+/** An instance joins while the only owner is isolated, so that the owner does not ask it for promises. */
+std::size_t doubleOwnersAfterUnknownSuccessor(Mistake mistake)
+{
+    World world(firstSeed, 2, mistake);
+    world.startNode(1);
+    world.run(seconds(20));
+    REQUIRE(world.ownerOf(1) == 1);
+    world.cutBoth(1, 0, true);
+    world.cutBoth(1, 2, true);
+    world.startNode(2);
+    world.run(seconds(60));
+    REQUIRE(world.ownerOf(1) == 1);
+    return world.doubleOwners;
+}
+
 } // namespace
 
 // Guards against two instances that give out the same servers, and against an instance that serves a configuration which
@@ -156,6 +171,11 @@
         REQUIRE(doubleOwnersAfterForgottenPromise(Mistake::None) == 0);
         REQUIRE(doubleOwnersAfterForgottenPromise(Mistake::NoWaitAfterRestart) > 0);
     }
+    SECTION("a successor that the isolated owner does not know")
+    {
+        REQUIRE(doubleOwnersAfterUnknownSuccessor(Mistake::None) == 0);
+        REQUIRE(doubleOwnersAfterUnknownSuccessor(Mistake::AnyoneSucceeds) > 0);
+    }
     SECTION("a new leader that does not wait for the leases of the old one")
     {
         REQUIRE(runSeeds(Mistake::NewLeaderForgetsLeases).staleButFresh > 0);
--- a/tests/membership/world.cpp
+++ b/tests/membership/world.cpp
@@ -98,7 +98,10 @@
         return same(instance) && instance.incarnation >= incarnation;
     });
     if (!known) {
-        const Version since = old == registered.end() ? m_index + 1 : old->since;
+        Version since = old == registered.end() ? m_index + 1 : old->since;
+        if (m_mistake == Mistake::AnyoneSucceeds) {
+            since = 0;
+        }
         commit([&](ControlState &state) {
             state.registered.push_back({idOf(node), "n" + std::to_string(node), domain, incarnation, since, true});
         });
--- a/tests/membership/world.h
+++ b/tests/membership/world.h
@@ -24,6 +24,7 @@
     NewLeaderForgetsLeases,
     PromisesIgnored,
     RelayRenewsAlone,
+    AnyoneSucceeds,
 };
 
 /** Control state at one log index. */
