Begin the duties of a leader when its own term has an entry

Cause: a new leader planned assignments before it knew that every committed entry was applied. Change: the duties begin when an entry of the leader's own term is applied.

--- a/src/coordination/leases.cpp
+++ b/src/coordination/leases.cpp
@@ -63,10 +63,10 @@
     assignments.reserve(configuration.pools.size() + configuration.bucketOwners.size());
     // The fencing number is the log index of the assignment.
     for (const control::Pool &pool : configuration.pools) {
-        assignments.push_back({pool.id, pool.domain, pool.owner, pool.fencing, pool.fencing, false});
+        assignments.push_back({pool.id, pool.domain, pool.owner, pool.fencing, pool.fencing, 0});
     }
     for (const control::BucketOwner &owner : configuration.bucketOwners) {
-        assignments.push_back({bucketPool(owner.domain), owner.domain, owner.owner, owner.fencing, owner.fencing, false});
+        assignments.push_back({bucketPool(owner.domain), owner.domain, owner.owner, owner.fencing, owner.fencing, 0});
     }
     return assignments;
 }
--- a/src/coordination/voter.cpp
+++ b/src/coordination/voter.cpp
@@ -30,6 +30,10 @@
     } else {
         control::skipTo(voter.control, entry.index);
     }
+    const bool leads = voter.consensus.role == control::VoterRole::Leader && entry.term == voter.consensus.term;
+    if (leads && !voter.leader) {
+        becomeLeader(state, entry.term, now, actions);
+    }
     if (!membership::append(state.feed, {entry.index, std::move(increment)})) {
         membership::setSnapshot(state.feed, voter.control.applied, link::encode(voter.control.configuration));
     }
@@ -105,9 +109,9 @@
             takeSnapshot(state, actions);
         }
     }
-    void operator()(const control::BecameLeader &event) const
+    void operator()(const control::BecameLeader &) const
     {
-        becomeLeader(state, event.term, now, actions);
+        // The duties of a leader begin when an entry of its own term is applied: only then it knows all committed entries.
     }
     void operator()(const control::LostLeadership &) const
     {
