--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "commandline.h"
 #include "exitcodes.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/settings/keysecret.h"
@@ -5,10 +6,10 @@
 #include "mimosahollow/settings/settings.h"
 #include "mimosahollow/settings/settingsproblem.h"
 #include "mimosahollow/standin/engine.h"
+#include "operatorcommands.h"
 #include "serve.h"
+#include "waitforsignal.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <sodium.h>
 
@@ -24,27 +25,12 @@
 using namespace mimosahollow;
 using Arguments = std::vector<std::string>;
 
-/** Parses @p arguments; prints the help and returns false when it is asked for. */
-bool parse(const options::options_description &description,
-           const options::positional_options_description &positional,
-           const Arguments &arguments,
-           options::variables_map &values)
-{
-    options::store(options::command_line_parser(arguments).options(description).positional(positional).run(), values);
-    if (values.count("help") != 0) {
-        std::cout << description << '\n';
-        return false;
-    }
-    options::notify(values);
-    return true;
-}
-
 int runServe(const Arguments &arguments)
 {
     options::options_description description("mimosahollow serve: runs an instance until SIGTERM");
     description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>()->required(), "settings file (TOML)");
     options::variables_map values;
-    if (!parse(description, {}, arguments, values)) {
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
         return app::Success;
     }
     return app::serve(values["settings"].as<std::string>());
@@ -62,7 +48,7 @@
         return app::Success;
     }
     options::variables_map values;
-    if (!parse(description, positional, arguments, values)) {
+    if (!app::parseCommandLine(description, positional, arguments, values)) {
         return app::Success;
     }
     const auto file = values["file"].as<std::string>();
@@ -82,6 +68,10 @@
     standin::EngineOptions engineOptions;
     std::int64_t tokenMicroseconds = 20'000;
     std::int64_t loadMilliseconds = 250;
+    std::int64_t delayMilliseconds = 0;
+    std::int64_t loadDelayMilliseconds = 0;
+    bool ignoreFencing = false;
+    standin::EngineFaults &faults = engineOptions.faults;
     options::options_description description("mimosahollow engine: runs a stand-in backend server for trials and tests");
     description.add_options()("help,h", "shows this text")("name", options::value(&engineOptions.name), "name of the backend server")(
         "listen", options::value(&engineOptions.address), "address, IP:port")("domain", options::value(&engineOptions.failureDomain), "failure domain")(
@@ -92,19 +82,32 @@
         "adapter-slots", options::value(&engineOptions.adapterSlots), "adapters at one time")(
         "cold-limit", options::value(&engineOptions.coldLimit), "calls at one time when freshly started")(
         "token-us", options::value(&tokenMicroseconds), "microseconds for each token")(
-        "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load");
+        "load-ms", options::value(&loadMilliseconds), "milliseconds for each adapter load")(
+        "bears-when-cold", options::value(&engineOptions.bearsWhenCold), "resets connections above so many calls while cold; 0: never")(
+        "warm-after", options::value(&engineOptions.warmAfterCalls), "completed calls after which it is warm")(
+        "ignore-fencing", options::bool_switch(&ignoreFencing), "carries out orders with old fencing numbers")(
+        "resume", options::bool_switch(&engineOptions.supportsResume), "resumes streams")(
+        "batch-slowdown", options::value(&engineOptions.batchSlowdown), "part of the token time that each further call adds")(
+        "die-after", options::value(&faults.dieAfterTokens), "resets streams after so many tokens; 0: never")(
+        "end-after", options::value(&faults.endAfterTokens), "ends streams early after so many tokens; 0: never")(
+        "wrong-id", options::bool_switch(&faults.wrongRequestId), "answers with another request id")(
+        "close-silently", options::bool_switch(&faults.closeSilently), "closes connections after each answer")(
+        "hang", options::bool_switch(&faults.hang), "never answers calls")("answer-delay-ms", options::value(&delayMilliseconds), "answers late")(
+        "refuse-loads", options::bool_switch(&faults.refuseLoads), "refuses loads")("hang-loads", options::bool_switch(&faults.hangLoads), "never ends a load")(
+        "load-delay-ms", options::value(&loadDelayMilliseconds), "added to the time of each load")(
+        "cold", options::bool_switch(&faults.cold), "is slower by a factor of 10 without notice");
     options::variables_map values;
-    if (!parse(description, {}, arguments, values)) {
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
         return app::Success;
     }
     engineOptions.tokenTime = std::chrono::microseconds(tokenMicroseconds);
     engineOptions.loadTime = milliseconds(loadMilliseconds);
+    engineOptions.checksFencing = !ignoreFencing;
+    faults.answerDelay = milliseconds(delayMilliseconds);
+    faults.loadDelay = milliseconds(loadDelayMilliseconds);
     standin::Engine engine(std::move(engineOptions));
     engine.start();
-    boost::asio::io_context context(1);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](const boost::system::error_code &, int) {});
-    context.run();
+    app::waitForSignal();
     return app::Success;
 }
 
@@ -119,6 +122,12 @@
     Subcommand{"serve", "runs an instance", runServe},
     Subcommand{"check", "checks a settings file", runCheck},
     Subcommand{"engine", "runs a stand-in backend server", runEngine},
+    Subcommand{"bundle", "packs, signs, checks and submits configuration bundles", app::runBundle},
+    Subcommand{"key", "makes, grants and withdraws API keys", app::runKey},
+    Subcommand{"domain", "takes a failure domain out of service or returns it", app::runDomain},
+    Subcommand{"backend", "takes a backend server out of service or returns it", app::runBackend},
+    Subcommand{"operator", "makes the keys of an operator", app::runOperator},
+    Subcommand{"status", "shows the fleet", app::runStatus},
 };
 
 void printUsage(std::ostream &output)
--- /dev/null
+++ b/src/membership/renewal.cpp
@@ -0,0 +1,151 @@
+#include "mimosahollow/membership/renewalstate.h"
+
+#include <algorithm>
+
+namespace mimosahollow::membership {
+
+namespace {
+
+/** Replies later than this many requests are useless, because the leases they renew have been renewed since. */
+constexpr std::size_t maximumSentRenewals = 32;
+/** Bounds the request of a relay: more followers than a fleet of the expected size has instances. */
+constexpr std::size_t maximumDownstream = 1024;
+constexpr Duration shortestRenewalInterval = milliseconds(100);
+/** A lost instance is noticed by its missing renewals; the session time is 3 s. */
+constexpr Duration longestRenewalInterval = seconds(1);
+/** Five renewals of a pool lease of 3 s may be lost. */
+constexpr Duration poolRenewalInterval = milliseconds(500);
+constexpr int renewalsInFreshnessTime = 10;
+
+ProcessId processOf(const FollowerEntry &entry)
+{
+    return {entry.instance, entry.incarnation};
+}
+
+bool contains(const std::vector<ProcessId> &processes, const ProcessId &process)
+{
+    return std::find(processes.begin(), processes.end(), process) != processes.end();
+}
+
+bool comesThrough(const RenewRequest &request, InstanceId instance)
+{
+    return request.self.instance == instance || std::any_of(request.followers.begin(), request.followers.end(), [instance](const FollowerEntry &entry) {
+               return entry.instance == instance;
+           });
+}
+
+/** @p until is the end of this instance's own lease from @p upstream. */
+RenewReply replyTo(const RenewRequest &request, const RenewReply &upstream, TimePoint until, TimePoint now)
+{
+    RenewReply reply;
+    reply.sequence = request.sequence;
+    reply.incarnation = request.self.incarnation;
+    reply.stamp = upstream.stamp;
+    if (now < until && contains(upstream.covered, processOf(request.self))) {
+        reply.remaining = until - now;
+        for (const FollowerEntry &entry : request.followers) {
+            if (contains(upstream.covered, processOf(entry))) {
+                reply.covered.push_back(processOf(entry));
+            }
+        }
+    }
+    for (const PoolRenewal &pool : upstream.pools) {
+        if (comesThrough(request, pool.owner)) {
+            reply.pools.push_back(pool);
+        }
+    }
+    return reply;
+}
+
+} // namespace
+
+Duration renewalInterval(Duration freshnessTime, bool ownsPoolsOrIsRelay) noexcept
+{
+    const Duration longest = ownsPoolsOrIsRelay ? poolRenewalInterval : longestRenewalInterval;
+    return std::clamp<Duration>(freshnessTime / renewalsInFreshnessTime, shortestRenewalInterval, longest);
+}
+
+RenewRequest makeRenewRequest(RenewalState &state, std::span<const PoolRenewal> ownPools, TimePoint now)
+{
+    RenewRequest request;
+    request.sequence = state.nextSequence++;
+    request.self = {state.self, state.incarnation, state.applied, state.echo};
+    request.pools.assign(ownPools.begin(), ownPools.end());
+    SentRenewal sent{request.sequence, now, {}};
+    for (auto &[instance, theirs] : state.downstream) {
+        request.followers.push_back(theirs.self);
+        request.followers.insert(request.followers.end(), theirs.followers.begin(), theirs.followers.end());
+        request.pools.insert(request.pools.end(), theirs.pools.begin(), theirs.pools.end());
+        sent.downstream.push_back(std::move(theirs));
+    }
+    state.downstream.clear();
+    state.sent.push_back(std::move(sent));
+    if (state.sent.size() > maximumSentRenewals) {
+        state.sent.pop_front();
+    }
+    return request;
+}
+
+void onDownstreamRequest(RenewalState &state, RenewRequest request)
+{
+    if (request.self.instance == state.self) {
+        return;
+    }
+    const auto found = state.downstream.find(request.self.instance);
+    if (found == state.downstream.end()) {
+        if (state.downstream.size() < maximumDownstream) {
+            state.downstream.emplace(request.self.instance, std::move(request));
+        }
+        return;
+    }
+    const RenewRequest &known = found->second;
+    const bool older =
+        request.self.incarnation < known.self.incarnation || (request.self.incarnation == known.self.incarnation && request.sequence <= known.sequence);
+    if (!older) {
+        found->second = std::move(request);
+    }
+}
+
+RenewalOutcome onRenewReply(RenewalState &state, const RenewReply &reply, TimePoint now)
+{
+    RenewalOutcome outcome;
+    const auto sent = std::find_if(state.sent.begin(), state.sent.end(), [&reply](const SentRenewal &renewal) {
+        return renewal.sequence == reply.sequence;
+    });
+    if (reply.incarnation != state.incarnation || sent == state.sent.end()) {
+        return outcome;
+    }
+    state.echo = std::max(state.echo, reply.stamp);
+    TimePoint until = neverTime;
+    if (reply.remaining > Duration::zero()) {
+        // The lease runs from the send time: the leader was certainly still the leader then, whatever the way back took.
+        until = sent->sentAt + reply.remaining;
+        state.freshUntil = std::max(state.freshUntil, until);
+    }
+    outcome.ownPoolsFrom = sent->sentAt;
+    for (const PoolRenewal &pool : reply.pools) {
+        if (pool.owner == state.self) {
+            outcome.ownPools.push_back(pool);
+        }
+    }
+    for (const RenewRequest &request : sent->downstream) {
+        outcome.replies.emplace_back(request.self.instance, replyTo(request, reply, until, now));
+    }
+    state.sent.erase(state.sent.begin(), std::next(sent));
+    return outcome;
+}
+
+Confirm makeConfirm(const RenewalState &state, std::span<const FollowerEntry> followers)
+{
+    Confirm confirm;
+    confirm.entries.push_back({state.self, state.incarnation, state.applied, state.echo});
+    confirm.entries.insert(confirm.entries.end(), followers.begin(), followers.end());
+    return confirm;
+}
+
+bool isFresh(const RenewalState &state, TimePoint now) noexcept
+{
+    return now < state.freshUntil;
+}
+
+} // namespace mimosahollow::membership
