Forget a leader whose link is down

Cause: in a trial, an instance whose relay led and was killed kept asking the dead leader for its lease and refused keys as stale for more than 10 s. Change: a leader whose link broke, or that stays silent, is forgotten; the next voter is asked.

--- a/src/coordination/coordination.cpp
+++ b/src/coordination/coordination.cpp
@@ -107,6 +107,9 @@
 {
     state.peersUp.erase(peer);
     membership::removeSubscriber(state.feed, peer);
+    if (peer == state.view.leader) {
+        state.view.leader.clear(); // another voter may lead; heartbeats and updates tell
+    }
     if (peer == state.upstream) {
         state.upstream.clear();
         ++state.upstreamFailures;
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -51,6 +51,9 @@
     }
     if (silent) {
         ++state.upstreamFailures;
+        if (state.view.leader == state.upstream && !state.voter) {
+            state.view.leader.clear();
+        }
     }
     state.upstream = wanted;
     state.upstreamHeardAt = now;
