--- a/tests/control/cluster.cpp
+++ b/tests/control/cluster.cpp
@@ -288,7 +288,7 @@
     const auto hasVote = [&simulation] {
         const auto *leader = simulation.leader();
         return leader != nullptr && leader->consensus.membersIndex <= leader->consensus.commitIndex && leader->consensus.members.size() == 4
-            && !leader->consensus.members.back().learner;
+               && !leader->consensus.members.back().learner;
     };
     REQUIRE(simulation.runUntil(hasVote, seconds(20)));
     const auto remove1 = [](ConsensusState &state, TimePoint now, ConsensusActions &actions) {
--- a/tests/control/codec.cpp
+++ b/tests/control/codec.cpp
@@ -59,7 +59,12 @@
     const auto payload = std::make_shared<const Bytes>(Bytes{1, 2, 3});
     AppendRequest append{5, 7, 4, 6, 3, {}};
     append.entries = {{8, 4, EntryKind::Empty, nullptr, {}}, {9, 5, EntryKind::Command, payload, {}}, {10, 5, EntryKind::Members, nullptr, members}};
-    return {VoteRequest{3, 2, 1, true}, VoteReply{3, false, true}, append, AppendReply{5, 3, true, 10}, SnapshotChunk{5, 3, {6, 4, members}, 100, 50, {9, 8}}, SnapshotReply{5, 3, 6, 52}};
+    return {VoteRequest{3, 2, 1, true},
+            VoteReply{3, false, true},
+            append,
+            AppendReply{5, 3, true, 10},
+            SnapshotChunk{5, 3, {6, 4, members}, 100, 50, {9, 8}},
+            SnapshotReply{5, 3, 6, 52}};
 }
 
 } // namespace
--- a/tests/control/signedbundle.cpp
+++ b/tests/control/signedbundle.cpp
@@ -25,8 +25,10 @@
 {
     const KeyPair ann = keyPair(1);
     const KeyPair bob = keyPair(2);
-    const std::vector<Operator> operators{
-        {"ann", ann.publicKey, true, true}, {"bob", bob.publicKey, false, true}, {"reader", keyPair(3).publicKey, false, false}, {"alias", ann.publicKey, false, true}};
+    const std::vector<Operator> operators{{"ann", ann.publicKey, true, true},
+                                          {"bob", bob.publicKey, false, true},
+                                          {"reader", keyPair(3).publicKey, false, false},
+                                          {"alias", ann.publicKey, false, true}};
     SignedBundle bundle = signBundle("version = 2\n", 2, 1, "ann", ann.secretKey);
     REQUIRE(verifyBundle(bundle, operators)->kind == BundleErrorKind::NotApproved);
 
@@ -103,8 +105,7 @@
                                        "[[organisation]]\nname = \"p\"\nrate = 10\nburst = 100\n"
                                        "[[organisation]]\nname = \"o\"\nrate = 20\nburst = 100\n"
                                        "[[key]]\nname = \"k\"\norganisation = \"o\"\nhash = \""
-                                       + hash + "2\"\n"
-                                       + "[[adapter]]\nbase = \"base\"\nname = \"x\"\nversion = \"1\"\norganisations = [\"o\"]\n");
+                                       + hash + "2\"\n" + "[[adapter]]\nbase = \"base\"\nname = \"x\"\nversion = \"1\"\norganisations = [\"o\"]\n");
     const auto lines = bundleDifference(before, after);
     REQUIRE(lines
             == std::vector<std::string>{"+ adapter base:x@1: default no, organisations [o]",
--- a/tests/control/simulation.cpp
+++ b/tests/control/simulation.cpp
@@ -287,8 +287,8 @@
     }
     if (node.state.applied >= node.snapshotAt + m_options.snapshotEvery) {
         node.snapshotAt = node.state.applied;
-        node.orders.emplace_back(storage::StoreSnapshot{
-            0, snapshotPoint(node.consensus, node.state.applied), std::make_shared<const Bytes>(encodeSnapshot(node.state)), false});
+        node.orders.emplace_back(
+            storage::StoreSnapshot{0, snapshotPoint(node.consensus, node.state.applied), std::make_shared<const Bytes>(encodeSnapshot(node.state)), false});
     }
 }
 
--- a/tests/control/statemachine.cpp
+++ b/tests/control/statemachine.cpp
@@ -67,8 +67,8 @@
 {
     const Increment change = difference(left, right);
     return !change.baseModels && !change.routes && change.domains.empty() && change.organisations.empty() && change.keys.empty() && change.adapters.empty()
-        && change.servers.empty() && change.pools.empty() && change.bucketOwners.empty() && change.instances.empty() && left.version == right.version
-        && left.logIndex == right.logIndex;
+           && change.servers.empty() && change.pools.empty() && change.bucketOwners.empty() && change.instances.empty() && left.version == right.version
+           && left.logIndex == right.logIndex;
 }
 
 } // namespace
