--- a/tests/control/consensus.cpp
+++ b/tests/control/consensus.cpp
@@ -171,6 +171,48 @@
     }
 }
 
+// Guards against an entry of an earlier term that counts as committed and is then replaced by another leader.
+TEST_CASE("an earlier term is committed by an entry of the present one")
+{
+    DurableLog durable;
+    durable.term = 2;
+    durable.entries = {{1, 1, EntryKind::Command, payload(), {}}, {2, 1, EntryKind::Command, payload(), {}}};
+    ConsensusState state = makeConsensus(one, {}, durable, {{one, "", false}, {two, "", false}, {three, "", false}}, 20261204, start);
+    ConsensusActions actions;
+    const TimePoint now = start + milliseconds(700);
+    tick(state, now, actions);
+    receive(state, two, VoteReply{3, true, true}, now, actions);
+    logSynced(state, state.lastWrite, now, actions);
+    receive(state, two, VoteReply{3, false, true}, now, actions);
+    logSynced(state, state.lastWrite, now, actions);
+    REQUIRE(state.role == VoterRole::Leader);
+    receive(state, two, AppendReply{3, state.round, true, 2}, now, actions);
+    REQUIRE(state.commitIndex == 0);
+    receive(state, two, AppendReply{3, state.round, true, 3}, now, actions);
+    REQUIRE(state.commitIndex == 3);
+}
+
+// Guards against an acknowledgement of new entries by the late report about the ones that they replaced.
+TEST_CASE("a report about replaced entries does not count")
+{
+    ConsensusState state = voter(two);
+    ConsensusActions actions;
+    std::vector<LogEntry> entries{{1, 1, EntryKind::Empty, nullptr, {}}, {2, 1, EntryKind::Command, payload(), {}}, {3, 1, EntryKind::Command, payload(), {}}};
+    receive(state, one, AppendRequest{1, 0, 0, 0, 1, entries}, start, actions);
+    const WriteNumber replaced = state.lastWrite;
+    receive(state, three, AppendRequest{2, 1, 1, 0, 1, {{2, 2, EntryKind::Empty, nullptr, {}}}}, start, actions);
+    REQUIRE(actionsOf<TruncateLog>(actions).at(0).from == 2);
+    actions.clear();
+    logSynced(state, state.voteWrite, start, actions);
+    REQUIRE(state.voteWrite > replaced);
+    REQUIRE(state.syncedIndex == 1);
+    for (const AppendReply &reply : messagesOf<AppendReply>(actions)) {
+        REQUIRE(reply.matchIndex <= 1);
+    }
+    logSynced(state, state.lastWrite, start, actions);
+    REQUIRE(messagesOf<AppendReply>(actions).back().matchIndex == 2);
+}
+
 // Guards against entries that were acknowledged and vanish when a late snapshot arrives.
 TEST_CASE("a late snapshot keeps the log behind it")
 {
