--- a/benchmark/control.cpp
+++ b/benchmark/control.cpp
@@ -381,12 +381,14 @@
             }
         }
         std::cout << "recovery from " << changes << " changes: " << recover(folder, changes) << " s (target under 1)\n";
+        const auto start = Clock::now();
         const auto data = std::make_shared<const Bytes>(encodeSnapshot(state));
+        const double encoding = toSeconds(Clock::now() - start);
         orders = {storage::StoreSnapshot{0, {changes, 1, {}}, data, false}, CompactLog{changes + 2, changes}};
         if (store.write(orders)) {
             stop("the snapshot cannot be written");
         }
-        std::cout << "snapshot: " << data->size() << " bytes\n";
+        std::cout << "snapshot: " << data->size() << " bytes, encoded in " << encoding << " s\n";
     }
     std::cout << "recovery after compaction: " << recover(folder, changes) << " s (target under 1)\n";
 }
