Count slow batches and busy adapters in the choice of a pool

Cause: the policy benchmark used a pool choice of its own; the entry instances' choice in the routing module was not measured. It prefers the local pool, and ignored that a batch slows down as it fills and that the servers of an adapter may all be busy. Change: the benchmark drives routing::choosePool; a pool gets a handicap of up to 80 ms with the used part of its capacity, and the wait of a busy adapter.

--- a/benchmark/poolpolicy.h
+++ b/benchmark/poolpolicy.h
@@ -2,6 +2,7 @@
 
 #include "enginefleet.h"
 
+#include "mimosahollow/routing/poolchoice.h"
 #include "mimosahollow/scheduling/pool.h"
 
 #include <array>
@@ -9,6 +10,7 @@
 
 namespace benchmark {
 
+namespace routing = mimosahollow::routing;
 namespace scheduling = mimosahollow::scheduling;
 using mimosahollow::AdapterId;
 using mimosahollow::fromSeconds;
@@ -130,7 +132,6 @@
     static constexpr std::uint32_t leaveTimer = 5;
     static constexpr std::uint32_t returnTimer = 6;
     static constexpr std::uint32_t mostAttempts = 4;
-    static constexpr double homeSeconds = 0.5; /**< Longer wait for a load at which an absent adapter leaves its home pool. */
     static constexpr std::uint32_t noPool = 0xffffffffU;
 
     struct CallState
@@ -233,41 +234,34 @@
         }
     }
 
-    static double adapterWait(const scheduling::PoolSummary &summary, std::uint32_t adapter)
+    /** The choice of the entry instances, which are spread evenly over the failure domains. */
+    std::uint32_t choosePool(std::uint32_t call)
     {
-        const auto found = std::lower_bound(summary.waits.begin(), summary.waits.end(), adapter, [](const scheduling::AdapterWait &wait, std::uint32_t id) {
-            return number(wait.adapter) < id;
-        });
-        return found != summary.waits.end() && number(found->adapter) == adapter ? mimosahollow::toSeconds(found->wait) : 0;
-    }
-
-    std::uint32_t choosePool(std::uint32_t adapter)
-    {
-        std::uint32_t best = noPool;
-        double bestCost = 1e18;
+        std::vector<routing::PoolSummary> views(m_summaries.size());
         for (std::uint32_t i = 0; i < m_summaries.size(); ++i) {
             const scheduling::PoolSummary &summary = m_summaries[i];
-            if (!summary.inService) {
-                continue;
-            }
-            const bool resident = std::binary_search(summary.adapters.begin(), summary.adapters.end(), AdapterId{adapter});
-            double cost = resident ? adapterWait(summary, adapter) : mimosahollow::toSeconds(summary.expectedLoadWait);
-            // Among equals the pool with the smaller used share; absent adapters have a home pool each, so that not all load them.
-            cost += resident ? 0.02 * (1 - static_cast<double>(summary.freeSlots) / std::max(1U, summary.totalSlots))
-                             : homeSeconds * static_cast<double>(std::mt19937_64(adapter * 1000003ULL + i)() >> 40U) / static_cast<double>(1U << 24U);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = i;
+            views[i].pool = PoolId{i + 1};
+            views[i].domain = mimosahollow::DomainId{i + 1};
+            views[i].inService = summary.inService;
+            views[i].expectedWait = summary.expectedWait;
+            views[i].expectedLoad = summary.expectedLoadWait;
+            views[i].freeCapacity = summary.freeSlots;
+            views[i].totalCapacity = summary.totalSlots;
+            views[i].resident = summary.adapters;
+            for (const scheduling::AdapterWait &wait : summary.waits) {
+                views[i].busy.emplace_back(wait.adapter, wait.wait);
             }
         }
-        return best;
+        const auto local = mimosahollow::DomainId{static_cast<std::uint32_t>(call % m_summaries.size()) + 1};
+        const auto choice = routing::choosePool(views, {"", AdapterId{m_calls[call].adapter}, local}, m_random);
+        return choice ? static_cast<std::uint32_t>(choice->pool) : noPool;
     }
 
     void acquire(std::uint32_t call)
     {
         const Call &content = m_calls[call];
         CallState &state = m_states[call];
-        const std::uint32_t pool = choosePool(content.adapter);
+        const std::uint32_t pool = choosePool(call);
         ++state.attempts;
         if (pool == noPool) {
             m_result.calls[call].outcome = CallResult::Outcome::Refused;
@@ -416,6 +410,7 @@
     std::vector<CallState> m_states;
     std::vector<scheduling::PoolState> m_pools;
     std::vector<scheduling::PoolSummary> m_summaries;
+    std::mt19937_64 m_random{20261204};
     std::size_t m_turn = 0;
     std::uint32_t m_lastPool = 0;
     RunResult m_result;
--- a/include/mimosahollow/routing/poolchoice.h
+++ b/include/mimosahollow/routing/poolchoice.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <span>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace mimosahollow::routing {
@@ -26,7 +27,9 @@
     Duration expectedLoad{}; /**< Added when the adapter is not resident. */
     std::uint32_t freeCapacity = 0; /**< Calls that could start now. */
     Duration distance{}; /**< Round trip to the owner. */
+    std::uint32_t totalCapacity = 0; /**< Calls that it runs at one time. */
     std::vector<AdapterId> resident; /**< Sorted. */
+    std::vector<std::pair<AdapterId, Duration>> busy; /**< Resident adapters whose servers are all busy, and their waits; sorted. */
 };
 
 struct PoolQuery
@@ -53,7 +56,13 @@
 /** Several times the distance between failure domains. */
 inline constexpr Duration spilloverMargin = milliseconds(20);
 
-/** Wait that a call must expect at @p pool: queue, load if the adapter is not resident, round trip. */
+/**
+ * Handicap of a pool that has no free capacity; it falls in proportion to the free part. A batch slows down as it fills, which
+ * the expected wait does not show.
+ */
+inline constexpr Duration fullPoolHandicap = milliseconds(80);
+
+/** Wait that a call must expect at @p pool: queue, load if the adapter is not resident, slower tokens of a full batch, round trip. */
 [[nodiscard]] Duration expectedWait(const PoolSummary &pool, AdapterId adapter) noexcept;
 
 /**
--- a/src/routing/poolchoice.cpp
+++ b/src/routing/poolchoice.cpp
@@ -68,12 +68,28 @@
     return chosen;
 }
 
+Duration batchSlowdown(const PoolSummary &pool) noexcept
+{
+    if (pool.totalCapacity == 0 || pool.freeCapacity >= pool.totalCapacity) {
+        return Duration::zero();
+    }
+    return fullPoolHandicap * (pool.totalCapacity - pool.freeCapacity) / pool.totalCapacity;
+}
+
 } // namespace
 
 Duration expectedWait(const PoolSummary &pool, AdapterId adapter) noexcept
 {
     const bool ready = adapter == AdapterId{} || std::binary_search(pool.resident.begin(), pool.resident.end(), adapter);
-    return pool.expectedWait + pool.distance + (ready ? Duration::zero() : pool.expectedLoad);
+    Duration wait = pool.distance + pool.expectedWait + batchSlowdown(pool);
+    if (!ready) {
+        return wait + pool.expectedLoad;
+    }
+    const auto busy = std::lower_bound(pool.busy.begin(), pool.busy.end(), adapter, [](const auto &entry, AdapterId id) {
+        return entry.first < id;
+    });
+    const bool isBusy = busy != pool.busy.end() && busy->first == adapter;
+    return isBusy ? wait + std::max(busy->second - pool.expectedWait, Duration::zero()) : wait;
 }
 
 std::optional<PoolChoice> choosePool(std::span<const PoolSummary> pools, const PoolQuery &query, std::mt19937_64 &random)
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -180,7 +180,12 @@
     if (!choice) {
         return; // tickCalls() tries again
     }
-    const routing::PoolSummary &pool = state.summaries[choice->pool];
+    routing::PoolSummary &pool = state.summaries[choice->pool];
+    // Until the next summary, the adapter is loaded where it was asked for, and not in another pool as well.
+    const auto position = std::lower_bound(pool.resident.begin(), pool.resident.end(), call.adapter);
+    if (call.adapter != AdapterId{} && (position == pool.resident.end() || *position != call.adapter)) {
+        pool.resident.insert(position, call.adapter);
+    }
     call.pool = pool.pool;
     call.owner = pool.owner;
     if (choice->reason != routing::PoolReason::Local) {
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -237,7 +237,12 @@
     summary->expectedWait = content.expectedWait;
     summary->expectedLoad = content.expectedLoadWait;
     summary->freeCapacity = content.freeSlots;
+    summary->totalCapacity = content.totalSlots;
     summary->resident = content.adapters;
+    summary->busy.clear();
+    for (const scheduling::AdapterWait &wait : content.waits) {
+        summary->busy.emplace_back(wait.adapter, wait.wait);
+    }
     FencingNumber &reported = state.reportedFencing[content.pool];
     if (reported != content.fencing) {
         reported = content.fencing;
