Measure the gateway with three threads next to the dispatch thread

Cause: the targets are for at most 4 cores; four gateway threads and the dispatch thread may use five.

Change: three gateway threads.

--- a/benchmark/gateway.cpp
+++ b/benchmark/gateway.cpp
@@ -35,7 +35,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::uint32_t gatewayThreads = 4; // the targets are for at most 4 cores
+constexpr std::uint32_t gatewayThreads = 3; // with the dispatch thread at most 4 cores, as in the targets
 constexpr std::uint32_t engines = 3;
 constexpr std::uint16_t firstEnginePort = 21'801;
 constexpr std::uint16_t callerPort = 21'800;
