--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -87,7 +87,8 @@
         return;
     }
     if (found->second.stage != CallStage::Running) {
-        if (result.outcome == AttemptOutcome::CallerLeft) {
+        // The gateway has ended the call already: its caller left, or the deadline has passed.
+        if (result.grant == 0) {
             abandonWaiting(state, found->second, now, actions);
         }
         return;
