Keep the renewals of followers that ask less often than their relay

Cause: the new simulation of seven instances found one that stayed stale for 30 s after a restart of all voters. Its relay followed a voter that was not the leader, sent renewals twice as often, and each newer request replaced an older one that carried the follower. Ruled out: lost subscriptions (the instance applied every update), and leases refused by the leader (it covered all that it was asked for). Change: a replaced request leaves its followers and pools to the next one, a reply also answers merged earlier requests, and an instance with followers renews as often as a relay.

--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -69,7 +69,7 @@
         return;
     }
     const auto pools = membership::poolsToRenew(state.holder);
-    const bool often = !pools.empty() || state.view.relay == state.options.name;
+    const bool often = !pools.empty() || state.view.relay == state.options.name || !state.renewal.downstream.empty();
     state.nextRenewal = now + membership::renewalInterval(state.options.times.freshness, often);
     membership::RenewRequest request = membership::makeRenewRequest(state.renewal, pools, now);
     if (isLeader(state)) {
--- a/src/membership/renewal.cpp
+++ b/src/membership/renewal.cpp
@@ -57,6 +57,27 @@
     return reply;
 }
 
+/**
+ * Adds the followers and pools of an earlier request of the same instance. Without this, a relay that sends more often than its
+ * upstream instance would lose the requests of followers that send less often.
+ */
+void keepFollowers(RenewRequest &request, const RenewRequest &earlier)
+{
+    for (const FollowerEntry &entry : earlier.followers) {
+        if (!comesThrough(request, entry.instance)) {
+            request.followers.push_back(entry);
+        }
+    }
+    for (const PoolRenewal &pool : earlier.pools) {
+        const bool known = std::any_of(request.pools.begin(), request.pools.end(), [&pool](const PoolRenewal &other) {
+            return other.pool == pool.pool;
+        });
+        if (!known) {
+            request.pools.push_back(pool);
+        }
+    }
+}
+
 } // namespace
 
 Duration renewalInterval(Duration freshnessTime, bool ownsPoolsOrIsRelay) noexcept
@@ -102,6 +123,7 @@
     const bool older =
         request.self.incarnation < known.self.incarnation || (request.self.incarnation == known.self.incarnation && request.sequence <= known.sequence);
     if (!older) {
+        keepFollowers(request, known);
         found->second = std::move(request);
     }
 }
@@ -128,8 +150,11 @@
             outcome.ownPools.push_back(pool);
         }
     }
-    for (const RenewRequest &request : sent->downstream) {
-        outcome.replies.emplace_back(request.self.instance, replyTo(request, reply, until, now));
+    // Earlier requests without a reply of their own were merged into this one on their way.
+    for (auto renewal = state.sent.begin(); renewal != std::next(sent); ++renewal) {
+        for (const RenewRequest &request : renewal->downstream) {
+            outcome.replies.emplace_back(request.self.instance, replyTo(request, reply, until, now));
+        }
     }
     state.sent.erase(state.sent.begin(), std::next(sent));
     return outcome;
--- /dev/null
+++ b/tests/coordination/fleet.cpp
@@ -0,0 +1,174 @@
+#include "fakefleet.h"
+
+#include "mimosahollow/control/configuration.h"
+
+using namespace mimosahollow;
+using namespace mimosahollow::coordination;
+
+namespace {
+
+std::shared_ptr<const control::Configuration> smallBundle()
+{
+    control::Configuration configuration;
+    configuration.version = 1;
+    configuration.baseModels = {"base"};
+    std::uint32_t id = 0;
+    for (const char *domain : {"a", "b", "c"}) {
+        ++id;
+        configuration.domains.push_back({static_cast<DomainId>(id), domain, 0.3, false});
+        configuration.servers.push_back({static_cast<ServerId>(id), std::string("server-") + domain, static_cast<DomainId>(id), "base", "127.0.0.1:1", false});
+    }
+    configuration.organisations.push_back({OrganisationId{1}, "north", 100, 100, 1});
+    configuration.keys.push_back({"north-key", KeyHash{1}, OrganisationId{1}});
+    return std::make_shared<control::Configuration>(std::move(configuration));
+}
+
+control::Command makeCommand(std::uint64_t id, control::CommandBody body)
+{
+    control::Command command;
+    command.id = {77, id};
+    command.sender = "test";
+    command.body = std::move(body);
+    return command;
+}
+
+std::size_t freshInstances(FakeFleet &fleet)
+{
+    std::size_t count = 0;
+    for (const auto &[name, node] : fleet.nodes()) {
+        count += fleet.isFresh(name) ? 1 : 0;
+    }
+    return count;
+}
+
+std::size_t ownedPools(FakeFleet &fleet)
+{
+    std::size_t count = 0;
+    for (const auto &[name, node] : fleet.nodes()) {
+        for (const auto &[pool, lease] : node.leases) {
+            count += node.state && lease.ownedUntil > fleet.now() ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+constexpr std::size_t allInstances = 7;
+constexpr std::size_t allPools = 6; // a pool and the token buckets in each of three failure domains
+// An election takes up to 0.6 s, a lease renewal up to 1 s, and a relay that is gone is noticed after 2 s.
+constexpr Duration recoveryTime = seconds(8);
+
+} // namespace
+
+// Guards against a control plane that does not recover, has two owners of a pool, or acknowledges too early.
+TEST_CASE("A fleet of seven instances in three failure domains")
+{
+    FakeFleet fleet(smallBundle());
+    fleet.run(seconds(12));
+    REQUIRE_FALSE(fleet.leader().empty());
+    REQUIRE(freshInstances(fleet) == allInstances);
+    REQUIRE(ownedPools(fleet) == allPools);
+
+    SECTION("acknowledges a withdrawn key when no instance accepts it any more")
+    {
+        fleet.submitAt("c2", 1, makeCommand(1, control::WithdrawKey{"north-key"}));
+        fleet.run(seconds(2));
+        REQUIRE(fleet.node("c2").done.size() == 1);
+        REQUIRE(fleet.node("c2").done[0].inForceEverywhere);
+        for (const auto &[name, node] : fleet.nodes()) {
+            REQUIRE(node.configuration->keys.empty());
+        }
+    }
+
+    SECTION("recovers from the loss of its leader, also where the leader was the relay")
+    {
+        const std::string leader = fleet.leader();
+        fleet.crash(leader);
+        fleet.run(recoveryTime);
+        REQUIRE_FALSE(fleet.leader().empty());
+        REQUIRE(freshInstances(fleet) == allInstances - 1);
+        REQUIRE(ownedPools(fleet) == allPools);
+
+        SECTION("and takes it back")
+        {
+            fleet.node(leader).restarted = true;
+            fleet.start(leader);
+            fleet.run(recoveryTime);
+            REQUIRE(freshInstances(fleet) == allInstances);
+            REQUIRE(ownedPools(fleet) == allPools);
+        }
+    }
+
+    SECTION("waits for the leases of a failure domain that is cut off before it acknowledges")
+    {
+        fleet.cut({"b1", "b2"});
+        fleet.run(seconds(1));
+        const std::string outside = "a2";
+        fleet.submitAt(outside, 2, makeCommand(2, control::WithdrawKey{"north-key"}));
+        bool acknowledgedWhileFresh = false;
+        for (int i = 0; i < 150; ++i) {
+            fleet.run(milliseconds(100));
+            acknowledgedWhileFresh = acknowledgedWhileFresh || (!fleet.node(outside).done.empty() && (fleet.isFresh("b1") || fleet.isFresh("b2")));
+        }
+        REQUIRE(fleet.node(outside).done.size() == 1);
+        REQUIRE(fleet.node(outside).done[0].state == CommandState::Done);
+        REQUIRE_FALSE(acknowledgedWhileFresh);
+        REQUIRE(fleet.node("b2").configuration->keys.size() == 1);
+
+        SECTION("and the returning failure domain applies the change before it serves keys")
+        {
+            fleet.heal();
+            for (int i = 0; i < 100; ++i) {
+                fleet.run(milliseconds(100));
+                for (const char *name : {"b1", "b2"}) {
+                    REQUIRE((!fleet.isFresh(name) || fleet.node(name).configuration->keys.empty()));
+                }
+            }
+            REQUIRE(freshInstances(fleet) == allInstances);
+        }
+    }
+
+    SECTION("leaves its pools to a failure domain that is cut off as a whole")
+    {
+        fleet.cut({"b1", "b2"});
+        fleet.run(seconds(30));
+        REQUIRE(ownedPools(fleet) == allPools);
+    }
+
+    SECTION("keeps an accepted change over a restart of all voters")
+    {
+        fleet.submitAt("a1", 3, makeCommand(3, control::SetDomainOut{"b", true}));
+        fleet.run(seconds(2));
+        REQUIRE(fleet.node("a1").done.size() == 1);
+        for (const char *name : {"a1", "b1", "c1"}) {
+            fleet.crash(name);
+        }
+        fleet.run(seconds(1));
+        for (const char *name : {"a1", "b1", "c1"}) {
+            fleet.node(name).restarted = true;
+            fleet.start(name);
+        }
+        fleet.run(recoveryTime);
+        REQUIRE(freshInstances(fleet) == allInstances);
+        for (const auto &[name, node] : fleet.nodes()) {
+            REQUIRE(node.configuration->domains[1].out);
+        }
+
+        SECTION("and answers the same command again with the same result")
+        {
+            fleet.submitAt("c3", 4, makeCommand(3, control::SetDomainOut{"b", true}));
+            // The new leader waits for the leases of the processes that were there before it, at most one freshness time.
+            fleet.run(seconds(12));
+            REQUIRE(fleet.node("c3").done.size() == 1);
+            REQUIRE(fleet.node("c3").done[0].result.outcome == control::CommandOutcome::Accepted);
+        }
+    }
+
+    SECTION("lets an instance leave without waiting for leases")
+    {
+        fleet.leaveAt("c2");
+        fleet.run(seconds(1));
+        fleet.crash("c2");
+        fleet.run(recoveryTime);
+        REQUIRE(ownedPools(fleet) == allPools);
+    }
+}
