Keep a voter with an empty disk out of votes, and leave useless upstreams

Cause: a voter that lost its disk came back with a vote. The test of this also found two instances that followed each other for ever, since heartbeats counted as a sign of a working upstream instance. A command that replaces a voter is still missing.

--- a/include/mimosahollow/coordination/coordination.h
+++ b/include/mimosahollow/coordination/coordination.h
@@ -12,6 +12,12 @@
 /** State of an instance that is no voter. */
 [[nodiscard]] CoordinationState makeFollower(const Options &options, TimePoint now);
 
+/**
+ * Whether a voter may vote with what its storage holds. One with an empty disk may have forgotten votes and confirmed entries,
+ * so it may not, unless the operator says that the fleet is new, or it is the only voter.
+ */
+[[nodiscard]] bool mayVote(const control::DurableLog &durable, const Options &options, bool founding) noexcept;
+
 /** State of a voter that continues from what its storage holds. Returns an error message for a damaged snapshot. */
 [[nodiscard]] std::variant<CoordinationState, std::string> makeVoter(const Options &options, control::DurableLog durable, TimePoint now);
 
--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-ControlThread::ControlThread(coordination::Options options, std::string dataFolder, std::size_t ringCapacity)
+ControlThread::ControlThread(coordination::Options options, std::string dataFolder, bool founding, std::size_t ringCapacity)
     : m_options(std::move(options))
     , m_isVoter(std::find(m_options.voters.begin(), m_options.voters.end(), m_options.name) != m_options.voters.end())
+    , m_founding(founding)
     , m_ring(ringCapacity)
     , m_storage(std::move(dataFolder), [this](storage::StorageEvent event) {
         if (std::this_thread::get_id() == m_thread.get_id()) {
@@ -46,11 +47,18 @@
 {
     m_ports = std::move(ports);
     const TimePoint now = std::chrono::steady_clock::now();
+    std::variant<control::DurableLog, std::string> durable;
     if (m_isVoter) {
-        auto durable = m_storage.open();
+        durable = m_storage.open();
         if (const auto *error = std::get_if<std::string>(&durable)) {
             return *error;
         }
+        if (!coordination::mayVote(std::get<control::DurableLog>(durable), m_options, m_founding)) {
+            observability::logWarning("the data folder is empty: this voter takes no part in votes; start a new fleet with --found, or replace the voter");
+            m_isVoter = false;
+        }
+    }
+    if (m_isVoter) {
         auto made = coordination::makeVoter(m_options, std::get<control::DurableLog>(std::move(durable)), now);
         if (const auto *error = std::get_if<std::string>(&made)) {
             return *error;
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -44,8 +44,11 @@
 class ControlThread
 {
 public:
-    /** @p dataFolder is empty for an instance without a disk. */
-    ControlThread(coordination::Options options, std::string dataFolder, std::size_t ringCapacity);
+    /**
+     * @p dataFolder is empty for an instance without a disk. @p founding allows a voter with an empty disk to vote; without it
+     * such a voter only follows, because it may have forgotten votes and entries that it had confirmed.
+     */
+    ControlThread(coordination::Options options, std::string dataFolder, bool founding, std::size_t ringCapacity);
     ~ControlThread();
     ControlThread(const ControlThread &) = delete;
     ControlThread &operator=(const ControlThread &) = delete;
@@ -94,6 +97,7 @@
 
     coordination::Options m_options;
     bool m_isVoter;
+    bool m_founding;
     BoundedRing<Event> m_ring;
     std::vector<storage::StorageEvent> m_storageEvents; // without a data folder, events arise on this thread
     VoterStorage m_storage;
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -107,7 +107,7 @@
 
 } // namespace
 
-Instance::Instance(settings::Settings settings) : m_settings(std::move(settings))
+Instance::Instance(settings::Settings settings, bool founding) : m_settings(std::move(settings)), m_founding(founding)
 {
 }
 
@@ -144,7 +144,7 @@
     readKeySecret();
     const coordination::Options options = coordinationOptions(m_settings);
     m_serving = std::make_unique<ServingThread>(randomNumber(), randomNumber(), m_settings.ringCapacity);
-    m_control = std::make_unique<ControlThread>(options, m_settings.dataFolder, m_settings.ringCapacity);
+    m_control = std::make_unique<ControlThread>(options, m_settings.dataFolder, m_founding, m_settings.ringCapacity);
     m_gateway = std::make_unique<gateway::Gateway>(m_settings, gatewayPorts(), m_serving->events());
     m_orders = std::make_unique<gateway::OrderSender>(m_serving->events());
     if (!m_settings.linkAddress.empty()) {
--- a/src/app/instance.h
+++ b/src/app/instance.h
@@ -17,7 +17,8 @@
 class Instance
 {
 public:
-    explicit Instance(settings::Settings settings);
+    /** @p founding: this instance starts a new fleet, see ControlThread. */
+    Instance(settings::Settings settings, bool founding);
     ~Instance();
     Instance(const Instance &) = delete;
     Instance &operator=(const Instance &) = delete;
@@ -41,6 +42,7 @@
     [[nodiscard]] bool commit(serving::CommitCommand &&command);
 
     settings::Settings m_settings;
+    bool m_founding;
     settings::KeySecret m_secret{};
     std::unique_ptr<ServingThread> m_serving;
     std::unique_ptr<ControlThread> m_control;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -28,12 +28,13 @@
 int runServe(const Arguments &arguments)
 {
     options::options_description description("mimosahollow serve: runs an instance until SIGTERM");
-    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>()->required(), "settings file (TOML)");
+    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>()->required(), "settings file (TOML)")(
+        "found", options::bool_switch(), "starts a new fleet: lets a voter with an empty data folder vote");
     options::variables_map values;
     if (!app::parseCommandLine(description, {}, arguments, values)) {
         return app::Success;
     }
-    return app::serve(values["settings"].as<std::string>());
+    return app::serve(values["settings"].as<std::string>(), values["found"].as<bool>());
 }
 
 int runCheck(const Arguments &arguments)
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -27,9 +27,9 @@
     return options;
 }
 
-int run(const Settings &settings)
+int run(const Settings &settings, bool founding)
 {
-    Instance instance(settings);
+    Instance instance(settings, founding);
     instance.start();
     std::unique_ptr<standin::Engine> engine;
     if (settings.standinEnabled) {
@@ -46,7 +46,7 @@
 
 } // namespace
 
-int serve(const std::string &settingsFile)
+int serve(const std::string &settingsFile, bool founding)
 {
     const auto result = settings::loadFile(settingsFile);
     if (const auto *problems = std::get_if<std::vector<settings::SettingsProblem>>(&result)) {
@@ -63,7 +63,7 @@
     }
     int code = StartFailed;
     try {
-        code = run(settings);
+        code = run(settings, founding);
     } catch (const std::runtime_error &error) {
         observability::logError(error.what());
         std::cerr << error.what() << '\n';
--- a/src/coordination/coordination.cpp
+++ b/src/coordination/coordination.cpp
@@ -43,6 +43,12 @@
     return static_cast<PoolId>(bucketPoolBase + number(domain));
 }
 
+bool mayVote(const control::DurableLog &durable, const Options &options, bool founding) noexcept
+{
+    const bool empty = durable.term == 0 && durable.entries.empty() && !durable.snapshotData;
+    return !empty || founding || options.voters.size() <= 1;
+}
+
 CoordinationState makeFollower(const Options &options, TimePoint now)
 {
     return makeState(options, now);
@@ -120,9 +126,6 @@
 
 void receive(CoordinationState &state, const std::string &peer, Message message, TimePoint now, Actions &actions)
 {
-    if (peer == state.upstream) {
-        state.upstreamHeardAt = now;
-    }
     if (const auto *heartbeat = std::get_if<membership::Heartbeat>(&message)) {
         membership::onHeartbeat(state.view, peer, *heartbeat, now);
     } else if (const auto *promise = std::get_if<membership::Promise>(&message)) {
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// A relay that sends neither updates nor renewals for this long is replaced; it is four renewal intervals.
-constexpr Duration upstreamPatience = seconds(2);
+// An upstream instance that passes on neither leases nor updates for this long is replaced. Heartbeats do not count: two instances
+// that follow each other would never notice. Three renewal intervals of 1 s.
+constexpr Duration upstreamPatience = seconds(3);
 
 const control::Instance *ownRegistration(const CoordinationState &state, const control::Configuration &configuration)
 {
@@ -44,6 +45,11 @@
 
 void subscribe(CoordinationState &state, TimePoint now, Actions &actions)
 {
+    if (isLeader(state)) {
+        state.upstream.clear();
+        state.upstreamHeardAt = now;
+        return;
+    }
     const bool silent = now >= state.upstreamHeardAt + upstreamPatience;
     const std::string wanted = wantedUpstream(state, now);
     if (wanted == state.upstream && !silent) {
@@ -191,6 +197,7 @@
     if (peer != state.upstream || state.voter) {
         return;
     }
+    state.upstreamHeardAt = now;
     if (!update.leader.empty()) {
         state.view.leader = update.leader;
     }
@@ -230,6 +237,9 @@
 void onRenewReply(CoordinationState &state, const membership::RenewReply &reply, TimePoint now, Actions &actions)
 {
     membership::RenewalOutcome outcome = membership::onRenewReply(state.renewal, reply, now);
+    if (reply.remaining > Duration::zero()) {
+        state.upstreamHeardAt = now;
+    }
     membership::onLeaderRenewal(state.holder, outcome.ownPools, outcome.ownPoolsFrom);
     for (auto &[instance, downstreamReply] : outcome.replies) {
         for (const control::Instance &candidate : state.configuration->instances) {
--- a/tests/coordination/fakefleet.h
+++ b/tests/coordination/fakefleet.h
@@ -43,6 +43,7 @@
             m_nodes[name].options = options;
             start(name);
         }
+        m_founding = false;
     }
 
     void start(const std::string &name)
@@ -53,7 +54,8 @@
         node.leases.clear();
         node.freshUntil = {};
         const auto &voters = node.options.voters;
-        if (std::find(voters.begin(), voters.end(), name) != voters.end()) {
+        const bool isVoter = std::find(voters.begin(), voters.end(), name) != voters.end();
+        if (isVoter && mayVote(node.disk, node.options, m_founding)) {
             auto made = makeVoter(node.options, node.disk, m_now);
             REQUIRE(std::holds_alternative<CoordinationState>(made));
             node.state = std::make_unique<CoordinationState>(std::get<CoordinationState>(std::move(made)));
@@ -295,6 +297,7 @@
     TimePoint m_now{seconds(1000)};
     std::int64_t m_steps = 0;
     std::uint64_t m_incarnations = 100;
+    bool m_founding = true;
 };
 
 } // namespace mimosahollow::coordination
--- a/tests/coordination/fleet.cpp
+++ b/tests/coordination/fleet.cpp
@@ -163,6 +163,32 @@
         }
     }
 
+    SECTION("loses nothing when a voter returns with an empty disk and another one is lost")
+    {
+        fleet.submitAt("a1", 5, makeCommand(5, control::WithdrawKey{"north-key"}));
+        fleet.run(seconds(2));
+        REQUIRE(fleet.node("a1").done.size() == 1);
+        const std::string leader = fleet.leader();
+        const std::string other = leader == "b1" ? "c1" : "b1";
+        fleet.crash(other);
+        fleet.node(other).disk = {};
+        fleet.node(other).configuration = nullptr;
+        fleet.start(other);
+        fleet.run(recoveryTime);
+        // With the vote of the empty one, the third voter could become leader without the newest entries.
+        fleet.crash(leader);
+        fleet.run(seconds(20));
+        REQUIRE(fleet.leader().empty());
+        REQUIRE(freshInstances(fleet) == 0);
+        fleet.node(leader).restarted = true;
+        fleet.start(leader);
+        fleet.run(recoveryTime);
+        REQUIRE(freshInstances(fleet) == allInstances);
+        for (const auto &[name, node] : fleet.nodes()) {
+            REQUIRE(node.configuration->keys.empty());
+        }
+    }
+
     SECTION("lets an instance leave without waiting for leases")
     {
         fleet.leaveAt("c2");
