Log refused links instead of ending the instance

Cause: the control thread took every link event that is neither up nor down for a frame. A refused link (two instances that dial each other at the same time, a peer of another fleet, or any bytes that are no Hello) threw std::bad_variant_access and ended the process.

Change: refused links are logged with the address and the reason.

Conclusion: bytes on the link listener can no longer end an instance.

--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -155,12 +155,13 @@
     } else if (const auto *down = std::get_if<link::PeerDown>(&event)) {
         observability::logInfo("link to instance " + down->peer + " is down: " + down->reason);
         coordination::peerDown(*m_state, down->peer, now, m_actions);
-    } else {
-        const auto &frame = std::get<link::ReceivedFrame>(event);
-        if (auto message = decodeControlMessage(frame.kind, frame.payload)) {
-            coordination::receive(*m_state, frame.peer, std::move(*message), now, m_actions);
+    } else if (const auto *refused = std::get_if<link::PeerRefused>(&event)) {
+        observability::logWarning("link with " + refused->address + " is refused: " + refused->reason);
+    } else if (const auto *frame = std::get_if<link::ReceivedFrame>(&event)) {
+        if (auto message = decodeControlMessage(frame->kind, frame->payload)) {
+            coordination::receive(*m_state, frame->peer, std::move(*message), now, m_actions);
         } else {
-            observability::logWarning("dropped a malformed message of instance " + frame.peer);
+            observability::logWarning("dropped a malformed message of instance " + frame->peer);
         }
     }
 }
