Keep the test's process group out of the end of a killed child

Cause: the destructor of Process sent SIGKILL to id 0, that is to the process group of the test program, when the child had been ended by a signal: the wait for its end had cleared the id.

Change: an id of 0 is never signalled, and the destructor only kills a child that still runs.

Conclusion: a test may end a child with SIGKILL.

--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -31,7 +31,10 @@
     }
     ~Process()
     {
-        if (m_id > 0 && !end()) {
+        if (m_id > 0) {
+            end();
+        }
+        if (m_id > 0) {
             ::kill(m_id, SIGKILL);
             ::waitpid(m_id, nullptr, 0);
         }
@@ -46,7 +49,10 @@
 
     void signal(int number) const
     {
-        ::kill(m_id, number);
+        // Id 0 would address the whole process group of the test.
+        if (m_id > 0) {
+            ::kill(m_id, number);
+        }
     }
 
     /** Waits for its exit code. Empty when it does not end in time or was ended by a signal. */
