--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -205,7 +205,8 @@
 void Fleet::start(Member &member)
 {
     const std::string file = m_folder.write(member.name + ".toml", settingsText(member));
-    member.process = startChild({"serve", "-s", file});
+    member.process = member.hasRun ? startChild({"serve", "-s", file}) : startChild({"serve", "--found", "-s", file});
+    member.hasRun = true;
 }
 
 void Fleet::kill(Member &member)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -42,6 +42,7 @@
     std::string admin;
     std::string links;
     std::unique_ptr<Process> process; /**< Empty: does not run. */
+    bool hasRun = false; /**< Only the first start may found the fleet. */
 };
 
 struct Backend
