Test the serving module as a fleet and fix what the tests found

Cause: the composition of admission, routing and scheduling had no tests of its own. An in-memory fleet of four instances in two failure domains showed these faults: - A repeatable call whose first attempt failed after it was sent was refused as "not run" when its retry found no server (P10). - A caller that left, or a deadline that ended, while the idempotency record was being committed left the record behind, which blocked resends. - An answer that is too large to be stored was recorded as an empty answer, and a resend got it with status 200. - A grant of an earlier pool owner that arrived after the report to the new owner was used, so that the new owner did not know of running work (P2, P7). - The late result of an order of an earlier ownership was taken for the order with the same number in the present one (P1). - A grant for a server that the entry instance does not know was dropped; its call waited until the deadline and the place stayed taken. - Requests stayed in a pool whose lease had run out, or whose owner started a new lease, until their deadline. Grants returned during a gap in the lease were dropped, and their places stayed taken.

Change: a call remembers that it may have run and that it was answered during the commit. Orders carry the fencing number of their ownership. Outdated and unknown grants are returned and their calls ask again. A pool without a valid lease refuses what waits and still takes returned grants. The loop over expired calls also tolerates that ending one call ends another; no test reaches that case.

The checker reports P11 when grants run twice and when a call that may not repeat is retried.

A stored record of an answer that was omitted reports "in progress" until the longest deadline has passed, and "unknown" after it.

--- a/include/mimosahollow/serving/call.h
+++ b/include/mimosahollow/serving/call.h
@@ -32,6 +32,8 @@
     double reserved = 0; /**< Tokens taken from the organisation's quota. */
     bool repeatable = false;
     bool recorded = false; /**< An idempotency record exists. */
+    bool mayHaveRun = false; /**< Bytes of an earlier attempt reached a server, so "not run" is no longer true. */
+    bool answered = false; /**< The caller left or was refused; only the result of the BeginCall is awaited. */
     control::CallKey callKey;
     control::CommandId begin;
     std::uint32_t attempts = 0; /**< Grants used. */
--- a/include/mimosahollow/serving/servingstate.h
+++ b/include/mimosahollow/serving/servingstate.h
@@ -34,6 +34,7 @@
 {
     PoolId pool{};
     std::uint64_t order = 0; /**< Number in the pool's state. */
+    FencingNumber fencing = 0; /**< Of the ownership that gave it; the next one counts its orders from 1 again. */
 };
 
 /** Everything that one instance needs to serve calls. Touched by one thread only; driven by the functions in serving.h. */
--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -58,15 +58,19 @@
 }
 
 /** The caller left before the call was sent to a server. */
-void abandonWaiting(ServingState &state, const Call &call, TimePoint now, Actions &actions)
+void abandonWaiting(ServingState &state, Call &call, TimePoint now, Actions &actions)
 {
     const RequestId id = call.request.id;
+    if (call.stage == CallStage::Recording) {
+        call.answered = true; // the record may still be committed and must then be withdrawn
+        return;
+    }
     if (call.stage == CallStage::AwaitingTokens) {
         admission::cancel(state.quotas, admission::accountOf(call.organisation), id, now);
     } else if (call.stage == CallStage::AwaitingGrant && call.pool != PoolId{}) {
         sendToOwner(state, call.pool, call.owner, CancelRequest{id}, now, actions);
     }
-    if (call.recorded) {
+    if (call.recorded && !call.mayHaveRun) {
         actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
     }
     finishCall(state, id, 0, now, actions);
@@ -99,8 +103,9 @@
     const scheduling::Release release = makeRelease(call, result);
     const PoolId pool = call.pool;
     const std::uint64_t used = usedTokens(call, result);
+    call.mayHaveRun = call.mayHaveRun || !wasNotSent(result.outcome);
     if (!result.awaitsReply) {
-        if (call.recorded && result.outcome == AttemptOutcome::Completed) {
+        if (call.recorded && result.outcome == AttemptOutcome::Completed && !result.answerOmitted) {
             completeRecord(call, result, actions);
         }
         finishCall(state, result.id, used, now, actions);
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -129,9 +129,16 @@
 
 void refuseCall(ServingState &state, const RequestId &id, RefusalReason reason, CallOutcome outcome, Duration retryAfter, TimePoint now, Actions &actions)
 {
-    const Call &call = state.calls.at(id);
+    Call &call = state.calls.at(id);
+    if (call.mayHaveRun) {
+        outcome = CallOutcome::Unknown;
+    }
     actions.push_back(LogDecision{"refuse", id, organisationName(state, call.organisation), call.adapterName, 0, "", toString(reason)});
     actions.push_back(ReplyToCall{call.request.gatewayThread, {id, gateway::ServingRefusal{reason, outcome, retryAfter}}});
+    if (call.stage == CallStage::Recording && !call.recorded) {
+        call.answered = true; // the record may still be committed and must then be withdrawn
+        return;
+    }
     if (call.recorded && outcome == CallOutcome::NotRun) {
         actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
     }
@@ -213,8 +220,14 @@
     const auto found = state.calls.find(grant.id);
     const control::BackendServer *server = findServer(state.index, grant.server);
     const bool wanted = found != state.calls.end() && found->second.stage == CallStage::AwaitingGrant && found->second.pool == pool;
-    if (!wanted || server == nullptr) {
+    // A new owner that has this instance's report does not know later grants of the earlier owner.
+    const auto reported = state.reportedFencing.find(pool);
+    const bool outdated = reported != state.reportedFencing.end() && grant.fencing < reported->second;
+    if (!wanted || server == nullptr || outdated) {
         returnGrant(state, pool, {grant.id, grant.grant, grant.fencing, scheduling::ReleaseOutcome::NotSent, 0, {}}, now, actions);
+        if (wanted) {
+            onRefusal(state, pool, {grant.id, state.self, RefusalReason::NoCapacity, {}}, now, actions);
+        }
         return;
     }
     Call &call = found->second;
@@ -293,7 +306,7 @@
     std::vector<RequestId> expired;
     std::vector<RequestId> searching;
     for (const auto &[id, call] : state.calls) {
-        const Duration grace = call.stage == CallStage::Running ? reportGrace : Duration::zero();
+        const Duration grace = call.stage == CallStage::Running || call.answered ? reportGrace : Duration::zero();
         if (now >= call.deadline + grace) {
             expired.push_back(id);
         } else if (call.stage == CallStage::AwaitingGrant && call.pool == PoolId{}) {
@@ -301,7 +314,18 @@
         }
     }
     for (const RequestId &id : expired) {
-        const Call &call = state.calls.at(id);
+        const auto found = state.calls.find(id);
+        if (found == state.calls.end()) {
+            continue; // ended by the end of another call
+        }
+        const Call &call = found->second;
+        if (call.answered) {
+            // The result of the BeginCall is lost.
+            actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+            finishCall(state, id, 0, now, actions);
+            continue;
+        }
+        const CallOutcome outcome = call.stage == CallStage::Running ? CallOutcome::Unknown : CallOutcome::NotRun;
         if (call.stage == CallStage::AwaitingGrant && call.pool != PoolId{}) {
             sendToOwner(state, call.pool, call.owner, CancelRequest{id}, now, actions);
         } else if (call.stage == CallStage::Running) {
@@ -310,7 +334,6 @@
             admission::cancel(state.quotas, admission::accountOf(call.organisation), id, now);
         }
         if (state.calls.contains(id)) {
-            const CallOutcome outcome = call.stage == CallStage::Running ? CallOutcome::Unknown : CallOutcome::NotRun;
             refuseCall(state, id, RefusalReason::DeadlineExceeded, outcome, {}, now, actions);
         }
     }
--- a/src/serving/internal.h
+++ b/src/serving/internal.h
@@ -25,6 +25,8 @@
 
 void onGrant(ServingState &state, PoolId pool, const scheduling::Grant &grant, TimePoint now, Actions &actions);
 void onRefusal(ServingState &state, PoolId pool, const scheduling::Refusal &refusal, TimePoint now, Actions &actions);
+/** Refuses everything that waits in an owned pool, so that the entry instances look elsewhere. */
+void refuseWaiting(ServingState &state, PoolId pool, TimePoint now, Actions &actions);
 void onCancel(ServingState &state, PoolId pool, const RequestId &id, TimePoint now, Actions &actions);
 
 /** Returns a grant to the pool's owner. */
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -77,7 +77,7 @@
     message.adapter = adapter->name + "@" + adapter->version;
     message.fencing = order.fencing;
     message.timeout = order.timeout;
-    state.orders[message.order] = {pool, order.order};
+    state.orders[message.order] = {pool, order.order, order.fencing};
     actions.push_back(std::move(message));
     return true;
 }
@@ -176,6 +176,22 @@
     }
 }
 
+void refuseWaiting(ServingState &state, PoolId pool, TimePoint now, Actions &actions)
+{
+    scheduling::Actions decided;
+    std::vector<scheduling::Refusal> refusals;
+    for (const scheduling::RequestRecord &record : state.pools.at(pool).state.records) {
+        if (record.phase == scheduling::RequestPhase::Waiting) {
+            refusals.push_back({record.request.id, record.request.entry, RefusalReason::NoCapacity, {}});
+        }
+    }
+    for (const scheduling::Refusal &refusal : refusals) {
+        scheduling::cancel(state.pools.at(pool).state, refusal.id, now, decided);
+        decided.push_back(refusal);
+    }
+    carryOut(state, pool, decided, now, actions);
+}
+
 void onCancel(ServingState &state, PoolId pool, const RequestId &id, TimePoint now, Actions &actions)
 {
     scheduling::Actions decided;
@@ -272,7 +288,9 @@
 void handlePoolMessage(ServingState &state, InstanceId from, PoolMessage message, TimePoint now, Actions &actions)
 {
     if (const auto *grant = std::get_if<scheduling::Grant>(&message.body)) {
-        onGrant(state, poolOfServer(state, grant->server), *grant, now, actions);
+        const auto call = state.calls.find(grant->id);
+        const bool asked = call != state.calls.end() && call->second.owner == from;
+        onGrant(state, asked ? call->second.pool : poolOfServer(state, grant->server), *grant, now, actions);
     } else if (const auto *refusal = std::get_if<scheduling::Refusal>(&message.body)) {
         const auto call = state.calls.find(refusal->id);
         if (call != state.calls.end() && call->second.owner == from) {
@@ -280,10 +298,11 @@
         }
     } else if (const auto *summary = std::get_if<scheduling::PoolSummary>(&message.body)) {
         takeSummary(state, from, *summary, now, actions);
-    } else if (ownsPool(state, message.pool, now)) {
-        handleAsOwner(state, from, message, now, actions);
-    } else if (const auto *acquire = std::get_if<scheduling::AcquireRequest>(&message.body)) {
+    } else if (const auto *acquire = std::get_if<scheduling::AcquireRequest>(&message.body); acquire != nullptr && !ownsPool(state, message.pool, now)) {
         refuseNotOwner(state, from, message.pool, acquire->id, now, actions);
+    } else if (state.pools.contains(message.pool)) {
+        // Returned grants count after the lease has run out too: it may be renewed.
+        handleAsOwner(state, from, message, now, actions);
     }
 }
 
@@ -320,7 +339,7 @@
     const PendingOrder pending = found->second;
     state.orders.erase(found);
     const auto pool = state.pools.find(pending.pool);
-    if (pool == state.pools.end()) {
+    if (pool == state.pools.end() || pool->second.state.fencing != pending.fencing) {
         return;
     }
     scheduling::Actions decided;
--- a/src/serving/records.cpp
+++ b/src/serving/records.cpp
@@ -71,9 +71,18 @@
         return;
     }
     Call &call = found->second;
+    const bool mayExist = result.committed ? result.result.outcome == control::CommandOutcome::RunCall : result.sent;
+    if (call.answered) {
+        if (mayExist) {
+            actions.push_back(CommitCommand{result.call, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+        }
+        finishCall(state, result.call, 0, now, actions);
+        return;
+    }
+    call.stage = CallStage::AwaitingTokens;
     if (!result.committed) {
         // The call itself was not sent, so "not run" is true; a record that was committed after all must not block a resend.
-        call.recorded = result.sent;
+        call.recorded = mayExist;
         refuseCall(state, result.call, RefusalReason::NoQuorum, CallOutcome::NotRun, seconds(1), now, actions);
         return;
     }
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -203,6 +203,10 @@
         found->second.ownedUntil = lease.ownedUntil;
         return;
     }
+    if (found != state.pools.end()) {
+        found->second.ownedUntil = now;
+        refuseWaiting(state, lease.pool, now, actions); // the new state does not know them
+    }
     scheduling::SchedulingSettings settings;
     settings.seed = state.random();
     settings.expectedAdapters = state.index.configuration->adapters.size() + 1;
@@ -248,6 +252,9 @@
         scheduling::Actions decided;
         scheduling::tick(owned.state, now, decided);
         carryOut(state, id, decided, now, actions);
+        if (now >= owned.ownedUntil && owned.state.waiting > 0) {
+            refuseWaiting(state, id, now, actions);
+        }
     }
     requestLoadTokens(state, now, actions);
     refreshOwnSummaries(state, now, actions);
--- /dev/null
+++ b/tests/serving/fleet.h
@@ -0,0 +1,418 @@
+#pragma once
+
+#include "mimosahollow/control/controlstate.h"
+#include "mimosahollow/serving/serving.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::serving {
+
+/** What the fake gateway and the fake backend servers saw of one call. */
+struct TrackedCall
+{
+    gateway::ServingRequest request;
+    std::size_t entry = 0;
+    std::string expectedAdapter; /**< forbidden: no grant is right. */
+    bool repeatable = true;
+    std::optional<gateway::ServingGrant> grant; /**< Of the attempt that runs now. */
+    unsigned runs = 0; /**< Attempts of which bytes reached a server. */
+    unsigned finals = 0; /**< Whole answers, errors and refusals that reached the caller. */
+    std::optional<gateway::ServingRefusal> refusal;
+    std::optional<gateway::StoredAnswer> stored;
+    std::vector<std::string> servers;
+};
+
+/** Four instances in two failure domains with fake servers, links and log. Time and delivery are driven by the test. */
+class Fleet
+{
+public:
+    using Outcome = gateway::AttemptOutcome;
+    static constexpr const char *forbidden = "forbidden";
+
+    std::array<ServingState, 4> states;
+    control::Configuration configuration;
+    control::ControlState control;
+    TimePoint now = TimePoint{} + seconds(1000);
+    std::map<RequestId, TrackedCall> calls;
+    std::map<std::string, std::set<std::string>> resident; /**< Adapters by the server's address. */
+    std::map<std::string, unsigned> runsByKey;
+    std::set<std::size_t> down; /**< Instances that do not run. */
+    std::set<std::size_t> unleased; /**< Instances whose pool leases are not renewed. */
+    std::set<std::size_t> stale; /**< Instances without a freshness lease. */
+    bool loseCommitAnswers = false;
+    bool holdCommits = false;
+    bool holdOrders = false;
+    bool largeAnswers = false; /**< Answers are too large to be stored. */
+    bool runsGrantsTwice = false; /**< Fault that the checker must catch. */
+    bool repeatsEverything = false; /**< Fault that the checker must catch: every call counts as repeatable. */
+    std::vector<std::string> violations;
+
+    Fleet()
+    {
+        auto &c = configuration;
+        c.version = 1;
+        c.baseModels = {"base"};
+        c.domains = {{DomainId{1}, "a", 0.5, false}, {DomainId{2}, "b", 0.5, false}};
+        c.organisations = {{OrganisationId{1}, "one", 1e5, 1e5, 1}, {OrganisationId{2}, "two", 1e5, 1e5, 1}};
+        c.keys = {{"k1", KeyHash{1}, OrganisationId{1}}, {"k2", KeyHash{2}, OrganisationId{2}}};
+        c.adapters = {{AdapterId{1}, "base", "greeting", "1", true, {OrganisationId{1}}},
+                      {AdapterId{2}, "base", "greeting", "2", false, {OrganisationId{1}}},
+                      {AdapterId{3}, "base", "other", "1", true, {OrganisationId{2}}}};
+        c.routes = {{"/registry/", "registry", false, false, seconds(30), {OrganisationId{1}}}, {"/open/", "registry", true, true, seconds(30), {}}};
+        for (std::uint32_t i = 1; i <= 4; ++i) {
+            const DomainId domain{i <= 2 ? 1U : 2U};
+            const std::string kind = i % 2 == 1 ? "base" : "registry";
+            c.servers.push_back({ServerId{i}, "s" + std::to_string(i), domain, kind, "127.0.0.1:" + std::to_string(i), false});
+            c.pools.push_back({PoolId{i}, domain, kind, InstanceId{i}, i});
+            c.instances.push_back({InstanceId{i}, "i" + std::to_string(i), domain, "", i, 0});
+        }
+        c.bucketOwners = {{DomainId{1}, InstanceId{1}, 1}, {DomainId{2}, InstanceId{3}, 2}};
+        control.configuration = c; // records are kept for organisations that it knows
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            states[i] = makeServingState(i + 1, i + 1);
+        }
+    }
+
+    /** Until the token buckets hand out and all pools have published summaries. */
+    void start()
+    {
+        configure();
+        advance(seconds(4));
+    }
+
+    void configure()
+    {
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            act(i, [&](Actions &actions) {
+                const auto shared = std::make_shared<const control::Configuration>(configuration);
+                setConfiguration(states[i], shared, InstanceId(i + 1), DomainId(i < 2 ? 1 : 2), now, actions);
+            });
+        }
+    }
+
+    RequestId model(std::size_t entry, const std::string &target, std::uint8_t key, const std::string &expected = "", Duration deadline = seconds(20))
+    {
+        gateway::ServingRequest request;
+        request.target = target;
+        request.keyHash = KeyHash{key};
+        request.promptTokens = 10;
+        request.maximumOutputTokens = 10;
+        return submit(entry, std::move(request), expected, deadline);
+    }
+
+    RequestId
+    plain(std::size_t entry, const std::string &path, std::optional<std::uint8_t> key, const std::string &idempotencyKey = "", const std::string &expected = "")
+    {
+        gateway::ServingRequest request;
+        request.kind = gateway::CallKind::PlainService;
+        request.target = path;
+        if (key) {
+            request.keyHash = KeyHash{*key};
+        }
+        request.idempotencyKey = idempotencyKey;
+        request.bodyHash = 5;
+        return submit(entry, std::move(request), expected, seconds(20));
+    }
+
+    /** Ends the running attempt of a call as the gateway would report it. */
+    void finish(const RequestId &id, Outcome outcome)
+    {
+        TrackedCall &call = calls.at(id);
+        if (!call.grant) {
+            return;
+        }
+        gateway::ServingResult result;
+        result.id = id;
+        result.grant = call.grant->grant;
+        result.outcome = outcome;
+        result.status = 200;
+        result.outputTokens = 5;
+        result.answerBody = largeAnswers ? "" : "answer";
+        result.answerOmitted = largeAnswers;
+        result.awaitsReply = outcome == Outcome::FailedBeforeAnswer || outcome == Outcome::ConnectionRefused || outcome == Outcome::AdapterMissing;
+        if (outcome != Outcome::ConnectionRefused && outcome != Outcome::AdapterMissing) {
+            const unsigned times = runsGrantsTwice ? 2 : 1;
+            call.runs += times;
+            if (!call.request.idempotencyKey.empty()) {
+                runsByKey[call.request.idempotencyKey] += times;
+            }
+        }
+        if (repeatsEverything) {
+            states[call.entry].calls.at(id).repeatable = true;
+        }
+        call.grant.reset();
+        call.finals += result.awaitsReply ? 0 : 1;
+        act(call.entry, [&](Actions &actions) {
+            handle(states[call.entry], result, now, actions);
+        });
+    }
+
+    void leave(const RequestId &id)
+    {
+        TrackedCall &call = calls.at(id);
+        if (call.grant) {
+            finish(id, Outcome::CallerLeft);
+            return;
+        }
+        call.finals += call.finals == 0 ? 1 : 0;
+        gateway::ServingResult result;
+        result.id = id;
+        result.outcome = Outcome::CallerLeft;
+        act(call.entry, [&](Actions &actions) {
+            handle(states[call.entry], result, now, actions);
+        });
+    }
+
+    /** Breaks the links of an instance and stops it. */
+    void stop(std::size_t instance)
+    {
+        down.insert(instance);
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            act(i, [&](Actions &actions) {
+                peerLost(states[i], InstanceId(instance + 1), now, actions);
+            });
+        }
+    }
+
+    void assign(std::uint32_t pool, std::uint32_t owner)
+    {
+        configuration.pools[pool - 1].owner = InstanceId{owner};
+        ++configuration.pools[pool - 1].fencing;
+        configure();
+    }
+
+    void deliver(std::size_t most = 100'000)
+    {
+        for (; most > 0 && !queue.empty(); --most) {
+            const auto next = std::move(queue.front());
+            queue.pop_front();
+            next();
+        }
+    }
+
+    void step()
+    {
+        now += milliseconds(20);
+        for (const auto &[id, call] : calls) {
+            if (call.grant && now >= call.grant->deadline) {
+                finish(id, Outcome::DeadlineExceeded); // as the gateway does
+            }
+        }
+        if (now >= m_nextRenewal) {
+            m_nextRenewal = now + milliseconds(500);
+            renew();
+        }
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            act(i, [&](Actions &actions) {
+                tick(states[i], now, actions);
+            });
+        }
+    }
+
+    void advance(Duration duration)
+    {
+        deliver();
+        for (const TimePoint end = now + duration; now < end;) {
+            step();
+            deliver();
+        }
+    }
+
+    [[nodiscard]] bool running(const RequestId &id) const
+    {
+        return calls.at(id).grant.has_value();
+    }
+
+    [[nodiscard]] std::optional<RefusalReason> refused(const RequestId &id) const
+    {
+        const auto &refusal = calls.at(id).refusal;
+        return refusal ? std::optional(refusal->reason) : std::nullopt;
+    }
+
+    /** Adds what holds only when every call has ended: one final reply each, no second run, nothing left behind. */
+    void checkEnd()
+    {
+        for (const auto &[id, call] : calls) {
+            check(call.finals == 1, call.finals == 0 ? "no final reply" : "more than one final reply");
+            check(call.repeatable || call.runs <= 1, "P11: a call that may not repeat ran twice");
+        }
+        for (const auto &[key, runs] : runsByKey) {
+            check(runs <= 1, "P11: an idempotency key ran twice");
+        }
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            check(down.contains(i) || states[i].calls.empty(), "a call was left behind");
+            for (const auto &[id, owned] : states[i].pools) {
+                const bool idle = std::all_of(owned.state.records.begin(), owned.state.records.end(), [](const scheduling::RequestRecord &record) {
+                    return record.phase == scheduling::RequestPhase::Free;
+                });
+                check(down.contains(i) || idle, "a request or a grant was left behind in a pool");
+            }
+        }
+    }
+
+    std::deque<std::function<void()>> queue; /**< Messages and results under way. */
+    std::vector<std::function<void()>> held; /**< By holdCommits and holdOrders; in their order. */
+
+private:
+    RequestId submit(std::size_t entry, gateway::ServingRequest request, const std::string &expected, Duration deadline)
+    {
+        request.id = {entry + 1, ++m_sequence};
+        request.arrival = now;
+        request.deadline = now + deadline;
+        TrackedCall &call = calls[request.id];
+        call.request = request;
+        call.entry = entry;
+        call.expectedAdapter = expected;
+        call.repeatable = request.kind == gateway::CallKind::Model || request.target.starts_with("/open/");
+        act(entry, [&](Actions &actions) {
+            handle(states[entry], request, now, actions);
+        });
+        return request.id;
+    }
+
+    template<typename Event>
+    void act(std::size_t instance, const Event &event)
+    {
+        if (down.contains(instance)) {
+            return;
+        }
+        Actions actions;
+        event(actions);
+        for (Action &action : actions) {
+            std::visit(
+                [&](auto &content) {
+                    carry(instance, content);
+                },
+                action);
+        }
+    }
+
+    void carry(std::size_t /*instance*/, const LogDecision & /*line*/)
+    {
+    }
+
+    void carry(std::size_t /*instance*/, const ReplyToCall &reply)
+    {
+        TrackedCall &call = calls.at(reply.reply.id);
+        if (const auto *grant = std::get_if<gateway::ServingGrant>(&reply.reply.content)) {
+            check(call.finals == 0 && !call.grant, "a grant for a call that has ended or runs");
+            check(grant->adapter == call.expectedAdapter, "P1 or P3: granted another adapter, or without permission");
+            call.grant = *grant;
+            call.servers.push_back(grant->address);
+            if (!grant->adapter.empty() && !resident[grant->address].contains(grant->adapter)) {
+                queue.emplace_back([this, id = reply.reply.id] {
+                    finish(id, Outcome::AdapterMissing);
+                });
+            }
+            return;
+        }
+        ++call.finals;
+        if (const auto *refusal = std::get_if<gateway::ServingRefusal>(&reply.reply.content)) {
+            call.refusal = *refusal;
+            check(refusal->outcome != CallOutcome::NotRun || call.runs == 0, "P10: refused as not run after it ran");
+        } else {
+            call.stored = std::get<gateway::StoredAnswer>(reply.reply.content);
+        }
+    }
+
+    void carry(std::size_t instance, const SendToPeer &send)
+    {
+        queue.emplace_back([this, instance, send] {
+            const std::size_t to = number(send.to) - 1;
+            const bool lost = down.contains(to);
+            const std::size_t at = lost ? instance : to;
+            act(at, [&](Actions &actions) {
+                if (lost) {
+                    sendFailed(states[instance], send.to, send.message, now, actions);
+                } else {
+                    handlePeerMessage(states[to], InstanceId(instance + 1), send.message, now, actions);
+                }
+            });
+        });
+    }
+
+    void carry(std::size_t instance, const gateway::BackendOrder &order)
+    {
+        const auto carryOut = [this, instance, order] {
+            if (order.kind == gateway::OrderKind::Load) {
+                resident[order.address].insert(order.adapter);
+            } else {
+                resident[order.address].erase(order.adapter);
+            }
+            act(instance, [&](Actions &actions) {
+                handle(states[instance], gateway::BackendOrderResult{order.order, gateway::OrderOutcome::Done}, now, actions);
+            });
+        };
+        if (holdOrders) {
+            held.emplace_back(carryOut);
+        } else {
+            queue.emplace_back(carryOut);
+        }
+    }
+
+    void carry(std::size_t instance, const CommitCommand &command)
+    {
+        const auto commit = [this, instance, command] {
+            CommitResult result{command.call, true, true, {}};
+            const auto time = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+            result.result = apply(control, control.applied + 1, {command.id, time, "instance", command.body});
+            if (loseCommitAnswers) {
+                result = {command.call, false, true, {}};
+            }
+            act(instance, [&](Actions &actions) {
+                handle(states[instance], result, now, actions);
+            });
+        };
+        if (holdCommits) {
+            held.emplace_back(commit);
+        } else {
+            queue.emplace_back(commit);
+        }
+    }
+
+    void renew()
+    {
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            if (!stale.contains(i)) {
+                setFreshness(states[i], now + seconds(10));
+            }
+            act(i, [&](Actions &actions) {
+                for (const control::Pool &pool : configuration.pools) {
+                    if (pool.owner == InstanceId(i + 1) && !unleased.contains(i)) {
+                        setPoolLease(states[i], {pool.id, pool.fencing, now + seconds(3), now}, now, actions);
+                    }
+                }
+                const control::BackendServer &server = configuration.servers[i];
+                const auto &adapters = resident[server.address];
+                const gateway::BackendAnnouncement hello{
+                    server.name, server.address, "", server.kind, 1, 4, 2, 4, true, false, {adapters.begin(), adapters.end()}};
+                handle(states[i], hello, now, actions);
+                handle(states[i], gateway::BackendReport{server.name, 1, 0, 0, hello.adapters}, now, actions);
+            });
+            if (i % 2 == 0) {
+                setBucketLease(states[i], i / 2 + 1, now + seconds(3), now);
+            }
+        }
+    }
+
+    void check(bool holds, const char *text)
+    {
+        if (!holds) {
+            violations.emplace_back(text);
+        }
+    }
+
+    std::uint64_t m_sequence = 0;
+    TimePoint m_nextRenewal{};
+};
+
+} // namespace mimosahollow::serving
--- /dev/null
+++ b/tests/serving/randomrun.cpp
@@ -0,0 +1,183 @@
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::serving;
+using Outcome = gateway::AttemptOutcome;
+
+namespace {
+
+constexpr std::uint64_t seed = 20'240'611;
+constexpr int events = 6000;
+// One deadline of a call (20 s), the grace of a lost report (5 s), and the time of the last messages.
+constexpr Duration settleTime = seconds(27);
+
+struct Random
+{
+    std::mt19937_64 engine;
+
+    std::size_t below(std::size_t bound)
+    {
+        return engine() % bound;
+    }
+};
+
+void startCall(Fleet &fleet, Random &random)
+{
+    const std::size_t entry = random.below(4);
+    switch (random.below(6)) {
+    case 0:
+        fleet.model(entry, "base:greeting@2", 1, "greeting@2");
+        break;
+    case 1:
+        fleet.model(entry, "base:other", 2, "other@1", milliseconds(200 + random.below(5000)));
+        break;
+    case 2:
+        fleet.model(entry, "base:other", 1, Fleet::forbidden);
+        break;
+    case 3:
+        fleet.plain(entry, "/registry/x", 1, "key" + std::to_string(random.below(400)));
+        break;
+    case 4:
+        fleet.plain(entry, "/registry/x", 1);
+        break;
+    default:
+        fleet.plain(entry, "/open/x", std::nullopt);
+        break;
+    }
+}
+
+void endSomeCall(Fleet &fleet, Random &random)
+{
+    const bool waiting = random.below(4) == 0;
+    std::vector<RequestId> open;
+    for (const auto &[id, call] : fleet.calls) {
+        if (call.grant || (waiting && call.finals == 0)) {
+            open.push_back(id);
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    const RequestId id = open[random.below(open.size())];
+    if (random.below(12) == 0) {
+        fleet.leave(id);
+    } else {
+        constexpr std::array outcomes{
+            Outcome::Completed, Outcome::Completed, Outcome::Completed, Outcome::FailedBeforeAnswer, Outcome::ConnectionRefused, Outcome::FailedDuringAnswer};
+        fleet.finish(id, outcomes.at(random.below(outcomes.size())));
+    }
+}
+
+void disturb(Fleet &fleet, Random &random)
+{
+    switch (random.below(5)) {
+    case 0:
+        fleet.configuration.domains[random.below(2)].out = random.below(4) == 0;
+        fleet.configure();
+        break;
+    case 1:
+        fleet.configuration.servers[random.below(4)].out = random.below(4) == 0;
+        fleet.configure();
+        break;
+    case 2: {
+        const auto pool = static_cast<std::uint32_t>(random.below(4) + 1);
+        const auto member = static_cast<std::uint32_t>(random.below(2) + 1);
+        fleet.assign(pool, pool <= 2 ? member : member + 2);
+        break;
+    }
+    case 3:
+        fleet.loseCommitAnswers = !fleet.loseCommitAnswers;
+        break;
+    default:
+        fleet.unleased.clear();
+        if (random.below(2) == 0) {
+            fleet.unleased.insert(random.below(4));
+        }
+        break;
+    }
+}
+
+void run(Fleet &fleet)
+{
+    Random random{std::mt19937_64(seed)};
+    fleet.start();
+    for (int i = 0; i < events; ++i) {
+        const std::size_t kind = random.below(100);
+        if (kind < 30) {
+            startCall(fleet, random);
+        } else if (kind < 65) {
+            endSomeCall(fleet, random);
+        } else if (kind < 80) {
+            fleet.step();
+        } else if (kind < 98) {
+            fleet.deliver(random.below(40));
+        } else {
+            disturb(fleet, random);
+        }
+    }
+    for (control::FailureDomain &domain : fleet.configuration.domains) {
+        domain.out = false;
+    }
+    for (control::BackendServer &server : fleet.configuration.servers) {
+        server.out = false;
+    }
+    fleet.unleased.clear();
+    fleet.loseCommitAnswers = false;
+    fleet.configure();
+    fleet.advance(settleTime);
+    // No place, token or route is lost for good.
+    for (std::size_t entry = 0; entry < 4; ++entry) {
+        const std::array ids{fleet.model(entry, "base:greeting", 1, "greeting@1"), fleet.plain(entry, "/registry/x", 1)};
+        fleet.advance(seconds(3));
+        for (const RequestId &id : ids) {
+            CHECK(fleet.running(id));
+            fleet.finish(id, Outcome::Completed);
+        }
+    }
+    fleet.advance(seconds(1));
+    fleet.checkEnd();
+}
+
+bool names(const std::vector<std::string> &violations, const std::string &text)
+{
+    return std::any_of(violations.begin(), violations.end(), [&](const std::string &violation) {
+        return violation.starts_with(text);
+    });
+}
+
+} // namespace
+
+// Guards against rules that hold for each event alone but not for sequences of them.
+TEST_CASE("a random run breaks no rule")
+{
+    WARN("seed " << seed);
+    Fleet fleet;
+    run(fleet);
+    for (const std::string &violation : std::set<std::string>(fleet.violations.begin(), fleet.violations.end())) {
+        UNSCOPED_INFO(violation);
+    }
+    REQUIRE(fleet.violations.empty());
+    unsigned completed = 0;
+    for (const auto &[id, call] : fleet.calls) {
+        completed += call.runs > 0 ? 1 : 0;
+    }
+    REQUIRE(completed > 200); // a run that refuses everything would prove nothing
+}
+
+// Guards against a checker that sees nothing.
+TEST_CASE("the checker catches broken variants")
+{
+    Fleet fleet;
+    SECTION("a grant that is delivered twice")
+    {
+        fleet.runsGrantsTwice = true;
+    }
+    SECTION("a retry of a call that may not repeat")
+    {
+        fleet.repeatsEverything = true;
+    }
+    run(fleet);
+    REQUIRE(names(fleet.violations, "P11"));
+}
