Break links in the random run of the serving fleet

Cause: the random run lost no messages between instances, so that the paths after a broken link were covered by fixed sequences only.

Change: links break at random, with all messages under way.

--- a/tests/serving/fleet.h
+++ b/tests/serving/fleet.h
@@ -183,6 +183,17 @@
         }
     }
 
+    /** A link breaks with all messages under way, and is there again at once. */
+    void breakLink(std::size_t first, std::size_t second)
+    {
+        ++breaks[std::minmax(first, second)];
+        for (const auto &[at, peer] : {std::pair(first, second), std::pair(second, first)}) {
+            act(at, [&, at = at, peer = peer](Actions &actions) {
+                peerLost(states[at], InstanceId(peer + 1), now, actions);
+            });
+        }
+    }
+
     void assign(std::uint32_t pool, std::uint32_t owner)
     {
         configuration.pools[pool - 1].owner = InstanceId{owner};
@@ -260,6 +271,7 @@
     }
 
     std::deque<std::function<void()>> queue; /**< Messages and results under way. */
+    std::map<std::pair<std::size_t, std::size_t>, unsigned> breaks; /**< Of links. */
     std::vector<std::function<void()>> held; /**< By holdCommits and holdOrders; in their order. */
 
 private:
@@ -326,8 +338,12 @@
 
     void carry(std::size_t instance, const SendToPeer &send)
     {
-        queue.emplace_back([this, instance, send] {
-            const std::size_t to = number(send.to) - 1;
+        const std::size_t to = number(send.to) - 1;
+        const std::pair<std::size_t, std::size_t> link = std::minmax(instance, to);
+        queue.emplace_back([this, instance, send, to, link, earlier = breaks[link]] {
+            if (breaks[link] != earlier) {
+                return;
+            }
             const bool lost = down.contains(to);
             const std::size_t at = lost ? instance : to;
             act(at, [&](Actions &actions) {
--- a/tests/serving/randomrun.cpp
+++ b/tests/serving/randomrun.cpp
@@ -72,7 +72,7 @@
 
 void disturb(Fleet &fleet, Random &random)
 {
-    switch (random.below(5)) {
+    switch (random.below(6)) {
     case 0:
         fleet.configuration.domains[random.below(2)].out = random.below(4) == 0;
         fleet.configure();
@@ -87,7 +87,12 @@
         fleet.assign(pool, pool <= 2 ? member : member + 2);
         break;
     }
-    case 3:
+    case 3: {
+        const std::size_t first = random.below(4);
+        fleet.breakLink(first, (first + 1 + random.below(3)) % 4);
+        break;
+    }
+    case 4:
         fleet.loseCommitAnswers = !fleet.loseCommitAnswers;
         break;
     default:
