--- /dev/null
+++ b/tests/serving/rules.cpp
@@ -0,0 +1,286 @@
+#include "steps.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::serving;
+using Outcome = gateway::AttemptOutcome;
+
+namespace {
+
+/** Tokens that an instance has spent and not given back in its present sessions. */
+double netSpent(const ServingState &state, OrganisationId organisation)
+{
+    const admission::AccountId account = admission::accountOf(organisation);
+    double spent = -state.quotas.accounts.at(account).pendingRefund;
+    for (const admission::LeaseSource &source : state.quotas.sources) {
+        const auto lease = source.leases.find(account);
+        spent += lease == source.leases.end() ? 0 : lease->second.use.spent - lease->second.use.refunded;
+    }
+    return spent;
+}
+
+} // namespace
+
+// Guards against calls that run on another adapter, for another organisation, or with a key that counts no more.
+TEST_CASE("only permitted calls run, on what they asked for")
+{
+    Fleet fleet;
+    fleet.configure();
+    const RequestId early = fleet.plain(0, "/open/x", std::nullopt);
+    REQUIRE(fleet.refused(early) == RefusalReason::ConfigurationStale);
+    fleet.start();
+
+    SECTION("P1: the named version, or the default one, on an engine that has it")
+    {
+        const RequestId second = fleet.model(1, "base:greeting@2", 1, "greeting@2");
+        const RequestId first = fleet.model(3, "base:greeting", 1, "greeting@1");
+        fleet.advance(seconds(2));
+        REQUIRE(fleet.running(second));
+        REQUIRE(fleet.calls[first].grant->served == "base:greeting@1");
+        fleet.finish(second, Outcome::Completed);
+        fleet.finish(first, Outcome::Completed);
+    }
+    SECTION("P3: an unknown key, an adapter or a route of another organisation")
+    {
+        REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 9, Fleet::forbidden)) == RefusalReason::InvalidKey);
+        REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 2, Fleet::forbidden)).has_value());
+        REQUIRE(fleet.refused(fleet.plain(0, "/registry/x", 2, "", Fleet::forbidden)).has_value());
+        REQUIRE(fleet.refused(fleet.plain(0, "/registry/x", std::nullopt, "", Fleet::forbidden)) == RefusalReason::InvalidKey);
+    }
+    SECTION("P5: a withdrawn key is refused from the configuration on")
+    {
+        fleet.configuration.keys.erase(fleet.configuration.keys.begin());
+        fleet.configure();
+        REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 1, Fleet::forbidden)) == RefusalReason::InvalidKey);
+    }
+    SECTION("a stale configuration serves open routes only")
+    {
+        fleet.stale.insert(0);
+        fleet.advance(seconds(11));
+        REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 1, Fleet::forbidden)) == RefusalReason::ConfigurationStale);
+        REQUIRE(fleet.refused(fleet.plain(0, "/registry/x", 1, "", Fleet::forbidden)) == RefusalReason::ConfigurationStale);
+        const RequestId open = fleet.plain(0, "/open/x", std::nullopt);
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.running(open));
+        fleet.finish(open, Outcome::Completed);
+    }
+    fleet.advance(milliseconds(100));
+    requireClean(fleet);
+}
+
+// Guards against new work on servers that were taken out, and against calls that are lost with them.
+TEST_CASE("P8 and P12: what is taken out gets no new work")
+{
+    Fleet fleet;
+    fleet.start();
+    const std::vector<RequestId> running = fillRegistry(fleet);
+    const RequestId waiting = fleet.plain(0, "/open/x", std::nullopt);
+    fleet.advance(milliseconds(100));
+    REQUIRE_FALSE(fleet.running(waiting));
+
+    const bool wholeDomain = GENERATE(true, false);
+    if (wholeDomain) {
+        fleet.configuration.domains[0].out = true;
+    } else {
+        fleet.configuration.servers[1].out = true;
+    }
+    fleet.configure();
+    fleet.advance(milliseconds(500));
+    for (const RequestId &id : running) {
+        REQUIRE(fleet.running(id));
+        fleet.finish(id, Outcome::Completed);
+    }
+    fleet.advance(milliseconds(500));
+    REQUIRE(fleet.running(waiting));
+    REQUIRE(fleet.calls[waiting].servers == std::vector<std::string>{"127.0.0.1:4"});
+    fleet.finish(waiting, Outcome::Completed);
+    fleet.advance(milliseconds(100));
+    requireClean(fleet);
+}
+
+// Guards against a second run and against "not run" about a call that ran.
+TEST_CASE("failed attempts")
+{
+    Fleet fleet;
+    fleet.start();
+    SECTION("P11: a call that may not repeat is not sent again after a byte of it was sent")
+    {
+        const RequestId id = fleet.plain(0, "/registry/x", 1);
+        fleet.advance(milliseconds(100));
+        fleet.finish(id, Outcome::FailedBeforeAnswer);
+        fleet.advance(seconds(1));
+        REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
+    }
+    SECTION("it is sent again when the connection was refused")
+    {
+        const RequestId id = fleet.plain(0, "/registry/x", 1);
+        fleet.advance(milliseconds(100));
+        fleet.finish(id, Outcome::ConnectionRefused);
+        fleet.advance(seconds(2));
+        REQUIRE(fleet.running(id));
+        fleet.finish(id, Outcome::Completed);
+    }
+    SECTION("P10: a call that may have run is not refused as not run when no retry finds a server")
+    {
+        const RequestId id = fleet.plain(0, "/open/x", std::nullopt);
+        fleet.advance(milliseconds(100));
+        fleet.configuration.domains[0].out = true;
+        fleet.configuration.domains[1].out = true;
+        fleet.configure();
+        fleet.finish(id, Outcome::FailedBeforeAnswer);
+        fleet.advance(seconds(21));
+        REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
+    }
+    SECTION("retries stay within the budget, the attempts and the deadline")
+    {
+        fleet.states[0].retries.balance = admission::retryReserve;
+        const RequestId hopeless = fleet.plain(0, "/open/x", std::nullopt);
+        while (fleet.calls[hopeless].finals == 0) {
+            fleet.advance(milliseconds(100));
+            fleet.finish(hopeless, Outcome::FailedBeforeAnswer);
+        }
+        REQUIRE(fleet.calls[hopeless].runs == 3);
+
+        fleet.states[0].retries = {};
+        unsigned attempts = 0;
+        const unsigned calls = 30;
+        for (unsigned i = 0; i < calls; ++i) {
+            const RequestId id = fleet.plain(0, "/open/x", std::nullopt);
+            while (fleet.calls[id].finals == 0) {
+                fleet.advance(milliseconds(100));
+                fleet.finish(id, Outcome::FailedBeforeAnswer);
+            }
+            REQUIRE(fleet.calls[id].runs <= 3);
+            attempts += fleet.calls[id].runs;
+        }
+        REQUIRE(attempts <= calls + calls / 10 + 1); // 10 % and the one that a new budget holds
+        fleet.advance(seconds(10));
+        const RequestId late = fleet.plain(0, "/open/x", std::nullopt);
+        fleet.advance(milliseconds(100));
+        fleet.now += seconds(20);
+        fleet.finish(late, Outcome::FailedBeforeAnswer);
+        REQUIRE(fleet.refused(late) == RefusalReason::DeadlineExceeded);
+    }
+    SECTION("tokens that were not used return")
+    {
+        const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+        fleet.advance(seconds(2));
+        REQUIRE(fleet.running(id));
+        const double before = netSpent(fleet.states[0], OrganisationId{1});
+        fleet.finish(id, Outcome::Completed); // 5 of the 10 output tokens
+        REQUIRE(netSpent(fleet.states[0], OrganisationId{1}) == Approx(before - 5));
+    }
+    fleet.advance(milliseconds(100));
+    requireClean(fleet);
+}
+
+// Guards against a second run of a call with an idempotency key, and against records that block a resend for nothing.
+TEST_CASE("P11: calls with an idempotency key")
+{
+    Fleet fleet;
+    fleet.start();
+    SECTION("a resend through another instance gets the stored answer")
+    {
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        const RequestId during = fleet.plain(3, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.refused(during) == RefusalReason::InProgress);
+        fleet.finish(first, Outcome::Completed);
+        fleet.advance(milliseconds(100));
+        const RequestId after = fleet.plain(2, "/registry/x", 1, "key");
+        const RequestId other = fleet.plain(2, "/registry/y", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.calls[after].stored->body == "answer");
+        REQUIRE(fleet.refused(other) == RefusalReason::IdempotencyConflict);
+    }
+    SECTION("an answer that is too large to be stored is not replaced by an empty one")
+    {
+        fleet.largeAnswers = true;
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        fleet.finish(first, Outcome::Completed);
+        fleet.advance(milliseconds(100));
+        const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.calls[again].refusal.has_value());
+        REQUIRE(fleet.calls[again].refusal->outcome == CallOutcome::Unknown);
+    }
+    SECTION("after a lost reply of the server a resend does not run")
+    {
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        fleet.finish(first, Outcome::FailedBeforeAnswer);
+        const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.calls[again].refusal->outcome == CallOutcome::Unknown);
+    }
+    SECTION("a commit whose answer is lost does not run, and a resend does")
+    {
+        fleet.loseCommitAnswers = true;
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.refused(first) == RefusalReason::NoQuorum);
+        fleet.loseCommitAnswers = false;
+        const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.running(again));
+        fleet.finish(again, Outcome::Completed);
+    }
+    SECTION("a caller that leaves, or a deadline that ends, during the commit does not block a resend")
+    {
+        fleet.holdCommits = true;
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        const bool leaves = GENERATE(true, false);
+        if (leaves) {
+            fleet.leave(first);
+        }
+        fleet.advance(seconds(leaves ? 1 : 21));
+        fleet.holdCommits = false;
+        for (const auto &commit : fleet.held) {
+            commit();
+        }
+        fleet.advance(milliseconds(100));
+        const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.running(again));
+        fleet.finish(again, Outcome::Completed);
+    }
+    fleet.advance(milliseconds(100));
+    requireClean(fleet);
+}
+
+// Guards against tokens, places and calls that stay behind when a caller leaves.
+TEST_CASE("a caller leaves while its call waits")
+{
+    Fleet fleet;
+    SECTION("for tokens")
+    {
+        fleet.configure();
+        fleet.advance(milliseconds(600));
+        const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+        REQUIRE(fleet.states[0].calls.at(id).stage == CallStage::AwaitingTokens);
+        fleet.leave(id);
+        REQUIRE(fleet.states[0].quotas.accounts.at(admission::accountOf(OrganisationId{1})).waiting.empty());
+    }
+    SECTION("for a grant")
+    {
+        fleet.start();
+        const std::vector<RequestId> running = fillRegistry(fleet);
+        const RequestId id = fleet.plain(0, "/open/x", std::nullopt);
+        fleet.advance(milliseconds(100));
+        fleet.leave(id);
+        fleet.advance(milliseconds(100));
+        for (const ServingState &state : fleet.states) {
+            for (const auto &[pool, owned] : state.pools) {
+                REQUIRE(owned.state.waiting == 0);
+            }
+        }
+        for (const RequestId &other : running) {
+            fleet.finish(other, Outcome::Completed);
+        }
+    }
+    fleet.advance(seconds(1));
+    requireClean(fleet);
+}
