Let the control thread know itself without a race

Cause: the storage thread compared its id with m_thread, which start() may still be assigning. The thread sanitizer reported it once in one run of the fleet test under it. A stale id seen by the control thread itself would send a report of a voter without a data folder through the ring instead of handling it in place.

Change: the control thread stores its id in an atomic before it does anything else.

--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -24,7 +24,7 @@
     , m_isVoter(std::find(m_options.voters.begin(), m_options.voters.end(), m_options.name) != m_options.voters.end())
     , m_ring(ringCapacity)
     , m_storage(std::move(dataFolder), [this](storage::StorageEvent event) {
-        if (std::this_thread::get_id() == m_thread.get_id()) {
+        if (std::this_thread::get_id() == m_threadId) {
             m_storageEvents.push_back(std::move(event));
             return;
         }
@@ -108,6 +108,7 @@
 
 void ControlThread::run()
 {
+    m_threadId = std::this_thread::get_id();
     std::vector<Event> events;
     TimePoint nextTick{};
     while (!m_stopping) {
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -96,6 +96,8 @@
     bool m_isVoter;
     BoundedRing<Event> m_ring;
     std::vector<storage::StorageEvent> m_storageEvents; // without a data folder, events arise on this thread
+    // Set by the thread itself, because the storage thread may report before start() has stored m_thread.
+    std::atomic<std::thread::id> m_threadId{};
     VoterStorage m_storage;
     std::optional<coordination::CoordinationState> m_state;
     coordination::Actions m_actions;
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -162,7 +162,8 @@
     m_folder.write("authorseed", authorSeed + "\n");
     m_folder.write("approverseed", approverSeed + "\n");
     m_folder.write("operators.toml",
-                   operatorTable("author", "author", hashOf(operatorKey), authorSeed) + operatorTable("approver", "approver", hashOf("mh-other"), approverSeed));
+                   operatorTable("author", "author", hashOf(operatorKey), authorSeed)
+                       + operatorTable("approver", "approver", hashOf("mh-other"), approverSeed));
     m_folder.write("bundle.toml", bundleText(1));
     for (Backend &backend : m_backends) {
         std::vector<std::string> arguments{"engine", "--name", backend.name, "--listen", backend.address, "--domain", backend.domain};
@@ -249,7 +250,8 @@
 {
     const std::string text = m_folder.write("second.toml", bundleText(2) + addition);
     const std::string packed = m_folder.file("second.bundle");
-    Process pack({"bundle", "pack", "--text", text, "--expected", "1", "--author", "author", "--signature-key-file", m_folder.file("authorseed"), "--out", packed});
+    Process pack(
+        {"bundle", "pack", "--text", text, "--expected", "1", "--author", "author", "--signature-key-file", m_folder.file("authorseed"), "--out", packed});
     if (pack.awaitExit() != 0) {
         return std::nullopt;
     }
@@ -335,8 +337,8 @@
     }
     return "[instance]\nname = " + quoted(member.name) + "\nfailure_domain = " + quoted(member.domain)
            + (member.voter ? "\ndata_folder = " + quoted(m_folder.file(member.name)) : "") + "\n[listen]\ncallers = " + quoted(member.callers)
-           + "\nbackends = " + quoted(member.backends) + "\nadmin = " + quoted(member.admin) + "\nlinks = " + quoted(member.links) + "\n[fleet]\nseeds = [" + seeds
-           + "]\nvoters = [\"a1\", \"b1\", \"c1\"]\nkey_secret_file = " + quoted(m_folder.file("secret"))
+           + "\nbackends = " + quoted(member.backends) + "\nadmin = " + quoted(member.admin) + "\nlinks = " + quoted(member.links) + "\n[fleet]\nseeds = ["
+           + seeds + "]\nvoters = [\"a1\", \"b1\", \"c1\"]\nkey_secret_file = " + quoted(m_folder.file("secret"))
            + "\n[admin]\noperators_file = " + quoted(m_folder.file("operators.toml")) + "\n[log]\nfile = " + quoted(m_folder.file(member.name + ".log"))
            + "\n[bootstrap]\nbundle_file = " + quoted(m_folder.file("bundle.toml")) + "\n";
 }
@@ -354,8 +356,8 @@
     text += adapterTable("greeting", "1", false, "north") + adapterTable("greeting", "2", version == 1, "north") + adapterTable("repair", "1", true, "south");
     text += "[[route]]\nprefix = \"/registry/\"\nservice = \"registry\"\nrepeatable = false\n";
     for (const Backend &backend : m_backends) {
-        text += "[[server]]\nname = " + quoted(backend.name) + "\ndomain = " + quoted(backend.domain) + "\nkind = " + quoted(backend.plain ? "registry" : "base")
-                + "\naddress = " + quoted(backend.address) + "\n";
+        text += "[[server]]\nname = " + quoted(backend.name) + "\ndomain = " + quoted(backend.domain)
+                + "\nkind = " + quoted(backend.plain ? "registry" : "base") + "\naddress = " + quoted(backend.address) + "\n";
     }
     return text;
 }
--- a/tests/fleet/properties.cpp
+++ b/tests/fleet/properties.cpp
@@ -265,8 +265,9 @@
 
                 SECTION("changes are still in force after all voters restart")
                 {
-                    REQUIRE(fleet.submitBundle(c2, "[[adapter]]\nbase = \"base\"\nname = \"greeting\"\nversion = \"3\"\ndefault = true\n"
-                                                   "organisations = [\"north\"]\n")
+                    REQUIRE(fleet.submitBundle(c2,
+                                               "[[adapter]]\nbase = \"base\"\nname = \"greeting\"\nversion = \"3\"\ndefault = true\n"
+                                               "organisations = [\"north\"]\n")
                             == 0);
                     REQUIRE(fleet.command(c2, {"domain", "out", "b"}) == 0);
                     for (const char *name : {"a1", "b1", "c1"}) {
