--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -25,7 +25,7 @@
     , m_founding(founding)
     , m_ring(ringCapacity)
     , m_storage(std::move(dataFolder), [this](storage::StorageEvent event) {
-        if (std::this_thread::get_id() == m_thread.get_id()) {
+        if (std::this_thread::get_id() == m_threadId) {
             m_storageEvents.push_back(std::move(event));
             return;
         }
@@ -116,6 +116,7 @@
 
 void ControlThread::run()
 {
+    m_threadId = std::this_thread::get_id();
     std::vector<Event> events;
     TimePoint nextTick{};
     while (!m_stopping) {
