Let a resend wait for the record of the first call

Cause: the process test resent a call with an idempotency key right after its answer and got "in-progress": the answer reaches the caller a few milliseconds before it is stored. Change: a resend asks again every 100 ms, for at most 2 s and its deadline, before it is refused as in progress.

--- a/include/mimosahollow/serving/call.h
+++ b/include/mimosahollow/serving/call.h
@@ -31,6 +31,8 @@
     TimePoint deadline{};
     double reserved = 0; /**< Tokens taken from the organisation's quota. */
     bool repeatable = false;
+    std::uint32_t recordAttempts = 0; /**< BeginCalls sent. */
+    TimePoint recordAgainAt{}; /**< When the next BeginCall asks whether the first call with the same key has ended. */
     bool recorded = false; /**< An idempotency record exists. */
     bool mayHaveRun = false; /**< Bytes of an earlier attempt reached a server, so "not run" is no longer true. */
     bool answered = false; /**< The caller left or was refused; only the result of the BeginCall is awaited. */
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -310,14 +310,20 @@
 {
     std::vector<RequestId> expired;
     std::vector<RequestId> searching;
+    std::vector<RequestId> recordAgain;
     for (const auto &[id, call] : state.calls) {
         const Duration grace = call.stage == CallStage::Running || call.answered ? reportGrace : Duration::zero();
         if (now >= call.deadline + grace) {
             expired.push_back(id);
         } else if (call.stage == CallStage::AwaitingGrant && call.pool == PoolId{}) {
             searching.push_back(id);
+        } else if (call.stage == CallStage::Recording && call.recordAgainAt != TimePoint{} && now >= call.recordAgainAt) {
+            recordAgain.push_back(id);
         }
     }
+    for (const RequestId &id : recordAgain) {
+        recordCall(state, state.calls.at(id), actions);
+    }
     for (const RequestId &id : expired) {
         const auto found = state.calls.find(id);
         if (found == state.calls.end()) {
--- a/src/serving/records.cpp
+++ b/src/serving/records.cpp
@@ -2,14 +2,29 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstring>
 
 namespace mimosahollow::serving {
 
 namespace {
 
-// Command ids of one call: begin, complete, abandon. The request's sequence is spread to leave room for them.
-constexpr std::uint64_t commandsPerCall = 4;
+// Command ids of one attempt to record a call: begin, complete, abandon. The request's sequence is spread to leave room for them.
+constexpr std::uint64_t commandsPerAttempt = 3;
+constexpr std::uint64_t commandsPerCall = 64;
+constexpr std::uint32_t maximumRecordAttempts = 20;
+static_assert(maximumRecordAttempts * commandsPerAttempt <= commandsPerCall);
+
+// The answer of a call reaches its caller before it is stored. A resend that follows at once waits for the record instead of
+// being refused as "in progress"; the record takes milliseconds, or an election.
+constexpr Duration inProgressPatience = seconds(2);
+constexpr Duration recordInterval = milliseconds(100);
+
+bool mayAskAgain(const Call &call, TimePoint now)
+{
+    const TimePoint end = std::min(call.deadline, call.request.arrival + inProgressPatience);
+    return call.recordAttempts < maximumRecordAttempts && now + recordInterval < end;
+}
 
 control::Digest requestDigest(const gateway::ServingRequest &request)
 {
@@ -49,7 +64,9 @@
 void recordCall(ServingState &state, Call &call, Actions &actions)
 {
     call.stage = CallStage::Recording;
-    call.begin = {call.request.id.process, call.request.id.sequence * commandsPerCall};
+    call.recordAgainAt = {};
+    call.begin = {call.request.id.process, call.request.id.sequence * commandsPerCall + call.recordAttempts * commandsPerAttempt};
+    ++call.recordAttempts;
     actions.push_back(CommitCommand{call.request.id, call.begin, control::BeginCall{call.callKey, requestDigest(call.request), state.self}});
 }
 
@@ -97,6 +114,11 @@
         finishCall(state, result.call, 0, now, actions);
         return;
     }
+    if (result.result.outcome == control::CommandOutcome::CallInProgress && mayAskAgain(call, now)) {
+        call.stage = CallStage::Recording;
+        call.recordAgainAt = now + recordInterval;
+        return;
+    }
     refuseRecorded(state, result, now, actions);
 }
 
--- a/tests/serving/rules.cpp
+++ b/tests/serving/rules.cpp
@@ -175,6 +175,9 @@
     requireClean(fleet);
 }
 
+// A resend waits up to 2 s for the record of the first call before it is refused as in progress.
+constexpr Duration resendWait = milliseconds(2500);
+
 // Guards against a second run of a call with an idempotency key, and against records that block a resend for nothing.
 TEST_CASE("P11: calls with an idempotency key")
 {
@@ -185,7 +188,7 @@
         const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
         fleet.advance(milliseconds(100));
         const RequestId during = fleet.plain(3, "/registry/x", 1, "key");
-        fleet.advance(milliseconds(100));
+        fleet.advance(resendWait);
         REQUIRE(fleet.refused(during) == RefusalReason::InProgress);
         fleet.finish(first, Outcome::Completed);
         fleet.advance(milliseconds(100));
@@ -195,6 +198,16 @@
         REQUIRE(fleet.calls[after].stored->body == "answer");
         REQUIRE(fleet.refused(other) == RefusalReason::IdempotencyConflict);
     }
+    SECTION("a resend that comes before the answer is stored waits for it")
+    {
+        const RequestId first = fleet.plain(0, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(100));
+        const RequestId again = fleet.plain(3, "/registry/x", 1, "key");
+        fleet.advance(milliseconds(500));
+        fleet.finish(first, Outcome::Completed);
+        fleet.advance(milliseconds(500));
+        REQUIRE(fleet.calls[again].stored->body == "answer");
+    }
     SECTION("an answer that is too large to be stored is not replaced by an empty one")
     {
         fleet.largeAnswers = true;
@@ -203,7 +216,7 @@
         fleet.finish(first, Outcome::Completed);
         fleet.advance(milliseconds(100));
         const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
-        fleet.advance(milliseconds(100));
+        fleet.advance(resendWait);
         REQUIRE(fleet.calls[again].refusal.has_value());
         REQUIRE(fleet.calls[again].refusal->outcome == CallOutcome::Unknown);
     }
@@ -213,7 +226,7 @@
         fleet.advance(milliseconds(100));
         fleet.finish(first, Outcome::FailedBeforeAnswer);
         const RequestId again = fleet.plain(2, "/registry/x", 1, "key");
-        fleet.advance(milliseconds(100));
+        fleet.advance(resendWait);
         REQUIRE(fleet.calls[again].refusal->outcome == CallOutcome::Unknown);
     }
     SECTION("a commit whose answer is lost does not run, and a resend does")
