--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -19,12 +19,13 @@
 
 } // namespace
 
-ControlThread::ControlThread(coordination::Options options, std::string dataFolder, std::size_t ringCapacity)
+ControlThread::ControlThread(coordination::Options options, std::string dataFolder, bool founding, std::size_t ringCapacity)
     : m_options(std::move(options))
     , m_isVoter(std::find(m_options.voters.begin(), m_options.voters.end(), m_options.name) != m_options.voters.end())
+    , m_founding(founding)
     , m_ring(ringCapacity)
     , m_storage(std::move(dataFolder), [this](storage::StorageEvent event) {
-        if (std::this_thread::get_id() == m_thread.get_id()) {
+        if (std::this_thread::get_id() == m_threadId) {
             m_storageEvents.push_back(std::move(event));
             return;
         }
@@ -46,11 +47,18 @@
 {
     m_ports = std::move(ports);
     const TimePoint now = std::chrono::steady_clock::now();
+    std::variant<control::DurableLog, std::string> durable;
     if (m_isVoter) {
-        auto durable = m_storage.open();
+        durable = m_storage.open();
         if (const auto *error = std::get_if<std::string>(&durable)) {
             return *error;
         }
+        if (!coordination::mayVote(std::get<control::DurableLog>(durable), m_options, m_founding)) {
+            observability::logWarning("the data folder is empty: this voter takes no part in votes; start a new fleet with --found, or replace the voter");
+            m_isVoter = false;
+        }
+    }
+    if (m_isVoter) {
         auto made = coordination::makeVoter(m_options, std::get<control::DurableLog>(std::move(durable)), now);
         if (const auto *error = std::get_if<std::string>(&made)) {
             return *error;
@@ -108,6 +116,7 @@
 
 void ControlThread::run()
 {
+    m_threadId = std::this_thread::get_id();
     std::vector<Event> events;
     TimePoint nextTick{};
     while (!m_stopping) {
@@ -155,12 +164,13 @@
     } else if (const auto *down = std::get_if<link::PeerDown>(&event)) {
         observability::logInfo("link to instance " + down->peer + " is down: " + down->reason);
         coordination::peerDown(*m_state, down->peer, now, m_actions);
-    } else {
-        const auto &frame = std::get<link::ReceivedFrame>(event);
-        if (auto message = decodeControlMessage(frame.kind, frame.payload)) {
-            coordination::receive(*m_state, frame.peer, std::move(*message), now, m_actions);
+    } else if (const auto *refused = std::get_if<link::PeerRefused>(&event)) {
+        observability::logWarning("link with " + refused->address + " is refused: " + refused->reason);
+    } else if (const auto *frame = std::get_if<link::ReceivedFrame>(&event)) {
+        if (auto message = decodeControlMessage(frame->kind, frame->payload)) {
+            coordination::receive(*m_state, frame->peer, std::move(*message), now, m_actions);
         } else {
-            observability::logWarning("dropped a malformed message of instance " + frame.peer);
+            observability::logWarning("dropped a malformed message of instance " + frame->peer);
         }
     }
 }
