Check refused links in a fleet that runs already

Change: the bytes that are no Hello go to the fleet of the first test, with the same checks before and after.

Conclusion: three fleet starts instead of four.

--- a/tests/fleet/properties.cpp
+++ b/tests/fleet/properties.cpp
@@ -78,23 +78,9 @@
     }
 }
 
-/** Sends a registry entry through @p member and returns the body of the answer. */
-std::string enter(const Member &member, const std::string &idempotencyKey, const std::string &entry)
-{
-    INFO("entry " << entry << " through " << member.name);
-    const Answer answer = HttpClient(member.callers).call(serviceCall(northKey, idempotencyKey, "{\"entry\":\"" + entry + "\"}"));
-    INFO(answer.body());
-    REQUIRE(answer.status == 200);
-    return answer.body();
-}
-
-} // namespace
-
-// Guards against an instance that ends because of a refused link.
-TEST_CASE("A connection that is no link reaches the link listeners of a fleet")
+/** Sends bytes that are no Hello to every link listener and waits until the instance closes the connection. */
+void sendToLinkListeners(Fleet &fleet)
 {
-    Fleet fleet;
-    REQUIRE(fleet.awaitService());
     for (const Member &member : fleet.members()) {
         std::string received;
         const RawSocket stranger(member.links);
@@ -105,16 +91,29 @@
         }
         REQUIRE(end == RawSocket::Read::End);
     }
-    callThroughEach(fleet);
-    REQUIRE(fleet.stop());
 }
 
+/** Sends a registry entry through @p member and returns the body of the answer. */
+std::string enter(const Member &member, const std::string &idempotencyKey, const std::string &entry)
+{
+    INFO("entry " << entry << " through " << member.name);
+    const Answer answer = HttpClient(member.callers).call(serviceCall(northKey, idempotencyKey, "{\"entry\":\"" + entry + "\"}"));
+    INFO(answer.body());
+    REQUIRE(answer.status == 200);
+    return answer.body();
+}
+
+} // namespace
+
 // Guards against answers of another adapter (P1), calls for another organisation (P3), keys at backend servers (P4) and
-// withdrawn keys that go on working (P5) when the parts run as separate processes.
+// withdrawn keys that go on working (P5) when the parts run as separate processes, and against an instance that ends because
+// of a refused link.
 TEST_CASE("A fleet answers those who may call")
 {
     Fleet fleet;
     REQUIRE(fleet.awaitService());
+    sendToLinkListeners(fleet);
+    callThroughEach(fleet);
 
     SECTION("streamed and whole answers come from the named adapter and version through every instance")
     {
