Charge the whole reservation of a refused call that may have run

Cause: a call that was refused after an attempt whose bytes were sent got all its tokens back, although the engine may have generated them (P6). Measured: the new test failed before (all tokens returned) and passes after.

--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -142,7 +142,9 @@
     if (call.recorded && outcome == CallOutcome::NotRun) {
         actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
     }
-    finishCall(state, id, 0, now, actions);
+    // What an attempt that may have run has generated is not known, so all of its reservation counts as used (P6).
+    const auto used = outcome == CallOutcome::Unknown ? static_cast<std::uint64_t>(call.reserved) : 0;
+    finishCall(state, id, used, now, actions);
 }
 
 void finishCall(ServingState &state, const RequestId &id, std::uint64_t usedTokens, TimePoint now, Actions &actions)
--- a/tests/serving/rules.cpp
+++ b/tests/serving/rules.cpp
@@ -132,6 +132,23 @@
         fleet.advance(seconds(21));
         REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
     }
+    SECTION("P6: a call that may have run gets no tokens back when it is refused")
+    {
+        const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+        fleet.advance(seconds(2));
+        REQUIRE(fleet.running(id));
+        const double before = netSpent(fleet.states[0], OrganisationId{1});
+        // The retries come within milliseconds, so that the quota lease is still the same one at the end.
+        for (int attempt = 0; attempt < 10 && !fleet.calls[id].refusal; ++attempt) {
+            if (fleet.running(id)) {
+                fleet.finish(id, Outcome::FailedBeforeAnswer);
+            }
+            fleet.advance(milliseconds(50));
+        }
+        REQUIRE(fleet.calls[id].refusal.has_value());
+        REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
+        REQUIRE(netSpent(fleet.states[0], OrganisationId{1}) == Approx(before));
+    }
     SECTION("retries stay within the budget, the attempts and the deadline")
     {
         fleet.states[0].retries.balance = admission::retryReserve;
