Return the tokens of a stopping instance after its last call

Cause: the quota leases were closed only when no call ran at the beginning of a shutdown; otherwise their tokens were lost to the organisations until they expired. Change: they are closed when the last call has ended.

--- a/include/mimosahollow/serving/servingstate.h
+++ b/include/mimosahollow/serving/servingstate.h
@@ -45,6 +45,7 @@
     std::uint64_t process = 0;
     TimePoint freshUntil{}; /**< Keys may be accepted until then. */
     bool draining = false;
+    bool tokensReturned = false; /**< The quota leases were closed for the shutdown. */
     ConfigurationIndex index;
     admission::KeyTable keys;
     routing::RoutingIndex routes;
--- a/src/app/statustable.cpp
+++ b/src/app/statustable.cpp
@@ -4,6 +4,8 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,11 @@
     if (value == nullptr || value->is_null()) {
         return "-";
     }
+    if (value->is_double()) {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%g", value->get_double());
+        return text.data();
+    }
     return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
 }
 
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -145,6 +145,18 @@
     }
 }
 
+/** Returns all tokens once a shutdown has begun and the last call has ended; tokens that are kept would be lost. */
+void returnTokens(ServingState &state, TimePoint now, Actions &actions)
+{
+    if (!state.draining || state.tokensReturned || !state.calls.empty()) {
+        return;
+    }
+    state.tokensReturned = true;
+    admission::LeaseActions decided;
+    admission::close(state.quotas, now, decided);
+    carryOut(state, decided, now, actions);
+}
+
 } // namespace
 
 ServingState makeServingState(std::uint64_t process, std::uint64_t seed)
@@ -267,11 +279,7 @@
 void beginDrain(ServingState &state, TimePoint now, Actions &actions)
 {
     state.draining = true;
-    admission::LeaseActions decided;
-    if (state.calls.empty()) {
-        admission::close(state.quotas, now, decided);
-    }
-    carryOut(state, decided, now, actions);
+    returnTokens(state, now, actions);
 }
 
 void tick(ServingState &state, TimePoint now, Actions &actions)
@@ -282,6 +290,7 @@
     tickTokens(state, now, actions);
     tickPools(state, now, actions);
     tickCalls(state, now, actions);
+    returnTokens(state, now, actions);
 }
 
 } // namespace mimosahollow::serving
--- a/tests/serving/rules.cpp
+++ b/tests/serving/rules.cpp
@@ -99,6 +99,30 @@
     requireClean(fleet);
 }
 
+// Guards against a shutdown that cuts calls or keeps the tokens of its organisations.
+TEST_CASE("P13: an instance shuts down while a call runs")
+{
+    Fleet fleet;
+    fleet.start();
+    const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+    fleet.advance(seconds(2));
+    REQUIRE(fleet.running(id));
+    Actions actions;
+    beginDrain(fleet.states[0], fleet.now, actions);
+    REQUIRE(actions.empty());
+    REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 1, "greeting@1")) == RefusalReason::ShuttingDown);
+    REQUIRE_FALSE(fleet.states[0].tokensReturned);
+
+    SECTION("the call ends, and then the tokens are returned")
+    {
+        fleet.finish(id, Outcome::Completed);
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.states[0].calls.empty());
+        REQUIRE(fleet.states[0].tokensReturned);
+        REQUIRE(admission::available(fleet.states[0].quotas, admission::accountOf(OrganisationId{1}), fleet.now) == 0);
+    }
+}
+
 // Guards against a second run and against "not run" about a call that ran.
 TEST_CASE("failed attempts")
 {
