Describe writes of a voter once

Cause: storage and coordination each had a type for the same write, and a conversion between them. Change: control/storageorder.h has the type; the conversion is gone.

--- a/include/mimosahollow/coordination/actions.h
+++ b/include/mimosahollow/coordination/actions.h
@@ -2,8 +2,8 @@
 
 #include "mimosahollow/control/command.h"
 #include "mimosahollow/control/configuration.h"
-#include "mimosahollow/control/consensusactions.h"
 #include "mimosahollow/control/consensusmessages.h"
+#include "mimosahollow/control/storageorder.h"
 #include "mimosahollow/membership/distribution.h"
 #include "mimosahollow/membership/heartbeat.h"
 #include "mimosahollow/membership/promise.h"
@@ -34,16 +34,8 @@
     Message message;
 };
 
-/** A snapshot to be made durable. */
-struct StoreSnapshot
-{
-    control::WriteNumber write = 0; /**< 0 for a snapshot that this voter made itself. */
-    control::SnapshotPoint point;
-    control::SharedBytes data;
-    bool replacesLog = false;
-};
-
-using StorageOrder = std::variant<control::SaveVote, control::AppendLog, control::TruncateLog, control::CompactLog, StoreSnapshot>;
+using control::StorageOrder;
+using control::StoreSnapshot;
 
 /** A configuration is in force on this instance. */
 struct ConfigurationChanged
--- a/include/mimosahollow/storage/logstore.h
+++ b/include/mimosahollow/storage/logstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosahollow/control/consensus.h"
+#include "mimosahollow/control/storageorder.h"
 #include "mimosahollow/storage/filesystem.h"
 
 #include <deque>
@@ -27,16 +28,8 @@
     std::string message;
 };
 
-/** A snapshot to store. With @c replacesLog it comes from the leader, and the log continues after it. */
-struct StoreSnapshot
-{
-    control::WriteNumber write = 0; /**< 0 for a snapshot that this voter made itself. */
-    control::SnapshotPoint point;
-    control::SharedBytes data;
-    bool replacesLog = false;
-};
-
-using StorageOrder = std::variant<control::SaveVote, control::AppendLog, control::TruncateLog, control::CompactLog, StoreSnapshot>;
+using control::StorageOrder;
+using control::StoreSnapshot;
 
 struct LogStoreOptions
 {
--- a/src/app/voterstorage.cpp
+++ b/src/app/voterstorage.cpp
@@ -8,25 +8,12 @@
 
 constexpr std::size_t ringOrders = 4096;
 
-storage::StorageOrder toStorage(coordination::StorageOrder &&order)
-{
-    return std::visit(
-        [](auto &content) -> storage::StorageOrder {
-            if constexpr (std::is_same_v<std::decay_t<decltype(content)>, coordination::StoreSnapshot>) {
-                return storage::StoreSnapshot{content.write, content.point, std::move(content.data), content.replacesLog};
-            } else {
-                return std::move(content);
-            }
-        },
-        order);
-}
-
 /** What a disk would report for @p order, for a fleet of one that keeps nothing. */
-storage::StorageEvent syncedAtOnce(const storage::StorageOrder &order)
+storage::StorageEvent syncedAtOnce(const control::StorageOrder &order)
 {
     return std::visit(
         [](const auto &content) -> storage::StorageEvent {
-            if constexpr (std::is_same_v<std::decay_t<decltype(content)>, storage::StoreSnapshot>) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(content)>, control::StoreSnapshot>) {
                 return storage::SnapshotStored{content.point.index, content.replacesLog, content.data};
             } else {
                 return storage::StorageSynced{content.write};
@@ -60,14 +47,13 @@
     return content;
 }
 
-void VoterStorage::write(coordination::StorageOrder order)
+void VoterStorage::write(control::StorageOrder order)
 {
-    storage::StorageOrder converted = toStorage(std::move(order));
     if (!m_writer) {
-        m_report(syncedAtOnce(converted));
+        m_report(syncedAtOnce(order));
         return;
     }
-    m_kept.push_back(std::move(converted));
+    m_kept.push_back(std::move(order));
     flush();
 }
 
--- a/tests/admin/requests.cpp
+++ b/tests/admin/requests.cpp
@@ -11,7 +11,8 @@
 
 std::string operatorText(std::string_view roles)
 {
-    return "[[operator]]\nname = \"ana\"\nkey_hash = \"" + std::string(hex64) + "\"\npublic_key = \"" + std::string(hex64) + "\"\nroles = " + std::string(roles) + "\n";
+    return "[[operator]]\nname = \"ana\"\nkey_hash = \"" + std::string(hex64) + "\"\npublic_key = \"" + std::string(hex64) + "\"\nroles = " + std::string(roles)
+           + "\n";
 }
 
 unsigned statusOf(std::string_view path, std::string_view body)
