Send pool summaries to other failure domains less often in a large fleet

Cause: each owner sent each summary four times a second to every instance; 132 pools would cost each of 340 instances 53 KB/s (computed), above 15 KB/s. Change: other failure domains get a summary every 10 ms for each instance of the fleet, at least every 5 s; a new owner still tells all at once.

--- a/include/mimosahollow/control/storageorder.h
+++ b/include/mimosahollow/control/storageorder.h
@@ -4,8 +4,7 @@
 
 #include <variant>
 
-namespace mimosahollow::control
-{
+namespace mimosahollow::control {
 
 /** A snapshot to store. With @c replacesLog it comes from the leader, and the log continues after it. */
 struct StoreSnapshot
--- a/include/mimosahollow/serving/servingstate.h
+++ b/include/mimosahollow/serving/servingstate.h
@@ -61,6 +61,7 @@
     std::uint64_t nextOrder = 1;
     std::uint64_t nextToken = 1;
     TimePoint nextSummaries{};
+    TimePoint nextRemoteSummaries{};
     std::mt19937_64 random;
 };
 
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -13,6 +13,10 @@
 // Grants of earlier owners end at the deadline of their requests, which is at most this far away (docs/design.md, section 15).
 constexpr Duration maximumRequestDeadline = seconds(600);
 constexpr Duration summaryInterval = milliseconds(250);
+// Summaries to other failure domains become rarer as the fleet grows, so that 132 pools cost each of 340 instances about 4 KB/s.
+// A choice by an old summary costs one refusal and another choice.
+constexpr Duration remoteIntervalPerInstance = milliseconds(10);
+constexpr Duration longestRemoteInterval = seconds(5);
 // Round trip to an instance of another failure domain, and within the same one.
 constexpr Duration remoteDistance = milliseconds(2);
 constexpr Duration localDistance = milliseconds(0);
@@ -106,15 +110,26 @@
     }
 }
 
+/** Time between two summaries to an instance of another failure domain. */
+Duration remoteSummaryInterval(std::size_t instances) noexcept
+{
+    return std::clamp<Duration>(remoteIntervalPerInstance * static_cast<std::int64_t>(instances), summaryInterval, longestRemoteInterval);
+}
+
 void publishSummaries(ServingState &state, TimePoint now, Actions &actions)
 {
+    const auto &instances = state.index.configuration->instances;
+    const bool remoteToo = now >= state.nextRemoteSummaries;
+    if (remoteToo) {
+        state.nextRemoteSummaries = now + remoteSummaryInterval(instances.size());
+    }
     for (auto &[id, owned] : state.pools) {
         if (now >= owned.ownedUntil) {
             continue;
         }
         const scheduling::PoolSummary summary = scheduling::summarise(owned.state, now);
-        for (const control::Instance &instance : state.index.configuration->instances) {
-            if (instance.id != state.self) {
+        for (const control::Instance &instance : instances) {
+            if (instance.id != state.self && (remoteToo || instance.domain == state.home)) {
                 actions.push_back(SendToPeer{instance.id, PoolMessage{id, summary}});
             }
         }
@@ -240,6 +255,7 @@
     scheduling::setDeclaration(state.pools.at(lease.pool).state, declarationOf(state, *pool), now, decided);
     carryOut(state, lease.pool, decided, now, actions);
     state.nextSummaries = now; // tells the other instances at once
+    state.nextRemoteSummaries = now;
 }
 
 void handlePeerMessage(ServingState &state, InstanceId from, PeerMessage message, TimePoint now, Actions &actions)
