--- a/tests/serving/rules.cpp
+++ b/tests/serving/rules.cpp
@@ -99,6 +99,30 @@
     requireClean(fleet);
 }
 
+// Guards against a shutdown that cuts calls or keeps the tokens of its organisations.
+TEST_CASE("P13: an instance shuts down while a call runs")
+{
+    Fleet fleet;
+    fleet.start();
+    const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+    fleet.advance(seconds(2));
+    REQUIRE(fleet.running(id));
+    Actions actions;
+    beginDrain(fleet.states[0], fleet.now, actions);
+    REQUIRE(actions.empty());
+    REQUIRE(fleet.refused(fleet.model(0, "base:greeting", 1, "greeting@1")) == RefusalReason::ShuttingDown);
+    REQUIRE_FALSE(fleet.states[0].tokensReturned);
+
+    SECTION("the call ends, and then the tokens are returned")
+    {
+        fleet.finish(id, Outcome::Completed);
+        fleet.advance(milliseconds(100));
+        REQUIRE(fleet.states[0].calls.empty());
+        REQUIRE(fleet.states[0].tokensReturned);
+        REQUIRE(admission::available(fleet.states[0].quotas, admission::accountOf(OrganisationId{1}), fleet.now) == 0);
+    }
+}
+
 // Guards against a second run and against "not run" about a call that ran.
 TEST_CASE("failed attempts")
 {
@@ -132,6 +156,23 @@
         fleet.advance(seconds(21));
         REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
     }
+    SECTION("P6: a call that may have run gets no tokens back when it is refused")
+    {
+        const RequestId id = fleet.model(0, "base:greeting", 1, "greeting@1");
+        fleet.advance(seconds(2));
+        REQUIRE(fleet.running(id));
+        const double before = netSpent(fleet.states[0], OrganisationId{1});
+        // The retries come within milliseconds, so that the quota lease is still the same one at the end.
+        for (int attempt = 0; attempt < 10 && !fleet.calls[id].refusal; ++attempt) {
+            if (fleet.running(id)) {
+                fleet.finish(id, Outcome::FailedBeforeAnswer);
+            }
+            fleet.advance(milliseconds(50));
+        }
+        REQUIRE(fleet.calls[id].refusal.has_value());
+        REQUIRE(fleet.calls[id].refusal->outcome == CallOutcome::Unknown);
+        REQUIRE(netSpent(fleet.states[0], OrganisationId{1}) == Approx(before));
+    }
     SECTION("retries stay within the budget, the attempts and the deadline")
     {
         fleet.states[0].retries.balance = admission::retryReserve;
