Spill over to the best remote pools only, and agree where adapters are loaded

Cause: a call that left its failure domain went to any remote pool with at least half of the best gain, also to a busy one, and instances of different failure domains loaded the same absent adapter. Events of the links for the control thread could be dropped when its ring was full, also a lost peer. Change: remote candidates are those within 10 ms of the best; a pool without the adapter has a handicap of up to 250 ms by hash. Link events wait for room, and the links stop reading.

--- a/benchmark/poolpolicy.h
+++ b/benchmark/poolpolicy.h
@@ -242,6 +242,7 @@
             const scheduling::PoolSummary &summary = m_summaries[i];
             views[i].pool = PoolId{i + 1};
             views[i].domain = mimosahollow::DomainId{i + 1};
+            views[i].distance = mimosahollow::milliseconds(i == call % m_summaries.size() ? 0 : 2);
             views[i].inService = summary.inService;
             views[i].expectedWait = summary.expectedWait;
             views[i].expectedLoad = summary.expectedLoadWait;
--- a/include/mimosahollow/routing/poolchoice.h
+++ b/include/mimosahollow/routing/poolchoice.h
@@ -56,6 +56,12 @@
 /** Several times the distance between failure domains. */
 inline constexpr Duration spilloverMargin = milliseconds(20);
 
+/** Remote pools whose wait differs by less than this are equal; the choice among them is random, so that instances do not all move to one. */
+inline constexpr Duration spreadMargin = milliseconds(10);
+
+/** Longest handicap of a pool that would have to load the adapter. The time of a load: more would send calls to a busy pool. */
+inline constexpr Duration longestHomeHandicap = milliseconds(250);
+
 /**
  * Handicap of a pool that has no free capacity; it falls in proportion to the free part. A batch slows down as it fills, which
  * the expected wait does not show.
--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -88,12 +88,14 @@
     return m_ring.tryPush(event);
 }
 
-void ControlThread::deliver(link::LinkEvent &&event)
+bool ControlThread::deliver(link::LinkEvent &event)
 {
     Event element(std::move(event));
-    if (!m_ring.tryPush(element) && m_droppedEvents.fetch_add(1) % 1000 == 0) {
-        observability::logWarning("the control thread is behind; messages of other instances are dropped and will be repeated");
+    if (m_ring.tryPush(element)) {
+        return true;
     }
+    event = std::move(std::get<link::LinkEvent>(element));
+    return false;
 }
 
 bool ControlThread::leave()
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -59,8 +59,8 @@
 
     /** Any thread. False when the ring is full; the callback is not called then. */
     [[nodiscard]] bool submit(control::Command command, Duration patience, CommandCallback done);
-    /** Any thread. A dropped event of a full ring is repeated by its protocol; it is counted and logged. */
-    void deliver(link::LinkEvent &&event);
+    /** Any thread. Returns false, and leaves the event untouched, when the ring is full. */
+    [[nodiscard]] bool deliver(link::LinkEvent &event);
     /** Gives up pools and the registration; @p done is called when the fleet knows. */
     [[nodiscard]] bool leave();
 
@@ -112,7 +112,6 @@
     TimePoint m_nextStatus{};
     mutable std::mutex m_statusMutex;
     ControlStatus m_status;
-    std::atomic<std::uint64_t> m_droppedEvents = 0;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_storageFailed = false;
     std::thread m_thread;
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -243,8 +243,8 @@
     ports.commit = [this](serving::CommitCommand &&command) {
         return commit(std::move(command));
     };
-    ports.passToControl = [this](link::LinkEvent &&event) {
-        m_control->deliver(std::move(event));
+    ports.passToControl = [this](link::LinkEvent &event) {
+        return m_control->deliver(event);
     };
     return ports;
 }
--- a/src/app/servingthread.cpp
+++ b/src/app/servingthread.cpp
@@ -95,7 +95,10 @@
         news.clear();
         m_events.waitAndTake(events, tickInterval);
         m_news.take(news);
-        m_linkEvents.take(linkEvents);
+        passBacklog();
+        if (m_controlBacklog.empty()) {
+            m_linkEvents.take(linkEvents); // otherwise the ring fills up and the links stop reading
+        }
         const TimePoint now = std::chrono::steady_clock::now();
         if (m_drainRequested && !m_state.draining) {
             serving::beginDrain(m_state, now, m_actions);
@@ -159,11 +162,19 @@
                 serving::peerLost(m_state, peer->second, now, m_actions);
             }
         }
-        m_ports.passToControl(std::move(event));
+        m_controlBacklog.push_back(std::move(event));
+        passBacklog();
     }
     carryOut();
 }
 
+void ServingThread::passBacklog()
+{
+    while (!m_controlBacklog.empty() && m_ports.passToControl(m_controlBacklog.front())) {
+        m_controlBacklog.pop_front();
+    }
+}
+
 void ServingThread::carryOut()
 {
     // Carrying out an action never adds another one, except for a refused order or command, which comes back as an event.
--- a/src/app/servingthread.h
+++ b/src/app/servingthread.h
@@ -8,6 +8,7 @@
 #include "servingcodec.h"
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -28,8 +29,8 @@
     std::function<bool(const std::string &peer, Frame &&frame)> sendFrame;
     /** Hands a command over to be committed; the result comes back as CommitResult. False when it was not taken. */
     std::function<bool(serving::CommitCommand &&command)> commit;
-    /** Passes a link event of the control part on. */
-    std::function<void(link::LinkEvent &&event)> passToControl;
+    /** Passes a link event of the control part on. Returns false, and leaves it untouched, when the control thread is behind. */
+    std::function<bool(link::LinkEvent &event)> passToControl;
 };
 
 /** The dispatch thread: the only one that touches admission, routing and scheduling state. */
@@ -58,6 +59,7 @@
     void run();
     void handleNews(ControlNews &news, TimePoint now);
     void handleLinkEvent(link::LinkEvent &event, TimePoint now);
+    void passBacklog();
     void carryOut();
     void carryOut(serving::ReplyToCall &reply);
     void carryOut(serving::SendToPeer &message);
@@ -75,6 +77,7 @@
     BoundedRing<ControlNews> m_news;
     std::unordered_map<std::uint32_t, std::string> m_namesById;
     std::unordered_map<std::string, InstanceId> m_idsByName;
+    std::deque<link::LinkEvent> m_controlBacklog; // at most one batch of link events
     TimePoint m_nextStatus{};
     mutable std::mutex m_statusMutex;
     std::string m_status;
--- a/src/routing/poolchoice.cpp
+++ b/src/routing/poolchoice.cpp
@@ -1,6 +1,9 @@
 #include "mimosahollow/routing/poolchoice.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
 
 namespace mimosahollow::routing {
 
@@ -19,6 +22,28 @@
     return pool.inService && pool.reachable && pool.kind == query.kind;
 }
 
+bool hasAdapter(const PoolSummary &pool, AdapterId adapter) noexcept
+{
+    return adapter == AdapterId{} || std::binary_search(pool.resident.begin(), pool.resident.end(), adapter);
+}
+
+/** Handicap of a pool that would have to load the adapter; the same on every instance, so that they agree where it is loaded. */
+Duration homeHandicap(const PoolSummary &pool, AdapterId adapter) noexcept
+{
+    if (hasAdapter(pool, adapter)) {
+        return Duration::zero();
+    }
+    const std::array<std::uint32_t, 2> key{number(adapter), number(pool.pool)};
+    constexpr std::uint64_t steps = 1U << 20U;
+    const auto step = static_cast<std::int64_t>(XXH3_64bits(key.data(), sizeof key) % steps);
+    return longestHomeHandicap * step / static_cast<std::int64_t>(steps);
+}
+
+Duration cost(const PoolSummary &pool, AdapterId adapter) noexcept
+{
+    return expectedWait(pool, adapter) + homeHandicap(pool, adapter);
+}
+
 Remotes survey(std::span<const PoolSummary> pools, const PoolQuery &query) noexcept
 {
     Remotes result;
@@ -27,7 +52,7 @@
             continue;
         }
         ++result.candidates;
-        const Duration wait = expectedWait(pools[i], query.adapter);
+        const Duration wait = cost(pools[i], query.adapter);
         if (pools[i].domain != query.local) {
             result.bestRemote = std::min(result.bestRemote, wait);
         } else if (!result.local || wait < result.localWait) {
@@ -41,12 +66,8 @@
 /** Longest wait that makes a remote pool a candidate of the random choice. */
 Duration longestWait(const Remotes &remotes) noexcept
 {
-    if (!remotes.local) {
-        return remotes.bestRemote * 2 + spilloverMargin;
-    }
-    // At least half of the best gain, so that a crowd of instances spreads and none of them gains nothing.
-    const Duration gain = remotes.localWait - remotes.bestRemote;
-    return std::min(remotes.bestRemote + std::max<Duration>(gain / 2, spilloverMargin), remotes.localWait - spilloverMargin - Duration(1));
+    const Duration limit = remotes.bestRemote + spreadMargin;
+    return remotes.local ? std::min(limit, remotes.localWait - spilloverMargin - Duration(1)) : limit;
 }
 
 /** Weighted random candidate in one pass; independent of earlier picks. */
@@ -55,7 +76,7 @@
     std::optional<std::size_t> chosen;
     double total = 0;
     for (std::size_t i = 0; i < pools.size(); ++i) {
-        if (!usable(pools[i], query) || pools[i].domain == query.local || expectedWait(pools[i], query.adapter) > limit) {
+        if (!usable(pools[i], query) || pools[i].domain == query.local || cost(pools[i], query.adapter) > limit) {
             continue;
         }
         // A full pool keeps a small weight: its capacity may have become free since the summary.
@@ -80,9 +101,8 @@
 
 Duration expectedWait(const PoolSummary &pool, AdapterId adapter) noexcept
 {
-    const bool ready = adapter == AdapterId{} || std::binary_search(pool.resident.begin(), pool.resident.end(), adapter);
     Duration wait = pool.distance + pool.expectedWait + batchSlowdown(pool);
-    if (!ready) {
+    if (!hasAdapter(pool, adapter)) {
         return wait + pool.expectedLoad;
     }
     const auto busy = std::lower_bound(pool.busy.begin(), pool.busy.end(), adapter, [](const auto &entry, AdapterId id) {
