--- a/src/app/servingthread.cpp
+++ b/src/app/servingthread.cpp
@@ -1,13 +1,11 @@
 #include "servingthread.h"
 
+#include "gateway/httptypes.h"
 #include "mimosahollow/control/configuration.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 #include "servingstatus.h"
 
-#include <cinttypes>
-#include <cstdio>
-
 namespace mimosahollow::app {
 
 namespace {
@@ -15,13 +13,6 @@
 constexpr milliseconds tickInterval{10};
 constexpr Duration statusInterval = seconds(1);
 
-std::string requestText(const RequestId &id)
-{
-    std::array<char, 40> text{};
-    const int length = std::snprintf(text.data(), text.size(), "%016" PRIx64 "-%" PRIx64, id.process, id.sequence);
-    return {text.data(), static_cast<std::size_t>(length)};
-}
-
 } // namespace
 
 ServingThread::ServingThread(std::uint64_t process, std::uint64_t seed, std::size_t ringCapacity)
@@ -227,7 +218,7 @@
 void ServingThread::carryOut(const serving::LogDecision &decision)
 {
     observability::DecisionLine line(decision.decision);
-    line.add("request", requestText(decision.request)).add("organisation", decision.organisation).add("adapter", decision.adapter);
+    line.add("request", gateway::toText(decision.request)).add("organisation", decision.organisation).add("adapter", decision.adapter);
     line.add("candidates", std::uint64_t{decision.candidates}).add("choice", decision.choice).add("reason", decision.reason);
     observability::logDecision(line.text());
 }
--- a/src/control/consensusleader.cpp
+++ b/src/control/consensusleader.cpp
@@ -187,19 +187,30 @@
     confirmReads(state, actions);
 }
 
-void receiveAppendReply(ConsensusState &state, VoterId from, const AppendReply &reply, TimePoint now, ConsensusActions &actions)
+/** Handles what every reply carries. Returns the sender's progress; null when the reply concerns no present leadership. */
+static MemberProgress *noteReply(ConsensusState &state, VoterId from, Term term, std::uint64_t round, TimePoint now, ConsensusActions &actions)
 {
-    if (reply.term > state.term) {
-        becomeFollower(state, reply.term, VoterId{}, now, actions);
-        return;
+    if (term > state.term) {
+        becomeFollower(state, term, VoterId{}, now, actions);
+        return nullptr;
     }
     const auto found = state.progress.find(from);
-    if (reply.term < state.term || state.role != VoterRole::Leader || found == state.progress.end()) {
-        return;
+    if (term < state.term || state.role != VoterRole::Leader || found == state.progress.end()) {
+        return nullptr;
     }
     MemberProgress &progress = found->second;
     progress.heard = now;
-    progress.round = std::max(progress.round, reply.round);
+    progress.round = std::max(progress.round, round);
+    return &progress;
+}
+
+void receiveAppendReply(ConsensusState &state, VoterId from, const AppendReply &reply, TimePoint now, ConsensusActions &actions)
+{
+    MemberProgress *sender = noteReply(state, from, reply.term, reply.round, now, actions);
+    if (sender == nullptr) {
+        return;
+    }
+    MemberProgress &progress = *sender;
     if (reply.accepted) {
         const bool advanced = reply.matchIndex > progress.match;
         progress.match = std::max(progress.match, reply.matchIndex);
@@ -228,17 +239,11 @@
 
 void receiveSnapshotReply(ConsensusState &state, VoterId from, const SnapshotReply &reply, TimePoint now, ConsensusActions &actions)
 {
-    if (reply.term > state.term) {
-        becomeFollower(state, reply.term, VoterId{}, now, actions);
+    MemberProgress *sender = noteReply(state, from, reply.term, reply.round, now, actions);
+    if (sender == nullptr) {
         return;
     }
-    const auto found = state.progress.find(from);
-    if (reply.term < state.term || state.role != VoterRole::Leader || found == state.progress.end()) {
-        return;
-    }
-    MemberProgress &progress = found->second;
-    progress.heard = now;
-    progress.round = std::max(progress.round, reply.round);
+    MemberProgress &progress = *sender;
     // A repeated answer for an offset that was passed already would double the traffic.
     const bool isNews = reply.received > progress.snapshotOffset || reply.received == 0;
     if (progress.snapshot.index == reply.index && progress.snapshotData && isNews && reply.received <= progress.snapshotData->size()) {
