Show a change in the status at once

Cause: the status was up to 200 ms old, so that an operator who asked right after a change saw the earlier version.

--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -212,6 +212,7 @@
     } else if (auto *order = std::get_if<coordination::StorageOrder>(&action)) {
         m_storage.write(std::move(*order));
     } else if (auto *changed = std::get_if<coordination::ConfigurationChanged>(&action)) {
+        m_nextStatus = {}; // an operator who asks after a change must see it
         tellServing(std::move(*changed));
     } else if (auto *freshness = std::get_if<coordination::FreshnessChanged>(&action)) {
         tellServing(*freshness);
--- a/tests/rings/boundedring.cpp
+++ b/tests/rings/boundedring.cpp
@@ -36,6 +36,30 @@
     }
 }
 
+// Guards against a consumer that sleeps although another ring has something for it.
+TEST_CASE("A wake-up ends the wait of the consumer")
+{
+    BoundedRing<int> ring(2);
+    std::vector<int> taken;
+    const auto before = std::chrono::steady_clock::now();
+
+    SECTION("when it comes before the wait")
+    {
+        ring.wake();
+        ring.waitAndTake(taken, std::chrono::seconds(60));
+    }
+    SECTION("when it comes from another thread")
+    {
+        std::thread other([&ring] {
+            ring.wake();
+        });
+        ring.waitAndTake(taken, std::chrono::seconds(60));
+        other.join();
+    }
+    REQUIRE(taken.empty());
+    REQUIRE(std::chrono::steady_clock::now() - before < std::chrono::seconds(30));
+}
+
 TEST_CASE("Four producers and one consumer exchange every element once")
 {
     constexpr int producers = 4;
