Drop dead code and repeated work found in a read-through

Cause: the withdrawal of an idempotency record stood in four places with its command id; a leader rebuilt its list of registered instances at every committed command, also for records of calls; a flag, a decision reason and a parameter were not used. Change: abandonRecord() serves the four places; the list is rebuilt only when the command changed the configuration; the unused parts are gone. No timing was taken. Conclusion: behaviour is the same.

--- a/include/mimosahollow/scheduling/actions.h
+++ b/include/mimosahollow/scheduling/actions.h
@@ -54,7 +54,6 @@
     PrefixAffinity,
     LoadOnDemand,
     LoadReplica,
-    LoadAhead,
     EvictLeastUseful,
     Refused,
 };
--- a/src/app/controlthread.h
+++ b/src/app/controlthread.h
@@ -113,7 +113,6 @@
     mutable std::mutex m_statusMutex;
     ControlStatus m_status;
     std::atomic<bool> m_stopping = false;
-    std::atomic<bool> m_storageFailed = false;
     std::thread m_thread;
 };
 
--- a/src/coordination/following.cpp
+++ b/src/coordination/following.cpp
@@ -151,7 +151,7 @@
     state.renewal.self = state.self;
     state.holder.self = state.self;
     const auto registered = registeredInstances(current);
-    const auto assignments = poolAssignments(state, current);
+    const auto assignments = poolAssignments(current);
     membership::applyControlState(state.holder, state.home, registered, assignments, now);
     actions.push_back(ConfigurationChanged{state.configuration, state.self, state.home});
 }
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -48,7 +48,7 @@
 void onPromise(CoordinationState &state, const membership::Promise &promise, TimePoint now, Actions &actions);
 void tickLeases(CoordinationState &state, TimePoint now, Actions &actions);
 [[nodiscard]] std::vector<membership::RegisteredInstance> registeredInstances(const control::Configuration &configuration);
-[[nodiscard]] std::vector<membership::PoolAssignment> poolAssignments(const CoordinationState &state, const control::Configuration &configuration);
+[[nodiscard]] std::vector<membership::PoolAssignment> poolAssignments(const control::Configuration &configuration);
 
 void onCommand(CoordinationState &state, const std::string &peer, const membership::Command &command, TimePoint now, Actions &actions);
 void onCommandReply(CoordinationState &state, const membership::CommandReply &reply, Actions &actions);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -36,7 +36,7 @@
 void assignPools(CoordinationState &state, TimePoint now, Actions &actions)
 {
     VoterState &voter = *state.voter;
-    const auto assignments = poolAssignments(state, voter.control.configuration);
+    const auto assignments = poolAssignments(voter.control.configuration);
     for (const membership::PlannedAssignment &planned : membership::planAssignments(*voter.leader, assignments, now)) {
         if (planned.step != membership::AssignmentStep::Assign || voter.assigning.contains(planned.pool)) {
             continue;
@@ -71,7 +71,7 @@
 {
     VoterState &voter = *state.voter;
     const auto registered = registeredInstances(voter.control.configuration);
-    const auto assignments = poolAssignments(state, voter.control.configuration);
+    const auto assignments = poolAssignments(voter.control.configuration);
     voter.leader = membership::becomeLeader(term, state.options.times, voter.control.applied, registered, assignments, now);
     voter.assigning.clear();
     state.view.leader = state.options.name;
@@ -102,7 +102,7 @@
     }
     const TimePoint startedAt = found->second;
     voter.reads.erase(found);
-    const auto assignments = poolAssignments(state, voter.control.configuration);
+    const auto assignments = poolAssignments(voter.control.configuration);
     for (membership::AnsweredRenewal &answer : membership::answerRenewals(*voter.leader, assignments, startedAt, now)) {
         if (answer.to == state.options.name) {
             onRenewReply(state, answer.reply, now, actions);
@@ -129,7 +129,9 @@
     } else if (const auto *buckets = std::get_if<control::AssignBucketOwner>(&command.body)) {
         voter.assigning.erase(bucketPool(buckets->domain));
     }
-    membership::setRegistered(*voter.leader, registeredInstances(voter.control.configuration));
+    if (voter.control.configuration.logIndex == index) {
+        membership::setRegistered(*voter.leader, registeredInstances(voter.control.configuration));
+    }
     const auto found = voter.proposals.find(index);
     if (found == voter.proposals.end()) {
         return;
--- a/src/coordination/leases.cpp
+++ b/src/coordination/leases.cpp
@@ -56,9 +56,8 @@
     return registered;
 }
 
-std::vector<membership::PoolAssignment> poolAssignments(const CoordinationState &state, const control::Configuration &configuration)
+std::vector<membership::PoolAssignment> poolAssignments(const control::Configuration &configuration)
 {
-    static_cast<void>(state);
     std::vector<membership::PoolAssignment> assignments;
     assignments.reserve(configuration.pools.size() + configuration.bucketOwners.size());
     // The fencing number is the log index of the assignment.
--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -71,7 +71,7 @@
         sendToOwner(state, call.pool, call.owner, CancelRequest{id}, now, actions);
     }
     if (call.recorded && !call.mayHaveRun) {
-        actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+        abandonRecord(call, actions);
     }
     finishCall(state, id, 0, now, actions);
 }
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -140,7 +140,7 @@
         return;
     }
     if (call.recorded && outcome == CallOutcome::NotRun) {
-        actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+        abandonRecord(call, actions);
     }
     // What an attempt that may have run has generated is not known, so all of its reservation counts as used (P6).
     const auto used = outcome == CallOutcome::Unknown ? static_cast<std::uint64_t>(call.reserved) : 0;
@@ -334,7 +334,7 @@
         const Call &call = found->second;
         if (call.answered) {
             // The result of the BeginCall is lost.
-            actions.push_back(CommitCommand{id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+            abandonRecord(call, actions);
             finishCall(state, id, 0, now, actions);
             continue;
         }
--- a/src/serving/internal.h
+++ b/src/serving/internal.h
@@ -21,6 +21,8 @@
 /** Continues after the idempotency record exists or none is needed. */
 void reserveTokens(ServingState &state, Call &call, TimePoint now, Actions &actions);
 void recordCall(ServingState &state, Call &call, Actions &actions);
+/** Withdraws the idempotency record of a call that did not run, so that it does not block a resend. */
+void abandonRecord(const Call &call, Actions &actions);
 void completeRecord(const Call &call, const gateway::ServingResult &result, Actions &actions);
 
 void onGrant(ServingState &state, PoolId pool, const scheduling::Grant &grant, TimePoint now, Actions &actions);
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -15,7 +15,6 @@
         return "route";
     case scheduling::DecisionReason::LoadOnDemand:
     case scheduling::DecisionReason::LoadReplica:
-    case scheduling::DecisionReason::LoadAhead:
         return "load";
     case scheduling::DecisionReason::EvictLeastUseful:
         return "evict";
@@ -36,8 +35,6 @@
         return "on-demand";
     case scheduling::DecisionReason::LoadReplica:
         return "replica";
-    case scheduling::DecisionReason::LoadAhead:
-        return "ahead";
     case scheduling::DecisionReason::EvictLeastUseful:
         return "least-useful";
     case scheduling::DecisionReason::Refused:
--- a/src/serving/records.cpp
+++ b/src/serving/records.cpp
@@ -70,6 +70,11 @@
     actions.push_back(CommitCommand{call.request.id, call.begin, control::BeginCall{call.callKey, requestDigest(call.request), state.self}});
 }
 
+void abandonRecord(const Call &call, Actions &actions)
+{
+    actions.push_back(CommitCommand{call.request.id, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+}
+
 void completeRecord(const Call &call, const gateway::ServingResult &result, Actions &actions)
 {
     control::CompleteCall complete;
@@ -91,7 +96,7 @@
     const bool mayExist = result.committed ? result.result.outcome == control::CommandOutcome::RunCall : result.sent;
     if (call.answered) {
         if (mayExist) {
-            actions.push_back(CommitCommand{result.call, {call.begin.high, call.begin.low + 2}, control::AbandonCall{call.callKey, call.begin}});
+            abandonRecord(call, actions);
         }
         finishCall(state, result.call, 0, now, actions);
         return;
