--- /dev/null
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "mimosahollow/dispatch/call.h"
+#include "mimosahollow/dispatch/dispatchstate.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace mimosahollow::dispatch {
+
+/** Send the call to this backend server now. */
+struct Send
+{
+    std::string server;
+    std::string address;
+    std::uint64_t adapterVersion = 0; /**< 0: any. */
+};
+
+/** Nothing can take the call now; ask again at @c until at the latest, or when something has changed. */
+struct Wait
+{
+    RefusalCause cause{};
+    TimePoint until{};
+};
+
+/** The call cannot be served in time. */
+struct Refuse
+{
+    RefusalCause cause{};
+    Duration retryAfter{};
+};
+
+using Decision = std::variant<Send, Wait, Refuse>;
+
+/** Chooses a backend server for @p call. */
+[[nodiscard]] Decision decide(DispatchState &state, const Call &call, TimePoint now);
+
+/** A call is sent to @p server; call ended() when it is over. */
+void started(DispatchState &state, const std::string &server, TimePoint now);
+
+enum class CallResult : std::uint8_t {
+    Answered,
+    Failed, /**< The backend server failed the call. */
+    NotRun, /**< It refused the call. */
+    Unreachable, /**< No connection could be opened. */
+    Abandoned, /**< The caller left. */
+};
+
+void ended(DispatchState &state, const std::string &server, CallResult result, TimePoint now);
+
+/** Takes over a record of a backend server. Returns whether it is newer than the known one. */
+bool noteServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now);
+void notePlacement(DispatchState &state, const fleetlink::PlacementUpdate &update, TimePoint now);
+/** @p server says that it does not hold the adapter of @p call. */
+void noteMissing(DispatchState &state, const std::string &server, const Call &call);
+
+} // namespace mimosahollow::dispatch
--- /dev/null
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "mimosahollow/control/logentry.h"
+#include "mimosahollow/control/voter.h"
+#include "mimosahollow/fleetstate/fleetstate.h"
+#include "mimosahollow/registry/serverrecord.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mimosahollow::fleetlink {
+
+/** First message of both sides of a connection. */
+struct Hello
+{
+    std::string name;
+    std::string address; /**< Link listener of a coordinator; empty for an entry instance. */
+    std::string domain;
+    control::VoterId voter{}; /**< 0 for an entry instance. */
+};
+
+/** Shows that the connection still carries data both ways. */
+struct Ping
+{
+    std::uint64_t stamp = 0; /**< Clock of the sender, echoed by the reply. */
+    bool isReply = false;
+};
+
+/** Link addresses of the coordinators that the sender knows. */
+struct Coordinators
+{
+    std::vector<std::string> addresses;
+    std::string leader; /**< Empty when not known. */
+};
+
+/** Backend servers whose records changed. */
+struct ServerUpdate
+{
+    std::vector<registry::ServerRecord> servers;
+    bool heardDirectly = false; /**< The sender has it from the backend servers; other coordinators keep them alive by it. */
+};
+
+struct NamedNumber
+{
+    std::string name;
+    double value = 0;
+};
+
+/** Calls of an adapter at one entry instance since its last report. */
+struct AdapterDemand
+{
+    std::string model;
+    std::string adapter; /**< Empty for the base model. */
+    std::string service;
+    unsigned waiting = 0; /**< Calls that wait for the adapter now. */
+    unsigned started = 0; /**< Calls that were sent to a backend server. */
+};
+
+/** What an entry instance tells the leader. */
+struct EntryReport
+{
+    std::uint64_t stamp = 0; /**< Milliseconds of the entry instance's boot clock when it was sent. */
+    std::vector<NamedNumber> tokenWishes; /**< By organisation. */
+    std::vector<NamedNumber> running; /**< Calls by backend server, only those above 0. */
+    std::vector<AdapterDemand> demand;
+};
+
+/** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
+struct LeaderReply
+{
+    std::uint64_t stamp = 0; /**< Of the report. */
+    control::LogIndex index = 0; /**< The entry instance is current once it holds the state at this index. */
+    unsigned entries = 0; /**< Entry instances that the leader hears. */
+    std::vector<NamedNumber> tokens; /**< Granted, by organisation. */
+    std::vector<NamedNumber> running; /**< Calls of all other entry instances, by backend server. */
+};
+
+struct PlacedAdapter
+{
+    std::string model;
+    std::string adapter;
+    std::uint64_t version = 0;
+    unsigned readyMilliseconds = 0; /**< Time until the load is expected to end; 0: loaded. */
+};
+
+/** All adapters that one backend server holds or loads. */
+struct ServerPlacement
+{
+    std::string server;
+    std::uint64_t born = 0; /**< Incarnation of the backend server. */
+    std::vector<PlacedAdapter> adapters;
+};
+
+/** Placement of the adapters on some backend servers, from the leader. */
+struct PlacementUpdate
+{
+    control::Term term = 0; /**< An update of an older term is dropped. */
+    std::vector<ServerPlacement> servers;
+};
+
+using LinkMessage = std::variant<Hello, Ping, Coordinators, ServerUpdate, EntryReport, LeaderReply, PlacementUpdate, fleetstate::FleetState>;
+
+struct LinkCodecError
+{
+    std::string message;
+};
+
+[[nodiscard]] control::Bytes encode(const LinkMessage &message);
+[[nodiscard]] std::variant<LinkMessage, LinkCodecError> decode(std::span<const std::uint8_t> bytes);
+
+} // namespace mimosahollow::fleetlink
--- /dev/null
+++ b/include/mimosahollow/fleetstate/fleetcommand.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace mimosahollow::fleetstate {
+
+enum class CommandKind : std::uint8_t {
+    PutCatalog, /**< Replaces the catalog when its version is higher. */
+    EvacuateDomain, /**< Nothing more is sent to the backend servers of a failure domain. */
+    ReturnDomain, /**< Takes an evacuation back. */
+    NameAdapterVersion, /**< Calls of an adapter run on this version or a newer one. */
+};
+
+/** A change of the replicated state. */
+struct FleetCommand
+{
+    CommandKind kind{};
+    std::uint64_t version = 0; /**< Of the catalog or of the adapter. */
+    std::string subject; /**< Failure domain, or "model/adapter". */
+    std::string text; /**< Catalog as the operator wrote it. */
+};
+
+} // namespace mimosahollow::fleetstate
--- /dev/null
+++ b/include/mimosahollow/fleetstate/fleetstate.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "mimosahollow/control/logentry.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace mimosahollow::fleetstate {
+
+struct FleetCommand;
+
+/** What operators decided for the whole fleet; the same on every voter after the same log index. */
+struct FleetState
+{
+    control::LogIndex index = 0; /**< Last entry applied. */
+    std::uint64_t catalogVersion = 0;
+    std::shared_ptr<const std::string> catalogText; /**< As the operator wrote it; null before the first one. */
+    std::set<std::string> evacuatedDomains;
+    std::map<std::string, std::uint64_t> adapterVersions; /**< By "model/adapter"; an adapter without an entry is at any version. */
+};
+
+/** Bytes that are not a command or a snapshot. */
+struct FleetStateError
+{
+    std::string message;
+};
+
+/** Applies @p command, which the log holds at @p index. Returns whether anything changed. */
+bool apply(FleetState &state, control::LogIndex index, const FleetCommand &command);
+
+[[nodiscard]] control::Bytes encodeCommand(const FleetCommand &command);
+[[nodiscard]] std::variant<FleetCommand, FleetStateError> decodeCommand(std::span<const std::uint8_t> bytes);
+[[nodiscard]] control::Bytes encodeSnapshot(const FleetState &state);
+[[nodiscard]] std::variant<FleetState, FleetStateError> decodeSnapshot(std::span<const std::uint8_t> bytes);
+
+} // namespace mimosahollow::fleetstate
--- a/include/mimosahollow/link/messagekind.h
+++ b/include/mimosahollow/link/messagekind.h
@@ -35,6 +35,7 @@
     Confirm = 54,
     Command = 55,
     CommandReply = 56,
+    Relay = 60, /**< Messages between entry instances and coordinators. */
 };
 
 /** Whether @p kind is one of the numbers above. */
--- a/include/mimosahollow/observability/log.h
+++ b/include/mimosahollow/observability/log.h
@@ -8,6 +8,14 @@
 /** Sends log lines of @p level and above to @p file, or to standard error when it is empty. Returns an error message or nothing. */
 [[nodiscard]] std::string setUpLog(const std::string &level, const std::string &file);
 
+/**
+ * Sends log lines to standard output, for a process on one event loop: lines are kept in memory until flushLoopLog(). When
+ * the reader is too slow, further lines are counted and dropped.
+ */
+void setUpLoopLog();
+/** Writes kept lines as far as standard output takes them at once. */
+void flushLoopLog();
+
 /** Stops the log thread and writes what it still holds. */
 void shutDownLog();
 
--- /dev/null
+++ b/include/mimosahollow/placement/placement.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "mimosahollow/placement/placementstate.h"
+#include "mimosahollow/registry/serverrecord.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mimosahollow::catalog {
+class CatalogIndex;
+}
+
+namespace mimosahollow::placement {
+
+/** A leader of @p term begins: it knows nothing and gives no orders for options.holderSilence. */
+void begin(PlacementState &state, std::uint64_t term, TimePoint now);
+
+/** Takes over an announced backend server. @p isUsable: nothing but its own state keeps calls from it. */
+void noteServer(PlacementState &state, const registry::ServerRecord &record, bool isUsable, TimePoint now);
+
+/** @p entry has @p waiting calls for an adapter and has started @p started since its last report. */
+void noteDemand(
+    PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, unsigned waiting, unsigned started, TimePoint now);
+
+/** Engines whose state is to be read now; marks them. */
+[[nodiscard]] std::vector<std::string> dueReports(PlacementState &state, TimePoint now);
+void noteReport(PlacementState &state, const std::string &server, std::uint64_t born, const ModelReport &report, TimePoint now);
+void reportFailed(PlacementState &state, const std::string &server, TimePoint now);
+
+/** Orders that are to be sent now; marks them as in flight, at most one for each engine. */
+[[nodiscard]] std::vector<ModelOrder> planOrders(PlacementState &state, const catalog::CatalogIndex &catalog, TimePoint now);
+void orderAnswered(PlacementState &state, const ModelOrder &order, OrderOutcome outcome, TimePoint now);
+
+/** Oldest version on which calls of @p key may run; 0 when any will do. */
+[[nodiscard]] std::uint64_t requiredVersion(const PlacementState &state, const AdapterKey &key);
+
+} // namespace mimosahollow::placement
--- /dev/null
+++ b/include/mimosahollow/placement/placementstate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/placement/modelorder.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosahollow::placement {
+
+struct PlacementOptions
+{
+    /** Adapters in transit from the store to all backend servers; beyond it each load takes longer in proportion (sheet of the deployment). */
+    unsigned storeTransfers = 8;
+    unsigned transfersPerServer = 4; /**< Bound of the engines. */
+    Duration adapterLoad = milliseconds(250); /**< From the store, while no more than storeTransfers are in transit (sheet). */
+    Duration recentAdapterLoad = milliseconds(25); /**< An engine reloads an adapter that it held recently ten times as fast. */
+    Duration loadMargin = milliseconds(8); /**< Time of an order on its way and of a timer. */
+    unsigned recentAdapters = 140; /**< Adapters that an engine keeps in host memory, a little below the 144 of the sheet. */
+    Duration reportInterval = seconds(4); /**< Of reading the state of each engine, to find what the orders do not tell. */
+    Duration reportLag = milliseconds(350); /**< A report shows the state of some hundred milliseconds earlier. */
+    Duration holderSilence = milliseconds(3500); /**< A new holder waits until an earlier one has been silent for its lease of 3 s. */
+    double callsPerCopy = 7; /**< Calls per second of one adapter above which one more copy is made: 7 x 2.5 s fill a quarter of a batch. */
+    Duration minimumIdle = milliseconds(1200); /**< An adapter used later than this is not evicted for a first copy of another. */
+    Duration replicaIdle = seconds(4); /**< The same for a further copy. */
+    Duration waitMemory = milliseconds(1500); /**< For how long a reported wait counts; entry instances report more often while calls wait. */
+    Duration smoothing = seconds(3); /**< Averaging time of the demand. */
+};
+
+/** Model and adapter; the adapter is empty for the base model. */
+struct AdapterKey
+{
+    std::string model;
+    std::string adapter;
+
+    friend auto operator<=>(const AdapterKey &, const AdapterKey &) = default;
+};
+
+/** One adapter at one engine. */
+struct AdapterCopy
+{
+    std::uint64_t version = 0;
+    TimePoint readyAt{}; /**< When its load ends; it can be used from then on. */
+    TimePoint lastUse{};
+    bool isFromStore = false; /**< Its load occupies the weight store until readyAt. */
+};
+
+/** An engine as the leader knows it. */
+struct EngineState
+{
+    std::string service;
+    std::string address;
+    std::string domain;
+    std::uint64_t born = 0;
+    bool isKnown = false; /**< Its state was read. */
+    bool isReady = false; /**< Announces itself as ready and is in a domain that may be used. */
+    unsigned running = 0; /**< Calls of all entry instances. */
+    std::optional<std::uint64_t> sequence; /**< Unknown before the first report and after an order without an answer. */
+    std::set<std::string> baseModels;
+    std::map<std::string, TimePoint> comingModels; /**< Base models in load, and when they are expected. */
+    std::map<AdapterKey, AdapterCopy> adapters;
+    std::list<AdapterKey> recent; /**< Adapters held recently, newest first. */
+    bool orderInFlight = false;
+    bool reportInFlight = false;
+    std::optional<ModelOrder> unresolved; /**< Order without an answer. */
+    TimePoint lastOrder{};
+    TimePoint reportDue{};
+    TimePoint pausedUntil{}; /**< No orders before, after a conflict. */
+};
+
+/** Demand for one adapter over all entry instances. */
+struct DemandState
+{
+    std::string service;
+    std::map<std::string, std::pair<unsigned, TimePoint>> waiting; /**< Calls that wait, by entry instance, and when it said so. */
+    double callsPerSecond = 0;
+    TimePoint measured{};
+    TimePoint firstWait{};
+};
+
+/** All that the leader knows of engines and adapters. */
+struct PlacementState
+{
+    PlacementOptions options;
+    std::uint64_t fencingNumber = 0;
+    TimePoint activeFrom{}; /**< No orders before. */
+    std::map<std::string, EngineState> engines;
+    std::map<AdapterKey, DemandState> demand;
+    std::map<std::string, std::uint64_t> namedVersions; /**< By "model/adapter". */
+    std::deque<TimePoint> storeLoads; /**< Times of recent loads of weights. */
+    std::set<std::string> changed; /**< Engines whose placement others need to hear. */
+};
+
+} // namespace mimosahollow::placement
--- a/src/admission/retrybudget.cpp
+++ b/src/admission/retrybudget.cpp
@@ -6,7 +6,7 @@
 
 void countRequest(RetryBudget &budget) noexcept
 {
-    budget.balance = std::min(retryReserve, budget.balance + budget.ratio);
+    budget.balance = std::min(budget.reserve, budget.balance + budget.ratio);
 }
 
 bool takeRetry(RetryBudget &budget) noexcept
--- /dev/null
+++ b/src/allowance/tokenwallet.cpp
@@ -0,0 +1,70 @@
+#include "mimosahollow/allowance/tokenwallet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosahollow::allowance {
+
+namespace {
+
+Purse &purseOf(TokenWallet &wallet, std::string_view organisation)
+{
+    const auto found = wallet.purses.find(organisation);
+    return found != wallet.purses.end() ? found->second : wallet.purses.emplace(organisation, Purse{}).first->second;
+}
+
+double decayed(const TokenWallet &wallet, const Purse &purse, TimePoint now)
+{
+    const double age = std::max(0.0, toSeconds(now - purse.measured));
+    return purse.demandPerSecond * std::exp(-age / toSeconds(wallet.options.smoothing));
+}
+
+void expire(const TokenWallet &wallet, Purse &purse, TimePoint now)
+{
+    if (now - purse.granted > wallet.options.lifetime) {
+        purse.tokens = 0;
+    }
+}
+
+} // namespace
+
+void noteDemand(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now)
+{
+    Purse &purse = purseOf(wallet, organisation);
+    purse.demandPerSecond = decayed(wallet, purse, now) + tokens / toSeconds(wallet.options.smoothing);
+    purse.measured = now;
+}
+
+bool spend(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now)
+{
+    Purse &purse = purseOf(wallet, organisation);
+    expire(wallet, purse, now);
+    if (purse.tokens < tokens) {
+        return false;
+    }
+    purse.tokens -= tokens;
+    return true;
+}
+
+void giveBack(TokenWallet &wallet, std::string_view organisation, double tokens)
+{
+    purseOf(wallet, organisation).tokens += tokens;
+}
+
+void deposit(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now)
+{
+    Purse &purse = purseOf(wallet, organisation);
+    expire(wallet, purse, now);
+    purse.tokens += tokens;
+    purse.granted = now;
+}
+
+double wish(const TokenWallet &wallet, const Purse &purse, TimePoint now)
+{
+    const bool isExpired = now - purse.granted > wallet.options.lifetime;
+    const double held = isExpired ? 0 : purse.tokens;
+    const double reserve = decayed(wallet, purse, now) * toSeconds(wallet.options.reserve);
+    return std::max(0.0, reserve + purse.missing - held);
+}
+
+} // namespace mimosahollow::allowance
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,8 @@
 #include "mimosahollow/settings/settingsproblem.h"
 #include "mimosahollow/standin/engine.h"
 #include "operatorcommands.h"
+#include "platform/bootsettings.h"
+#include "platform/roles.h"
 #include "serve.h"
 #include "waitforsignal.h"
 
@@ -112,6 +114,29 @@
     return app::Success;
 }
 
+/** Runs a role on the users' platform. */
+int runPlatformRole(const Arguments &arguments, const char *title, int (*run)(const std::string &path))
+{
+    options::options_description description(title);
+    description.add_options()("help,h", "shows this text")(
+        "settings,s", options::value<std::string>()->default_value(""), "settings file; the one that MIMOSAHOLLOW_BOOT names when it is not given");
+    options::variables_map values;
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
+        return app::Success;
+    }
+    return run(platform::bootPath(values["settings"].as<std::string>()));
+}
+
+int runEntry(const Arguments &arguments)
+{
+    return runPlatformRole(arguments, "mimosahollow entry: runs an entry instance on the users' platform until SIGTERM", platform::runEntry);
+}
+
+int runCoordinator(const Arguments &arguments)
+{
+    return runPlatformRole(arguments, "mimosahollow coordinator: runs a coordinator on the users' platform until SIGTERM", platform::runCoordinator);
+}
+
 struct Subcommand
 {
     std::string_view name;
@@ -121,6 +146,8 @@
 
 constexpr std::array subcommands{
     Subcommand{"serve", "runs an instance", runServe},
+    Subcommand{"entry", "runs an entry instance on the users' platform", runEntry},
+    Subcommand{"coordinator", "runs a coordinator on the users' platform", runCoordinator},
     Subcommand{"check", "checks a settings file", runCheck},
     Subcommand{"engine", "runs a stand-in backend server", runEngine},
     Subcommand{"bundle", "packs, signs, checks and submits configuration bundles", app::runBundle},
@@ -135,7 +162,7 @@
 {
     output << "mimosahollow SUBCOMMAND [options]; --help after a subcommand shows its options\n\n";
     for (const Subcommand &subcommand : subcommands) {
-        output << "  " << subcommand.name << std::string(10 - subcommand.name.size(), ' ') << subcommand.summary << '\n';
+        output << "  " << subcommand.name << std::string(12 - subcommand.name.size(), ' ') << subcommand.summary << '\n';
     }
 }
 
--- /dev/null
+++ b/src/coordinator/coordinator.cpp
@@ -0,0 +1,584 @@
+#include "coordinator/coordinatorinternal.h"
+#include "coordinator/voteridentity.h"
+
+#include "mimosahollow/link/controlcodec.h"
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+
+namespace mimosahollow::coordinator {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// A configuration may be hundreds of kilobytes; these bound the log in memory and on a disk of 128 MB.
+constexpr control::LogIndex snapshotEntries = 64;
+constexpr std::size_t snapshotBytes = std::size_t{2} << 20;
+constexpr std::size_t keptEntries = 16;
+
+/** First voters have numbers that all of them work out alike: the IP address. */
+control::VoterId voterOf(const std::string &address)
+{
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address_v4(address.substr(0, address.rfind(':')), error);
+    return error ? control::VoterId{} : static_cast<control::VoterId>(ip.to_uint());
+}
+
+VoterIdentity freshIdentity(const CoordinatorSettings &settings)
+{
+    VoterIdentity identity;
+    const bool isSeed = std::find(settings.seeds.begin(), settings.seeds.end(), settings.linkAddress) != settings.seeds.end();
+    if (settings.foundsFleet && isSeed) {
+        identity.id = voterOf(settings.linkAddress);
+        for (const std::string &seed : settings.seeds) {
+            identity.firstMembers.push_back({voterOf(seed), seed, false});
+        }
+        return identity;
+    }
+    std::random_device random;
+    while (identity.id == control::VoterId{}) {
+        identity.id = static_cast<control::VoterId>(random());
+    }
+    return identity;
+}
+
+} // namespace
+
+Coordinator::Coordinator(asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EnginePort engines)
+    : m_context(context), m_settings(std::move(settings)), m_decodeCatalog(std::move(decodeCatalog)), m_engines(std::move(engines)), m_timer(context)
+{
+    m_settings.consensus.keptEntries = keptEntries;
+    m_registry.options = m_settings.registry;
+    m_placement.options = m_settings.placement;
+}
+
+Coordinator::~Coordinator()
+{
+    *m_alive = false;
+}
+
+std::string Coordinator::start()
+{
+    const auto files = storage::posixFileSystem();
+    const auto identity = loadIdentity(*files, m_settings.dataFolder, freshIdentity(m_settings));
+    if (const auto *problem = std::get_if<std::string>(&identity)) {
+        return *problem;
+    }
+    const auto &self = std::get<VoterIdentity>(identity);
+    m_self = self.id;
+    m_storage = std::make_unique<app::VoterStorage>(m_settings.dataFolder + "/log", [this, alive = m_alive](storage::StorageEvent event) {
+        asio::post(m_context, [this, alive, event = std::move(event)]() mutable {
+            if (*alive) {
+                storageReported(std::move(event));
+            }
+        });
+    });
+    auto opened = m_storage->open();
+    if (const auto *problem = std::get_if<std::string>(&opened)) {
+        return *problem;
+    }
+    auto &log = std::get<control::DurableLog>(opened);
+    if (log.snapshotData) {
+        auto decoded = fleetstate::decodeSnapshot(*log.snapshotData);
+        if (const auto *error = std::get_if<fleetstate::FleetStateError>(&decoded)) {
+            return error->message;
+        }
+        m_state = std::get<fleetstate::FleetState>(std::move(decoded));
+        m_snapshotIndex = log.snapshot.index;
+        stateChanged();
+    }
+    fleetlink::LinkHubOptions options;
+    options.self = {m_settings.name, m_settings.linkAddress, m_settings.domain, m_self};
+    options.listenAddress = m_settings.linkAddress;
+    m_hub =
+        std::make_unique<fleetlink::LinkHub>(m_context,
+                                             options,
+                                             fleetlink::LinkHubEvents{[this](const fleetlink::Peer &peer) {
+                                                                          linkOpened(peer);
+                                                                      },
+                                                                      [this](const fleetlink::Peer &peer) {
+                                                                          linkClosed(peer);
+                                                                      },
+                                                                      [this](const fleetlink::Peer &peer, fleetlink::LinkMessage message) {
+                                                                          linkMessage(peer, std::move(message));
+                                                                      },
+                                                                      [this](const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes) {
+                                                                          auto decoded = link::decodeConsensusMessage(bytes);
+                                                                          if (const auto *message = std::get_if<control::ConsensusMessage>(&decoded)) {
+                                                                              control::ConsensusActions actions;
+                                                                              control::receive(*m_consensus, peer.hello.voter, *message, Clock::now(), actions);
+                                                                              run(std::move(actions));
+                                                                          }
+                                                                      }});
+    if (auto problem = m_hub->start(); !problem.empty()) {
+        return problem;
+    }
+    observability::DecisionLine line("coordinator-start");
+    line.add("voter", static_cast<std::uint64_t>(m_self)).add("founder", self.firstMembers.empty() ? "no" : "yes");
+    line.add("log-entries", log.entries.size()).add("snapshot", log.snapshot.index).add("term", log.term);
+    observability::logDecision(line.text());
+    std::random_device random;
+    m_consensus = std::make_unique<control::ConsensusState>(
+        control::makeConsensus(m_self, m_settings.consensus, std::move(log), self.firstMembers, random(), Clock::now()));
+    membershipChanged();
+    setSeeds(m_settings.seeds);
+    scheduleTick();
+    return {};
+}
+
+void Coordinator::setSeeds(const std::vector<std::string> &seeds)
+{
+    m_settings.seeds = seeds;
+    for (const std::string &seed : seeds) {
+        m_hub->dial(seed);
+    }
+}
+
+bool Coordinator::leads() const noexcept
+{
+    return m_isLeading;
+}
+
+std::string Coordinator::leaderLink() const
+{
+    if (m_consensus->role == control::VoterRole::Leader) {
+        return m_settings.linkAddress;
+    }
+    for (const control::Member &member : m_consensus->members) {
+        if (member.id == m_consensus->leader) {
+            return member.address;
+        }
+    }
+    return {};
+}
+
+void Coordinator::run(control::ConsensusActions actions)
+{
+    for (control::ConsensusAction &action : actions) {
+        carryOut(action);
+    }
+}
+
+void Coordinator::carryOut(control::ConsensusAction &action)
+{
+    if (const auto *message = std::get_if<control::SendToVoter>(&action)) {
+        send(*message);
+    } else if (auto *vote = std::get_if<control::SaveVote>(&action)) {
+        m_storage->write(*vote);
+    } else if (auto *append = std::get_if<control::AppendLog>(&action)) {
+        membershipChanged();
+        m_storage->write(std::move(*append));
+    } else if (auto *truncate = std::get_if<control::TruncateLog>(&action)) {
+        m_storage->write(*truncate);
+    } else if (auto *compact = std::get_if<control::CompactLog>(&action)) {
+        m_storage->write(*compact);
+    } else if (const auto *snapshot = std::get_if<control::InstallSnapshot>(&action)) {
+        install(*snapshot);
+    } else if (const auto *apply = std::get_if<control::ApplyEntries>(&action)) {
+        applyEntries(apply->entries);
+    } else if (std::holds_alternative<control::LostLeadership>(action)) {
+        loseLeadership();
+    } else if (const auto *confirmed = std::get_if<control::ReadConfirmed>(&action)) {
+        finishRead(confirmed->read, true);
+    } else if (const auto *rejected = std::get_if<control::ReadRejected>(&action)) {
+        finishRead(rejected->read, false);
+    }
+}
+
+void Coordinator::send(const control::SendToVoter &message)
+{
+    const auto member = std::find_if(m_consensus->members.begin(), m_consensus->members.end(), [&message](const control::Member &candidate) {
+        return candidate.id == message.to;
+    });
+    if (member == m_consensus->members.end()) {
+        return;
+    }
+    // A lost message is sent again by the log itself.
+    if (const fleetlink::Peer *peer = m_hub->findDialed(member->address); peer != nullptr && peer->hello.voter == message.to) {
+        m_hub->sendEncoded(peer->number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
+    }
+}
+
+void Coordinator::applyEntries(const std::vector<control::LogEntry> &entries)
+{
+    bool changedAny = false;
+    for (const control::LogEntry &entry : entries) {
+        bool changed = false;
+        m_state.index = entry.index;
+        if (entry.kind == control::EntryKind::Command && entry.payload) {
+            m_bytesSinceSnapshot += entry.payload->size();
+            const auto decoded = fleetstate::decodeCommand(*entry.payload);
+            if (const auto *command = std::get_if<fleetstate::FleetCommand>(&decoded)) {
+                changed = fleetstate::apply(m_state, entry.index, *command);
+                observability::DecisionLine line("change-applied");
+                line.add("index", entry.index).add("term", entry.term).add("kind", static_cast<std::uint64_t>(command->kind));
+                line.add("subject", command->subject).add("version", command->version).add("changed", changed ? "yes" : "no");
+                observability::logDecision(line.text());
+            } else {
+                observability::logError("log entry " + std::to_string(entry.index) + " is not a command of this version and changes nothing");
+            }
+        }
+        changedAny = changedAny || changed;
+        if (m_consensus->role == control::VoterRole::Leader && entry.term == m_consensus->term && !m_isLeading) {
+            becomeLeader(entry.term);
+        }
+        finishChange(entry.index, entry.term, changed);
+    }
+    if (changedAny) {
+        stateChanged();
+    }
+    takeSnapshot();
+}
+
+void Coordinator::stateChanged()
+{
+    if (m_state.catalogText && (!m_catalog || m_catalog->catalog().version != m_state.catalogVersion)) {
+        auto decoded = m_decodeCatalog(*m_state.catalogText);
+        if (auto *catalog = std::get_if<catalog::Catalog>(&decoded)) {
+            m_catalog = std::make_shared<const catalog::CatalogIndex>(std::make_shared<const catalog::Catalog>(std::move(*catalog)));
+        } else {
+            observability::logError("the catalog in the log cannot be read: " + std::get<catalog::CatalogProblem>(decoded).message);
+        }
+    }
+    if (!m_hub) {
+        return;
+    }
+    const TimePoint now = Clock::now();
+    if (leads()) {
+        if (m_catalog) {
+            allowance::configure(m_bank, m_catalog->catalog(), now);
+        }
+        m_placement.namedVersions = {m_state.adapterVersions.begin(), m_state.adapterVersions.end()};
+        std::vector<registry::ServerRecord> all;
+        for (const auto &[id, entry] : m_registry.entries) {
+            all.push_back(entry.record);
+        }
+        serversChanged(all, now);
+        for (const fleetlink::Peer &peer : m_hub->peers()) {
+            if (peer.hello.address.empty()) {
+                sendState(peer);
+            }
+        }
+    }
+}
+
+void Coordinator::membershipChanged()
+{
+    if (!m_hub || !m_consensus) {
+        return;
+    }
+    for (const control::Member &member : m_consensus->members) {
+        m_hub->dial(member.address);
+    }
+}
+
+void Coordinator::install(const control::InstallSnapshot &snapshot)
+{
+    auto decoded = fleetstate::decodeSnapshot(*snapshot.data);
+    if (const auto *error = std::get_if<fleetstate::FleetStateError>(&decoded)) {
+        observability::logError("snapshot of the leader is damaged: " + error->message);
+        control::snapshotRefused(*m_consensus);
+        return;
+    }
+    m_state = std::get<fleetstate::FleetState>(std::move(decoded));
+    m_snapshotIndex = snapshot.point.index;
+    m_bytesSinceSnapshot = 0;
+    stateChanged();
+    m_storage->write(control::StoreSnapshot{snapshot.write, snapshot.point, snapshot.data, true});
+}
+
+void Coordinator::takeSnapshot()
+{
+    const bool isDue = m_state.index >= m_snapshotIndex + snapshotEntries || (m_bytesSinceSnapshot >= snapshotBytes && m_state.index > m_snapshotIndex);
+    if (!isDue) {
+        return;
+    }
+    m_snapshotIndex = m_state.index;
+    m_bytesSinceSnapshot = 0;
+    auto data = std::make_shared<const control::Bytes>(fleetstate::encodeSnapshot(m_state));
+    m_storage->write(control::StoreSnapshot{0, control::snapshotPoint(*m_consensus, m_state.index), std::move(data), false});
+}
+
+void Coordinator::storageReported(storage::StorageEvent event)
+{
+    control::ConsensusActions actions;
+    const TimePoint now = Clock::now();
+    if (const auto *synced = std::get_if<storage::StorageSynced>(&event)) {
+        control::logSynced(*m_consensus, synced->write, now, actions);
+    } else if (auto *stored = std::get_if<storage::SnapshotStored>(&event)) {
+        if (stored->replacesLog) {
+            control::snapshotInstalled(*m_consensus, stored->index, now, actions);
+        } else {
+            control::snapshotTaken(*m_consensus, stored->index, std::move(stored->data), actions);
+        }
+    } else if (const auto *failed = std::get_if<storage::StorageFailed>(&event)) {
+        observability::logError("storage failed: " + failed->error.message);
+        if (storageFailed) {
+            storageFailed(failed->error.message);
+        }
+    }
+    m_storage->flush();
+    run(std::move(actions));
+}
+
+asio::awaitable<ChangeResult> Coordinator::change(fleetstate::FleetCommand command)
+{
+    control::ConsensusActions actions;
+    const auto payload = std::make_shared<const control::Bytes>(fleetstate::encodeCommand(command));
+    const TimePoint now = Clock::now();
+    const auto proposed = control::propose(*m_consensus, std::span(&payload, 1), now, actions);
+    if (const auto *rejected = std::get_if<control::ProposalRejected>(&proposed)) {
+        ++m_counters.changesFailed;
+        if (rejected->error == control::ProposalError::NotLeader) {
+            co_return NotLeader{leaderLink()};
+        }
+        co_return Unavailable{std::string(control::toString(rejected->error))};
+    }
+    const auto accepted = std::get<control::ProposalAccepted>(proposed);
+    auto pending = std::make_shared<PendingChange>(m_context);
+    pending->term = accepted.term;
+    pending->timer.expires_after(m_settings.changeTimeout);
+    m_changes[accepted.index] = pending;
+    run(std::move(actions));
+    if (!pending->changed && !pending->isLost) {
+        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
+            // The change may still be committed; the caller has no clear answer and sends it again.
+            if (const auto found = m_changes.find(accepted.index); found != m_changes.end() && found->second == pending) {
+                m_changes.erase(found);
+            }
+        }
+    }
+    if (pending->changed) {
+        ++m_counters.changes;
+        co_return Committed{*pending->changed};
+    }
+    ++m_counters.changesFailed;
+    co_return Unavailable{pending->isLost ? "the leadership was lost" : "no majority has confirmed the change in time"};
+}
+
+void Coordinator::finishChange(control::LogIndex index, control::Term term, bool changed)
+{
+    const auto found = m_changes.find(index);
+    if (found == m_changes.end()) {
+        return;
+    }
+    if (found->second->term == term) {
+        found->second->changed = changed;
+    } else {
+        found->second->isLost = true;
+    }
+    found->second->timer.cancel();
+    m_changes.erase(found);
+}
+
+asio::awaitable<ReadResult> Coordinator::read()
+{
+    if (!leads()) {
+        if (m_consensus->role == control::VoterRole::Leader) {
+            co_return Unavailable{"the leader does not know yet what is committed"};
+        }
+        co_return NotLeader{leaderLink()};
+    }
+    control::ConsensusActions actions;
+    const std::uint64_t number = control::requestRead(*m_consensus, actions);
+    auto pending = std::make_shared<PendingRead>(m_context);
+    pending->timer.expires_after(m_settings.readTimeout);
+    m_reads[number] = pending;
+    control::tick(*m_consensus, Clock::now(), actions);
+    run(std::move(actions));
+    if (!pending->confirmed) {
+        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
+            m_reads.erase(number);
+        }
+    }
+    if (pending->confirmed.value_or(false)) {
+        co_return m_state;
+    }
+    co_return Unavailable{"no majority confirms that this coordinator leads"};
+}
+
+void Coordinator::finishRead(std::uint64_t read, bool confirmed)
+{
+    if (m_reportRead == read) {
+        m_reportRead.reset();
+        if (confirmed) {
+            replyToReports(m_state.index);
+        }
+        m_confirming.clear();
+        confirmReports();
+        return;
+    }
+    const auto found = m_reads.find(read);
+    if (found != m_reads.end()) {
+        found->second->confirmed = confirmed;
+        found->second->timer.cancel();
+        m_reads.erase(found);
+    }
+}
+
+void Coordinator::becomeLeader(control::Term term)
+{
+    m_isLeading = true;
+    ++m_counters.elections;
+    const TimePoint now = Clock::now();
+    observability::DecisionLine line("leader");
+    line.add("term", term).add("index", m_state.index).add("catalog", m_state.catalogVersion);
+    observability::logDecision(line.text());
+    m_bank = {};
+    m_entries.clear();
+    m_unconfirmed.clear();
+    m_confirming.clear();
+    m_reportRead.reset();
+    m_sentCatalogs.clear();
+    placement::begin(m_placement, term, now);
+    stateChanged();
+    broadcastCoordinators();
+}
+
+void Coordinator::loseLeadership()
+{
+    observability::logDecision("leadership-lost");
+    m_isLeading = false;
+    m_reportRead.reset();
+    m_confirming.clear();
+    m_unconfirmed.clear();
+    auto changes = std::move(m_changes);
+    m_changes.clear();
+    for (auto &[index, pending] : changes) {
+        pending->isLost = true;
+        pending->timer.cancel();
+    }
+    auto reads = std::move(m_reads);
+    m_reads.clear();
+    for (auto &[number, pending] : reads) {
+        pending->confirmed = false;
+        pending->timer.cancel();
+    }
+}
+
+void Coordinator::scheduleTick()
+{
+    m_timer.expires_after(m_settings.tick);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            tick(Clock::now());
+            scheduleTick();
+        }
+    });
+}
+
+void Coordinator::tick(TimePoint now)
+{
+    control::ConsensusActions actions;
+    control::tick(*m_consensus, now, actions);
+    run(std::move(actions));
+    m_storage->flush();
+    if (const std::string leader = leaderLink(); leader != m_announcedLeader) {
+        m_announcedLeader = leader;
+        broadcastCoordinators();
+    }
+    if (now >= m_nextSecond) {
+        m_nextSecond = now + seconds(1);
+        std::vector<registry::ServerRecord> refreshed;
+        for (auto &[id, record] : m_refreshed) {
+            refreshed.push_back(std::move(record));
+        }
+        m_refreshed.clear();
+        if (!refreshed.empty()) {
+            broadcastServers(refreshed, true, false);
+        }
+        if (leads()) {
+            const auto expired = registry::expire(m_registry, now);
+            if (!expired.empty()) {
+                serversChanged(expired, now);
+                broadcastServers(expired, false, true);
+            }
+        }
+    }
+    if (!leads()) {
+        return;
+    }
+    if (now >= m_nextVoterPlan) {
+        m_nextVoterPlan = now + milliseconds(250);
+        planVoters(now);
+    }
+    readEngines(now);
+    if (now >= m_nextPlacement) {
+        planPlacement(now);
+    }
+}
+
+void Coordinator::planVoters(TimePoint now)
+{
+    std::vector<voterplan::MemberView> members;
+    for (const control::Member &member : m_consensus->members) {
+        Duration silence{};
+        if (const auto progress = m_consensus->progress.find(member.id); progress != m_consensus->progress.end()) {
+            silence = now - progress->second.heard;
+        }
+        members.push_back({member, silence});
+    }
+    std::vector<voterplan::ReachableCoordinator> reachable;
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        if (!peer.hello.address.empty() && peer.dialedAddress == peer.hello.address) {
+            reachable.push_back({{peer.hello.voter, peer.hello.address, true}});
+        }
+    }
+    const auto change = voterplan::planChange(members, reachable, m_self, m_settings.voterPlan);
+    if (!change) {
+        return;
+    }
+    control::ConsensusActions actions;
+    control::ProposalResult result;
+    observability::DecisionLine line("voter-change");
+    if (const auto *add = std::get_if<voterplan::AddMember>(&*change)) {
+        line.add("add", add->member.address).add("voter", static_cast<std::uint64_t>(add->member.id));
+        result = control::proposeMember(*m_consensus, add->member, now, actions);
+    } else {
+        const auto &remove = std::get<voterplan::RemoveMember>(*change);
+        line.add("remove", static_cast<std::uint64_t>(remove.id));
+        result = control::proposeRemoval(*m_consensus, remove.id, now, actions);
+    }
+    const auto *rejected = std::get_if<control::ProposalRejected>(&result);
+    line.add("members", members.size()).add("outcome", rejected != nullptr ? control::toString(rejected->error) : "proposed");
+    observability::logDecision(line.text());
+    run(std::move(actions));
+    membershipChanged();
+}
+
+std::string Coordinator::metricsText() const
+{
+    std::ostringstream text;
+    const auto counter = [&text](std::string_view name, std::uint64_t value) {
+        text << "# TYPE mimosahollow_" << name << " counter\nmimosahollow_" << name << ' ' << value << '\n';
+    };
+    counter("changes_total", m_counters.changes);
+    counter("changes_failed_total", m_counters.changesFailed);
+    counter("announcements_total", m_counters.announcements);
+    counter("orders_total", m_counters.orders);
+    counter("orders_unanswered_total", m_counters.ordersUnanswered);
+    counter("entry_reports_total", m_counters.reports);
+    counter("elections_won_total", m_counters.elections);
+    const auto gauge = [&text](std::string_view name, std::uint64_t value) {
+        text << "# TYPE mimosahollow_" << name << " gauge\nmimosahollow_" << name << ' ' << value << '\n';
+    };
+    gauge("leads", leads() ? 1 : 0);
+    gauge("log_index", m_state.index);
+    gauge("catalog_version", m_state.catalogVersion);
+    gauge("backend_servers", m_registry.entries.size());
+    gauge("log_members", m_consensus ? m_consensus->members.size() : 0);
+    return text.str();
+}
+
+} // namespace mimosahollow::coordinator
--- /dev/null
+++ b/src/coordinator/coordinator.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "app/voterstorage.h"
+#include "coordinator/coordinatorsettings.h"
+#include "coordinator/engineport.h"
+#include "fleetlink/linkhub.h"
+#include "mimosahollow/allowance/tokenbank.h"
+#include "mimosahollow/catalog/catalogdecoder.h"
+#include "mimosahollow/catalog/catalogindex.h"
+#include "mimosahollow/control/consensus.h"
+#include "mimosahollow/fleetstate/fleetcommand.h"
+#include "mimosahollow/fleetstate/fleetstate.h"
+#include "mimosahollow/placement/placement.h"
+#include "mimosahollow/registry/serverregistry.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mimosahollow::coordinator {
+
+/** The change is durable on a majority and in force. */
+struct Committed
+{
+    bool changed = false; /**< False for a change that was overtaken or repeated. */
+};
+
+/** Another coordinator decides. */
+struct NotLeader
+{
+    std::string leaderLink; /**< Link address of the leader; empty when not known. */
+};
+
+/** Whether the change will come into force is not known, or nothing can be decided now. */
+struct Unavailable
+{
+    std::string reason;
+};
+
+using ChangeResult = std::variant<Committed, NotLeader, Unavailable>;
+using ReadResult = std::variant<fleetstate::FleetState, NotLeader, Unavailable>;
+
+/** Counters of a coordinator for its metrics. */
+struct CoordinatorCounters
+{
+    std::uint64_t changes = 0;
+    std::uint64_t changesFailed = 0;
+    std::uint64_t announcements = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t ordersUnanswered = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t elections = 0;
+};
+
+/**
+ * A process that keeps the replicated state, the list of backend servers, and, while it leads, the buckets of the organisations
+ * and the placement of adapters. Runs on one event loop; only storage has a thread of its own.
+ */
+class Coordinator
+{
+public:
+    Coordinator(boost::asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EnginePort engines);
+    ~Coordinator();
+    Coordinator(const Coordinator &) = delete;
+    Coordinator &operator=(const Coordinator &) = delete;
+
+    /** Opens storage and the link listener. Returns an error message or nothing. */
+    [[nodiscard]] std::string start();
+    /** Seeds of changed settings. */
+    void setSeeds(const std::vector<std::string> &seeds);
+
+    [[nodiscard]] boost::asio::awaitable<ChangeResult> change(fleetstate::FleetCommand command);
+    /** The newest state, confirmed by a majority. */
+    [[nodiscard]] boost::asio::awaitable<ReadResult> read();
+
+    void announce(registry::ServerRecord record);
+    void depart(const std::string &server);
+
+    [[nodiscard]] std::string metricsText() const;
+    /** Called when storage has failed: nothing can be confirmed any more. */
+    std::function<void(const std::string &)> storageFailed;
+
+private:
+    struct PendingChange;
+    struct PendingRead;
+    struct EntryView;
+
+    [[nodiscard]] bool leads() const noexcept;
+    [[nodiscard]] std::string leaderLink() const;
+    void run(control::ConsensusActions actions);
+    void carryOut(control::ConsensusAction &action);
+    void send(const control::SendToVoter &message);
+    void applyEntries(const std::vector<control::LogEntry> &entries);
+    void install(const control::InstallSnapshot &snapshot);
+    void takeSnapshot();
+    void stateChanged();
+    void membershipChanged();
+    void storageReported(storage::StorageEvent event);
+    void finishChange(control::LogIndex index, control::Term term, bool changed);
+    void finishRead(std::uint64_t read, bool confirmed);
+    void becomeLeader(control::Term term);
+    void loseLeadership();
+
+    void scheduleTick();
+    void tick(TimePoint now);
+    void planVoters(TimePoint now);
+
+    void linkOpened(const fleetlink::Peer &peer);
+    void linkClosed(const fleetlink::Peer &peer);
+    void linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message);
+    void takeReport(const fleetlink::Peer &peer, const fleetlink::EntryReport &report);
+    void confirmReports();
+    void replyToReports(control::LogIndex index);
+    void sendState(const fleetlink::Peer &peer);
+    void broadcastServers(const std::vector<registry::ServerRecord> &servers, bool heardDirectly, bool toEntries);
+    void broadcastCoordinators();
+    [[nodiscard]] fleetlink::Coordinators knownCoordinators() const;
+
+    void serversChanged(const std::vector<registry::ServerRecord> &servers, TimePoint now);
+    void planPlacement(TimePoint now);
+    void sendOrder(const placement::ModelOrder &order);
+    void readEngines(TimePoint now);
+    void flushPlacement();
+    [[nodiscard]] fleetlink::ServerPlacement placementOf(const std::string &server, TimePoint now) const;
+
+    boost::asio::io_context &m_context;
+    CoordinatorSettings m_settings;
+    catalog::CatalogDecoder m_decodeCatalog;
+    EnginePort m_engines;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<fleetlink::LinkHub> m_hub;
+    std::unique_ptr<app::VoterStorage> m_storage;
+    std::unique_ptr<control::ConsensusState> m_consensus;
+    control::VoterId m_self{};
+
+    fleetstate::FleetState m_state;
+    std::shared_ptr<const catalog::CatalogIndex> m_catalog; // of m_state; null before the first one
+    control::LogIndex m_snapshotIndex = 0;
+    std::size_t m_bytesSinceSnapshot = 0;
+    std::map<control::LogIndex, std::shared_ptr<PendingChange>> m_changes;
+    std::map<std::uint64_t, std::shared_ptr<PendingRead>> m_reads;
+
+    registry::ServerRegistry m_registry;
+    std::map<std::string, registry::ServerRecord> m_refreshed; // not yet passed on to the other coordinators
+    std::map<std::string, EntryView> m_entries; // of the leader, by name
+
+    bool m_isLeading = false; // the first entry of this leader's term is applied
+    allowance::TokenBank m_bank;
+    placement::PlacementState m_placement;
+    bool m_placementFlushPosted = false;
+    std::optional<std::uint64_t> m_reportRead; // confirmation for the reports in m_confirming
+    std::vector<std::string> m_confirming;
+    std::vector<std::string> m_unconfirmed;
+    std::map<fleetlink::PeerNumber, std::uint64_t> m_sentCatalogs; // version of the catalog that each connection has
+    std::string m_announcedLeader;
+    TimePoint m_nextSecond{};
+    TimePoint m_nextVoterPlan{};
+    TimePoint m_nextPlacement{};
+    CoordinatorCounters m_counters;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // handlers that outlive this object check it
+};
+
+} // namespace mimosahollow::coordinator
--- /dev/null
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -0,0 +1,257 @@
+#include "coordinator/coordinatorinternal.h"
+
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <algorithm>
+
+namespace mimosahollow::coordinator {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/** An entry instance that is silent for so long no longer counts among those that share the fleet-wide limits. */
+constexpr Duration entrySilence = seconds(6);
+
+bool isEntry(const fleetlink::Peer &peer)
+{
+    return peer.hello.address.empty();
+}
+
+void logServer(const registry::ServerRecord &record, std::string_view source)
+{
+    constexpr std::array<std::string_view, 3> states{"ready", "draining", "gone"};
+    observability::DecisionLine line("server");
+    line.add("id", record.id).add("state", states.at(static_cast<std::size_t>(record.state))).add("address", record.address).add("domain", record.domain);
+    line.add("sequence", record.sequence).add("born", record.born).add("cold-ms", record.coldMilliseconds).add("source", source);
+    observability::logDecision(line.text());
+}
+
+} // namespace
+
+void Coordinator::announce(registry::ServerRecord record)
+{
+    ++m_counters.announcements;
+    const TimePoint now = Clock::now();
+    const registry::ServerRecord copy = record;
+    switch (registry::merge(m_registry, std::move(record), now)) {
+    case registry::MergeOutcome::Changed:
+        logServer(copy, "announcement");
+        broadcastServers({copy}, true, true);
+        serversChanged({copy}, now);
+        break;
+    case registry::MergeOutcome::Refreshed:
+        m_refreshed[copy.id] = copy;
+        break;
+    case registry::MergeOutcome::Stale:
+        break;
+    }
+}
+
+void Coordinator::depart(const std::string &server)
+{
+    const TimePoint now = Clock::now();
+    if (const auto record = registry::remove(m_registry, server, now)) {
+        logServer(*record, "departure");
+        broadcastServers({*record}, true, true);
+        serversChanged({*record}, now);
+    }
+}
+
+void Coordinator::broadcastServers(const std::vector<registry::ServerRecord> &servers, bool heardDirectly, bool toEntries)
+{
+    const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(fleetlink::ServerUpdate{servers, heardDirectly}));
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        const bool wanted = isEntry(peer) ? toEntries : !peer.dialedAddress.empty();
+        if (wanted) {
+            m_hub->sendEncoded(peer.number, link::MessageKind::Relay, bytes);
+        }
+    }
+}
+
+fleetlink::Coordinators Coordinator::knownCoordinators() const
+{
+    fleetlink::Coordinators known;
+    known.leader = leaderLink();
+    known.addresses.push_back(m_settings.linkAddress);
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        if (!isEntry(peer) && !peer.dialedAddress.empty()) {
+            known.addresses.push_back(peer.dialedAddress);
+        }
+    }
+    for (const control::Member &member : m_consensus->members) {
+        if (std::find(known.addresses.begin(), known.addresses.end(), member.address) == known.addresses.end()) {
+            known.addresses.push_back(member.address);
+        }
+    }
+    return known;
+}
+
+void Coordinator::broadcastCoordinators()
+{
+    const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(knownCoordinators()));
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        m_hub->sendEncoded(peer.number, link::MessageKind::Relay, bytes);
+    }
+}
+
+void Coordinator::linkOpened(const fleetlink::Peer &peer)
+{
+    if (!isEntry(peer)) {
+        m_hub->dial(peer.hello.address);
+    }
+    if (isEntry(peer) || !peer.dialedAddress.empty()) {
+        m_hub->send(peer.number, knownCoordinators());
+        fleetlink::ServerUpdate all;
+        for (const auto &[id, entry] : m_registry.entries) {
+            all.servers.push_back(entry.record);
+        }
+        m_hub->send(peer.number, all);
+    }
+    if (isEntry(peer)) {
+        sendState(peer);
+        if (leads()) {
+            fleetlink::PlacementUpdate update{m_placement.fencingNumber, {}};
+            const TimePoint now = Clock::now();
+            for (const auto &[id, engine] : m_placement.engines) {
+                if (engine.isKnown) {
+                    update.servers.push_back(placementOf(id, now));
+                }
+            }
+            m_hub->send(peer.number, update);
+        }
+    } else if (!peer.dialedAddress.empty()) {
+        broadcastCoordinators();
+    }
+}
+
+void Coordinator::linkClosed(const fleetlink::Peer &peer)
+{
+    m_sentCatalogs.erase(peer.number);
+}
+
+/** Sends the replicated state; leaves out the catalog when the connection has carried it already. */
+void Coordinator::sendState(const fleetlink::Peer &peer)
+{
+    if (!m_state.catalogText) {
+        return;
+    }
+    const auto sent = m_sentCatalogs.find(peer.number);
+    if (sent != m_sentCatalogs.end() && sent->second == m_state.catalogVersion) {
+        fleetstate::FleetState withoutText = m_state;
+        withoutText.catalogText.reset();
+        m_hub->send(peer.number, withoutText);
+        return;
+    }
+    m_sentCatalogs[peer.number] = m_state.catalogVersion;
+    m_hub->send(peer.number, m_state);
+}
+
+void Coordinator::linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message)
+{
+    if (const auto *known = std::get_if<fleetlink::Coordinators>(&message)) {
+        for (const std::string &address : known->addresses) {
+            m_hub->dial(address);
+        }
+    } else if (auto *update = std::get_if<fleetlink::ServerUpdate>(&message)) {
+        const TimePoint now = Clock::now();
+        std::vector<registry::ServerRecord> changed;
+        for (registry::ServerRecord &record : update->servers) {
+            const registry::ServerRecord copy = record;
+            if (registry::merge(m_registry, std::move(record), now) == registry::MergeOutcome::Changed) {
+                logServer(copy, peer.hello.name);
+                changed.push_back(copy);
+            }
+        }
+        if (!changed.empty()) {
+            serversChanged(changed, now);
+            // An entry instance may be cut off from the coordinator that heard the server.
+            broadcastServers(changed, false, leads());
+        }
+    } else if (const auto *report = std::get_if<fleetlink::EntryReport>(&message)) {
+        takeReport(peer, *report);
+    }
+}
+
+void Coordinator::takeReport(const fleetlink::Peer &peer, const fleetlink::EntryReport &report)
+{
+    if (!leads()) {
+        return;
+    }
+    ++m_counters.reports;
+    const TimePoint now = Clock::now();
+    EntryView &entry = m_entries[peer.hello.name];
+    entry.peer = peer.number;
+    entry.heard = now;
+    entry.stamp = report.stamp;
+    entry.running = report.running;
+    for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
+        entry.granted[wish.name] += allowance::grant(m_bank, wish.name, wish.value, now);
+    }
+    bool anyWaits = false;
+    for (const fleetlink::AdapterDemand &demand : report.demand) {
+        placement::noteDemand(m_placement, peer.hello.name, {demand.model, demand.adapter}, demand.service, demand.waiting, demand.started, now);
+        anyWaits = anyWaits || demand.waiting > 0;
+    }
+    if (anyWaits) {
+        planPlacement(now);
+    }
+    m_unconfirmed.push_back(peer.hello.name);
+    confirmReports();
+}
+
+/** One round of the log confirms all reports that have arrived before it. */
+void Coordinator::confirmReports()
+{
+    if (m_reportRead || m_unconfirmed.empty() || !leads()) {
+        return;
+    }
+    m_confirming.swap(m_unconfirmed);
+    control::ConsensusActions actions;
+    m_reportRead = control::requestRead(*m_consensus, actions);
+    control::tick(*m_consensus, Clock::now(), actions);
+    run(std::move(actions));
+}
+
+void Coordinator::replyToReports(control::LogIndex index)
+{
+    const TimePoint now = Clock::now();
+    std::erase_if(m_entries, [now](const auto &item) {
+        return now - item.second.heard > entrySilence;
+    });
+    std::map<std::string, double> running;
+    for (const auto &[name, entry] : m_entries) {
+        for (const fleetlink::NamedNumber &server : entry.running) {
+            running[server.name] += server.value;
+        }
+    }
+    for (auto &[id, engine] : m_placement.engines) {
+        const auto found = running.find(id);
+        engine.running = found == running.end() ? 0 : static_cast<unsigned>(found->second);
+    }
+    for (const std::string &name : m_confirming) {
+        const auto found = m_entries.find(name);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        EntryView &entry = found->second;
+        fleetlink::LeaderReply reply{entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}};
+        for (const auto &[organisation, tokens] : entry.granted) {
+            reply.tokens.push_back({organisation, tokens});
+        }
+        entry.granted.clear();
+        std::map<std::string, double> others = running;
+        for (const fleetlink::NamedNumber &own : entry.running) {
+            others[own.name] -= own.value;
+        }
+        for (const auto &[server, count] : others) {
+            if (count > 0) {
+                reply.running.push_back({server, count});
+            }
+        }
+        m_hub->send(entry.peer, reply);
+    }
+}
+
+} // namespace mimosahollow::coordinator
--- /dev/null
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -0,0 +1,145 @@
+#include "coordinator/coordinatorinternal.h"
+
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace mimosahollow::coordinator {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/** Placement is planned anew so often when no report asks for it, for replicas and engines without weights. */
+constexpr Duration placementInterval = milliseconds(200);
+
+constexpr std::array<std::string_view, 5> outcomeNames{"accepted", "already-done", "conflict", "rejected", "unknown"};
+
+} // namespace
+
+void Coordinator::serversChanged(const std::vector<registry::ServerRecord> &servers, TimePoint now)
+{
+    if (!leads() || !m_catalog) {
+        return;
+    }
+    for (const registry::ServerRecord &record : servers) {
+        const catalog::ServiceSpec *service = m_catalog->findService(record.service);
+        if (service == nullptr || !service->engine) {
+            continue;
+        }
+        placement::noteServer(m_placement, record, !m_state.evacuatedDomains.contains(record.domain), now);
+    }
+}
+
+void Coordinator::planPlacement(TimePoint now)
+{
+    m_nextPlacement = now + placementInterval;
+    if (!leads() || !m_catalog) {
+        return;
+    }
+    for (const placement::ModelOrder &order : placement::planOrders(m_placement, *m_catalog, now)) {
+        sendOrder(order);
+    }
+    flushPlacement();
+}
+
+void Coordinator::sendOrder(const placement::ModelOrder &order)
+{
+    ++m_counters.orders;
+    m_engines.order(order, [this, alive = m_alive, order, sent = Clock::now()](placement::OrderOutcome outcome) {
+        if (!*alive) {
+            return;
+        }
+        const TimePoint now = Clock::now();
+        observability::DecisionLine line("order");
+        line.add("server", order.server).add("kind", order.kind == placement::OrderKind::Load ? "load" : "unload");
+        line.add("model", order.model).add("adapter", order.adapter).add("version", order.version);
+        line.add("sequence", order.expectedSequence).add("fencing", order.fencingNumber);
+        line.add("outcome", outcomeNames.at(static_cast<std::size_t>(outcome)));
+        line.add("ms", static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now - sent).count()));
+        observability::logDecision(line.text());
+        if (outcome == placement::OrderOutcome::Unknown) {
+            ++m_counters.ordersUnanswered;
+        }
+        if (!leads() || m_placement.fencingNumber != order.fencingNumber) {
+            return;
+        }
+        placement::orderAnswered(m_placement, order, outcome, now);
+        planPlacement(now);
+    });
+}
+
+void Coordinator::readEngines(TimePoint now)
+{
+    for (const std::string &server : placement::dueReports(m_placement, now)) {
+        const placement::EngineState &engine = m_placement.engines.at(server);
+        const std::uint64_t term = m_placement.fencingNumber;
+        m_engines.report(server, engine.address, [this, alive = m_alive, server, term, born = engine.born](std::optional<placement::ModelReport> report) {
+            if (!*alive || !leads() || m_placement.fencingNumber != term) {
+                return;
+            }
+            const TimePoint answered = Clock::now();
+            if (report) {
+                placement::noteReport(m_placement, server, born, *report, answered);
+                flushPlacement();
+            } else {
+                placement::reportFailed(m_placement, server, answered);
+            }
+        });
+    }
+}
+
+/** Sends the changed placements once the events at hand are handled: one message for all of them. */
+void Coordinator::flushPlacement()
+{
+    if (m_placement.changed.empty() || m_placementFlushPosted) {
+        return;
+    }
+    m_placementFlushPosted = true;
+    boost::asio::post(m_context, [this, alive = m_alive] {
+        if (!*alive) {
+            return;
+        }
+        m_placementFlushPosted = false;
+        if (!leads()) {
+            return;
+        }
+        const TimePoint now = Clock::now();
+        fleetlink::PlacementUpdate update{m_placement.fencingNumber, {}};
+        for (const std::string &server : m_placement.changed) {
+            const auto engine = m_placement.engines.find(server);
+            if (engine != m_placement.engines.end() && engine->second.isKnown) {
+                update.servers.push_back(placementOf(server, now));
+            }
+        }
+        m_placement.changed.clear();
+        if (update.servers.empty()) {
+            return;
+        }
+        const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(update));
+        for (const fleetlink::Peer &peer : m_hub->peers()) {
+            if (peer.hello.address.empty()) {
+                m_hub->sendEncoded(peer.number, link::MessageKind::Relay, bytes);
+            }
+        }
+    });
+}
+
+fleetlink::ServerPlacement Coordinator::placementOf(const std::string &server, TimePoint now) const
+{
+    const placement::EngineState &engine = m_placement.engines.at(server);
+    fleetlink::ServerPlacement placed{server, engine.born, {}};
+    for (const auto &[key, copy] : engine.adapters) {
+        // An order without an answer may not have been carried out.
+        const bool isUncertain = engine.unresolved && engine.unresolved->model == key.model && engine.unresolved->adapter == key.adapter;
+        if (isUncertain) {
+            continue;
+        }
+        const auto left = std::chrono::ceil<milliseconds>(copy.readyAt - now).count();
+        placed.adapters.push_back({key.model, key.adapter, copy.version, static_cast<unsigned>(std::max<std::int64_t>(0, left))});
+    }
+    return placed;
+}
+
+} // namespace mimosahollow::coordinator
--- /dev/null
+++ b/src/coordinator/coordinatorsettings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "mimosahollow/control/consensusstate.h"
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/placement/placementstate.h"
+#include "mimosahollow/registry/serverregistry.h"
+#include "mimosahollow/voterplan/voterplan.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::coordinator {
+
+/** Timing of the replicated log on machines with a part of a core, where a wake-up costs processor time. */
+inline control::ConsensusOptions consensusDefaults()
+{
+    control::ConsensusOptions options;
+    options.electionTimeoutMinimum = milliseconds(500);
+    options.electionTimeoutMaximum = milliseconds(900);
+    options.heartbeat = milliseconds(100);
+    return options;
+}
+
+struct CoordinatorSettings
+{
+    std::string name;
+    std::string domain;
+    std::string linkAddress; /**< Where other instances connect. */
+    std::vector<std::string> seeds; /**< Link addresses of coordinators; may be out of date. */
+    bool foundsFleet = false; /**< The whole fleet starts for the first time: the seeds are its first voters. */
+    std::string dataFolder;
+    std::set<std::string> domains; /**< All failure domains; others cannot be evacuated. */
+    Duration changeTimeout = milliseconds(1500); /**< For one change to be committed; callers resend after less than 4 s. */
+    Duration readTimeout = milliseconds(700); /**< For a confirmed read; callers give up after 1 s. */
+    Duration tick = milliseconds(25); /**< A quarter of a heartbeat. */
+    control::ConsensusOptions consensus = consensusDefaults();
+    registry::RegistryOptions registry;
+    placement::PlacementOptions placement;
+    voterplan::VoterPlanOptions voterPlan;
+};
+
+} // namespace mimosahollow::coordinator
--- /dev/null
+++ b/src/dispatch/dispatch.cpp
@@ -0,0 +1,253 @@
+#include "mimosahollow/dispatch/dispatch.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace mimosahollow::dispatch {
+
+namespace {
+
+constexpr double failureSmoothing = 0.15; // weight of the newest call: about seven calls decide
+constexpr Duration coldWindow = seconds(1); // the cold rate is per second
+constexpr Duration recheck = milliseconds(100); // bounds a wait when no event ends it
+constexpr Duration shortRetry = milliseconds(250); // an adapter from the store takes as long
+constexpr Duration longRetry = milliseconds(1000); // without a server, an announcement or a restart is needed
+
+/** Whether @p server may get calls at all. */
+bool isUsable(const DispatchState &state, const ServerView &server, const Call &call, TimePoint now)
+{
+    return server.record.state == registry::ServerState::Ready && server.record.service == call.service
+           && !state.evacuatedDomains.contains(server.record.domain) && now >= server.avoidUntil && !call.tried.contains(server.record.id);
+}
+
+unsigned capacity(const DispatchState &state, const ServerView &server, bool isEngine)
+{
+    if (isEngine) {
+        return std::max(1U, static_cast<unsigned>(server.record.slots * state.options.batchShare));
+    }
+    return server.record.slots + state.options.plainQueue;
+}
+
+/** Share of this instance in the cold rate. */
+bool bearsCold(const DispatchState &state, ServerView &server, const catalog::ServiceSpec &service, TimePoint now)
+{
+    if (now >= server.coldUntil || service.coldCallsPerSecond <= 0) {
+        return true;
+    }
+    while (!server.coldSends.empty() && now - server.coldSends.front() >= coldWindow) {
+        server.coldSends.pop_front();
+    }
+    const double share = service.coldCallsPerSecond * state.options.coldOvershoot / std::max(1U, state.entries);
+    return static_cast<double>(server.coldSends.size()) + 1 <= std::max(1.0, share);
+}
+
+struct Candidate
+{
+    ServerView *server = nullptr;
+    std::uint64_t version = 0;
+    TimePoint readyAt{};
+};
+
+/** The copy of the adapter, or of the base model, that @p call needs at @p server. */
+std::optional<Candidate> findCopy(const DispatchState &state, ServerView &server, const Call &call)
+{
+    if (call.model.empty()) {
+        return Candidate{&server, 0, {}};
+    }
+    if (call.adapter.empty()) {
+        return server.baseModels.contains(call.model) ? std::optional(Candidate{&server, 0, {}}) : std::nullopt;
+    }
+    const auto copy = server.adapters.find({call.model, call.adapter});
+    if (copy == server.adapters.end()) {
+        return std::nullopt;
+    }
+    const auto required = state.adapterVersions.find(call.model + "/" + call.adapter);
+    if (required == state.adapterVersions.end()) {
+        return Candidate{&server, 0, copy->second.readyAt};
+    }
+    if (copy->second.version < required->second) {
+        return std::nullopt;
+    }
+    return Candidate{&server, copy->second.version, copy->second.readyAt};
+}
+
+double cost(DispatchState &state, const ServerView &server)
+{
+    const double load = (server.running + server.othersRunning + 1.0) / std::max(1U, server.record.slots);
+    const double distance = server.record.domain == state.options.domain ? 0 : state.options.otherDomainCost;
+    // Instances that see the same counts must not all choose the same server.
+    const double noise = std::uniform_real_distribution<double>(0, 0.03)(state.random);
+    return load + distance + noise + server.failureShare * state.options.failureCost;
+}
+
+Decision waitOrRefuse(const DispatchState &state, const Call &call, RefusalCause cause, TimePoint readyAt, TimePoint now)
+{
+    const auto patience = std::chrono::duration_cast<Duration>((call.objectiveEnd - call.arrived) * state.options.objectiveShare);
+    const TimePoint limit = std::min(call.arrived + patience, call.deadline);
+    if (readyAt > now && readyAt <= std::min(call.objectiveEnd + state.options.adapterGrace, call.deadline)) {
+        return Wait{cause, readyAt};
+    }
+    if (now >= limit) {
+        return Refuse{cause, cause == RefusalCause::NoServer ? longRetry : shortRetry};
+    }
+    return Wait{cause, std::min(limit, now + recheck)};
+}
+
+} // namespace
+
+std::string_view toString(RefusalCause cause) noexcept
+{
+    switch (cause) {
+    case RefusalCause::NoServer:
+        return "no-server";
+    case RefusalCause::NoCapacity:
+        return "no-capacity";
+    case RefusalCause::AdapterNotLoaded:
+        return "adapter-not-loaded";
+    case RefusalCause::ColdServers:
+        return "cold-servers";
+    }
+    return "unknown";
+}
+
+Decision decide(DispatchState &state, const Call &call, TimePoint now)
+{
+    const catalog::ServiceSpec *service = state.catalog ? state.catalog->findService(call.service) : nullptr;
+    if (service == nullptr) {
+        return Refuse{RefusalCause::NoServer, longRetry};
+    }
+    const bool isEngine = service->engine.has_value();
+    std::optional<Candidate> best;
+    double bestCost = 0;
+    TimePoint nextReady{};
+    RefusalCause cause = RefusalCause::NoServer;
+    for (auto &[id, server] : state.servers) {
+        if (!isUsable(state, server, call, now)) {
+            continue;
+        }
+        const auto copy = findCopy(state, server, call);
+        if (!copy) {
+            cause = std::max(cause, RefusalCause::AdapterNotLoaded);
+            continue;
+        }
+        if (copy->readyAt > now) {
+            cause = std::max(cause, RefusalCause::AdapterNotLoaded);
+            nextReady = nextReady == TimePoint{} ? copy->readyAt : std::min(nextReady, copy->readyAt);
+            continue;
+        }
+        if (server.running + server.othersRunning >= capacity(state, server, isEngine)) {
+            cause = std::max(cause, RefusalCause::NoCapacity);
+            continue;
+        }
+        if (!bearsCold(state, server, *service, now)) {
+            cause = std::max(cause, RefusalCause::ColdServers);
+            continue;
+        }
+        const double value = cost(state, server);
+        if (!best || value < bestCost) {
+            best = copy;
+            bestCost = value;
+        }
+    }
+    if (best) {
+        return Send{best->server->record.id, best->server->record.address, best->version};
+    }
+    return waitOrRefuse(state, call, cause, nextReady, now);
+}
+
+void started(DispatchState &state, const std::string &server, TimePoint now)
+{
+    if (const auto found = state.servers.find(server); found != state.servers.end()) {
+        ++found->second.running;
+        if (now < found->second.coldUntil) {
+            found->second.coldSends.push_back(now);
+        }
+    }
+}
+
+void ended(DispatchState &state, const std::string &server, CallResult result, TimePoint now)
+{
+    const auto found = state.servers.find(server);
+    if (found == state.servers.end()) {
+        return;
+    }
+    ServerView &view = found->second;
+    view.running -= view.running > 0 ? 1 : 0;
+    switch (result) {
+    case CallResult::Answered:
+        view.failureShare *= 1 - failureSmoothing;
+        break;
+    case CallResult::Failed:
+        view.failureShare += (1 - view.failureShare) * failureSmoothing;
+        break;
+    case CallResult::Unreachable:
+        view.failureShare += (1 - view.failureShare) * failureSmoothing;
+        view.avoidUntil = now + state.options.connectFailurePause;
+        break;
+    case CallResult::NotRun:
+    case CallResult::Abandoned:
+        break;
+    }
+}
+
+bool noteServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now)
+{
+    ServerView &view = state.servers[record.id];
+    const bool isKnown = !view.record.id.empty();
+    if (isKnown) {
+        const bool isOlder = record.born < view.record.born
+                             || (record.born == view.record.born
+                                 && (record.sequence < view.record.sequence || (record.sequence == view.record.sequence && record.state <= view.record.state)));
+        if (isOlder) {
+            return false;
+        }
+    }
+    if (!isKnown || view.record.born != record.born) {
+        const unsigned running = isKnown ? view.running : 0;
+        view = {};
+        view.running = running; // calls on an earlier incarnation still end
+    }
+    view.record = record;
+    view.coldUntil = now + milliseconds(record.coldMilliseconds);
+    if (!view.isPlaced || record.held.empty()) {
+        view.adapters.clear();
+    }
+    view.baseModels.clear();
+    for (const registry::HeldModel &held : record.held) {
+        if (held.adapter.empty()) {
+            view.baseModels.insert(held.model);
+        } else if (!view.isPlaced) {
+            view.adapters[{held.model, held.adapter}] = {held.version, now};
+        }
+    }
+    return true;
+}
+
+void notePlacement(DispatchState &state, const fleetlink::PlacementUpdate &update, TimePoint now)
+{
+    if (update.term < state.placementTerm) {
+        return;
+    }
+    state.placementTerm = update.term;
+    for (const fleetlink::ServerPlacement &placement : update.servers) {
+        const auto found = state.servers.find(placement.server);
+        if (found == state.servers.end() || found->second.record.born != placement.born) {
+            continue;
+        }
+        ServerView &view = found->second;
+        view.isPlaced = true;
+        view.adapters.clear();
+        for (const fleetlink::PlacedAdapter &adapter : placement.adapters) {
+            view.adapters[{adapter.model, adapter.adapter}] = {adapter.version, now + milliseconds(adapter.readyMilliseconds)};
+        }
+    }
+}
+
+void noteMissing(DispatchState &state, const std::string &server, const Call &call)
+{
+    if (const auto found = state.servers.find(server); found != state.servers.end()) {
+        found->second.adapters.erase({call.model, call.adapter});
+    }
+}
+
+} // namespace mimosahollow::dispatch
--- /dev/null
+++ b/src/fleetlink/linkcodec.cpp
@@ -0,0 +1,281 @@
+#include "mimosahollow/fleetlink/linkmessage.h"
+
+#include "relay_generated.h"
+
+namespace mimosahollow::fleetlink {
+
+namespace {
+
+namespace wire = mimosahollow::wire::relay;
+
+template<typename To, typename From, typename Convert>
+std::vector<To> converted(const From &from, Convert convert)
+{
+    std::vector<To> to;
+    to.reserve(from.size());
+    for (const auto &item : from) {
+        to.push_back(convert(item));
+    }
+    return to;
+}
+
+std::unique_ptr<wire::NamedNumberT> toWire(const NamedNumber &number)
+{
+    auto table = std::make_unique<wire::NamedNumberT>();
+    table->name = number.name;
+    table->value = number.value;
+    return table;
+}
+
+NamedNumber fromWire(const std::unique_ptr<wire::NamedNumberT> &table)
+{
+    return {table->name, table->value};
+}
+
+std::unique_ptr<wire::ServerRecordT> toWire(const registry::ServerRecord &record)
+{
+    auto table = std::make_unique<wire::ServerRecordT>();
+    table->id = record.id;
+    table->service = record.service;
+    table->address = record.address;
+    table->domain = record.domain;
+    table->slots = record.slots;
+    table->state = static_cast<std::uint8_t>(record.state);
+    table->born = record.born;
+    table->sequence = record.sequence;
+    table->cold_milliseconds = record.coldMilliseconds;
+    for (const registry::HeldModel &held : record.held) {
+        auto item = std::make_unique<wire::HeldModelT>();
+        item->model = held.model;
+        item->adapter = held.adapter;
+        item->version = held.version;
+        table->held.push_back(std::move(item));
+    }
+    return table;
+}
+
+registry::ServerRecord fromWire(const std::unique_ptr<wire::ServerRecordT> &table)
+{
+    registry::ServerRecord record{table->id,
+                                  table->service,
+                                  table->address,
+                                  table->domain,
+                                  table->slots,
+                                  registry::ServerState::Gone,
+                                  table->born,
+                                  table->sequence,
+                                  table->cold_milliseconds,
+                                  {}};
+    if (table->state <= static_cast<std::uint8_t>(registry::ServerState::Gone)) {
+        record.state = static_cast<registry::ServerState>(table->state);
+    }
+    for (const auto &item : table->held) {
+        record.held.push_back({item->model, item->adapter, item->version});
+    }
+    return record;
+}
+
+std::unique_ptr<wire::AdapterDemandT> toWire(const AdapterDemand &demand)
+{
+    auto table = std::make_unique<wire::AdapterDemandT>();
+    table->model = demand.model;
+    table->adapter = demand.adapter;
+    table->service = demand.service;
+    table->waiting = demand.waiting;
+    table->started = demand.started;
+    return table;
+}
+
+AdapterDemand fromWire(const std::unique_ptr<wire::AdapterDemandT> &table)
+{
+    return {table->model, table->adapter, table->service, table->waiting, table->started};
+}
+
+std::unique_ptr<wire::ServerPlacementT> toWire(const ServerPlacement &placement)
+{
+    auto table = std::make_unique<wire::ServerPlacementT>();
+    table->server = placement.server;
+    table->born = placement.born;
+    for (const PlacedAdapter &adapter : placement.adapters) {
+        auto item = std::make_unique<wire::PlacedAdapterT>();
+        item->model = adapter.model;
+        item->adapter = adapter.adapter;
+        item->version = adapter.version;
+        item->ready_milliseconds = adapter.readyMilliseconds;
+        table->adapters.push_back(std::move(item));
+    }
+    return table;
+}
+
+ServerPlacement fromWire(const std::unique_ptr<wire::ServerPlacementT> &table)
+{
+    ServerPlacement placement{table->server, table->born, {}};
+    for (const auto &item : table->adapters) {
+        placement.adapters.push_back({item->model, item->adapter, item->version, item->ready_milliseconds});
+    }
+    return placement;
+}
+
+constexpr auto itemToWire = [](const auto &item) {
+    return toWire(item);
+};
+constexpr auto itemFromWire = [](const auto &item) {
+    return fromWire(item);
+};
+
+void setBody(wire::BodyUnion &body, const Hello &hello)
+{
+    wire::HelloT table;
+    table.name = hello.name;
+    table.address = hello.address;
+    table.domain = hello.domain;
+    table.voter = static_cast<std::uint32_t>(hello.voter);
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const Ping &ping)
+{
+    wire::PingT table;
+    table.stamp = ping.stamp;
+    table.is_reply = ping.isReply;
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const Coordinators &coordinators)
+{
+    wire::CoordinatorsT table;
+    table.addresses = coordinators.addresses;
+    table.leader = coordinators.leader;
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const ServerUpdate &update)
+{
+    wire::ServerUpdateT table;
+    table.servers = converted<std::unique_ptr<wire::ServerRecordT>>(update.servers, itemToWire);
+    table.heard_directly = update.heardDirectly;
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const EntryReport &report)
+{
+    wire::EntryReportT table;
+    table.stamp = report.stamp;
+    table.token_wishes = converted<std::unique_ptr<wire::NamedNumberT>>(report.tokenWishes, itemToWire);
+    table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
+    table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const LeaderReply &reply)
+{
+    wire::LeaderReplyT table;
+    table.stamp = reply.stamp;
+    table.index = reply.index;
+    table.entries = reply.entries;
+    table.tokens = converted<std::unique_ptr<wire::NamedNumberT>>(reply.tokens, itemToWire);
+    table.running = converted<std::unique_ptr<wire::NamedNumberT>>(reply.running, itemToWire);
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const PlacementUpdate &update)
+{
+    wire::PlacementUpdateT table;
+    table.term = update.term;
+    table.servers = converted<std::unique_ptr<wire::ServerPlacementT>>(update.servers, itemToWire);
+    body.Set(std::move(table));
+}
+
+void setBody(wire::BodyUnion &body, const fleetstate::FleetState &state)
+{
+    wire::FleetSnapshotT table;
+    table.index = state.index;
+    table.catalog_version = state.catalogVersion;
+    table.has_catalog = state.catalogText != nullptr;
+    if (state.catalogText) {
+        table.catalog_text = *state.catalogText;
+    }
+    table.evacuated.assign(state.evacuatedDomains.begin(), state.evacuatedDomains.end());
+    for (const auto &[adapter, version] : state.adapterVersions) {
+        auto item = std::make_unique<wire::AdapterVersionT>();
+        item->adapter = adapter;
+        item->version = version;
+        table.adapter_versions.push_back(std::move(item));
+    }
+    body.Set(std::move(table));
+}
+
+fleetstate::FleetState stateFromWire(const wire::FleetSnapshotT &table)
+{
+    fleetstate::FleetState state;
+    state.index = table.index;
+    state.catalogVersion = table.catalog_version;
+    if (table.has_catalog) {
+        state.catalogText = std::make_shared<const std::string>(table.catalog_text);
+    }
+    state.evacuatedDomains.insert(table.evacuated.begin(), table.evacuated.end());
+    for (const auto &item : table.adapter_versions) {
+        state.adapterVersions[item->adapter] = item->version;
+    }
+    return state;
+}
+
+} // namespace
+
+control::Bytes encode(const LinkMessage &message)
+{
+    wire::EnvelopeT envelope;
+    std::visit(
+        [&envelope](const auto &content) {
+            setBody(envelope.body, content);
+        },
+        message);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::Envelope::Pack(builder, &envelope));
+    const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
+    return {bytes.begin(), bytes.end()};
+}
+
+std::variant<LinkMessage, LinkCodecError> decode(std::span<const std::uint8_t> bytes)
+{
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    if (!wire::VerifyEnvelopeBuffer(verifier)) {
+        return LinkCodecError{"the bytes are not a message of this version"};
+    }
+    const std::unique_ptr<wire::EnvelopeT> envelope(wire::GetEnvelope(bytes.data())->UnPack());
+    const wire::BodyUnion &body = envelope->body;
+    if (const auto *hello = body.AsHello()) {
+        return Hello{hello->name, hello->address, hello->domain, static_cast<control::VoterId>(hello->voter)};
+    }
+    if (const auto *ping = body.AsPing()) {
+        return Ping{ping->stamp, ping->is_reply};
+    }
+    if (const auto *coordinators = body.AsCoordinators()) {
+        return Coordinators{coordinators->addresses, coordinators->leader};
+    }
+    if (const auto *update = body.AsServerUpdate()) {
+        return ServerUpdate{converted<registry::ServerRecord>(update->servers, itemFromWire), update->heard_directly};
+    }
+    if (const auto *report = body.AsEntryReport()) {
+        return EntryReport{report->stamp,
+                           converted<NamedNumber>(report->token_wishes, itemFromWire),
+                           converted<NamedNumber>(report->running, itemFromWire),
+                           converted<AdapterDemand>(report->demand, itemFromWire)};
+    }
+    if (const auto *reply = body.AsLeaderReply()) {
+        return LeaderReply{reply->stamp,
+                           reply->index,
+                           reply->entries,
+                           converted<NamedNumber>(reply->tokens, itemFromWire),
+                           converted<NamedNumber>(reply->running, itemFromWire)};
+    }
+    if (const auto *placement = body.AsPlacementUpdate()) {
+        return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire)};
+    }
+    if (const auto *state = body.AsFleetSnapshot()) {
+        return stateFromWire(*state);
+    }
+    return LinkCodecError{"the message has no known content"};
+}
+
+} // namespace mimosahollow::fleetlink
--- /dev/null
+++ b/src/fleetstate/fleetcodec.cpp
@@ -0,0 +1,91 @@
+#include "mimosahollow/fleetstate/fleetcommand.h"
+#include "mimosahollow/fleetstate/fleetstate.h"
+
+#include "relay_generated.h"
+
+namespace mimosahollow::fleetstate {
+
+namespace {
+
+namespace wire = mimosahollow::wire::relay;
+
+control::Bytes finished(const flatbuffers::FlatBufferBuilder &builder)
+{
+    const std::span<const std::uint8_t> bytes(builder.GetBufferPointer(), builder.GetSize());
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string textOf(const flatbuffers::String *value)
+{
+    return value == nullptr ? std::string() : value->str();
+}
+
+/** The table in @p bytes, null when they are damaged. */
+template<typename Table>
+const Table *verified(std::span<const std::uint8_t> bytes)
+{
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(bytes.data()) : nullptr;
+}
+
+} // namespace
+
+control::Bytes encodeCommand(const FleetCommand &command)
+{
+    flatbuffers::FlatBufferBuilder builder(command.text.size() + 256);
+    builder.Finish(
+        wire::CreateFleetCommandDirect(builder, static_cast<std::uint8_t>(command.kind), command.version, command.subject.c_str(), command.text.c_str()));
+    return finished(builder);
+}
+
+std::variant<FleetCommand, FleetStateError> decodeCommand(std::span<const std::uint8_t> bytes)
+{
+    const auto *table = verified<wire::FleetCommand>(bytes);
+    if (table == nullptr || table->kind() > static_cast<std::uint8_t>(CommandKind::NameAdapterVersion)) {
+        return FleetStateError{"the bytes are not a command of this version"};
+    }
+    return FleetCommand{static_cast<CommandKind>(table->kind()), table->version(), textOf(table->subject()), textOf(table->text())};
+}
+
+control::Bytes encodeSnapshot(const FleetState &state)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<wire::AdapterVersion>> versions;
+    for (const auto &[adapter, version] : state.adapterVersions) {
+        versions.push_back(wire::CreateAdapterVersionDirect(builder, adapter.c_str(), version));
+    }
+    std::vector<flatbuffers::Offset<flatbuffers::String>> evacuated;
+    for (const std::string &domain : state.evacuatedDomains) {
+        evacuated.push_back(builder.CreateString(domain));
+    }
+    const char *text = state.catalogText ? state.catalogText->c_str() : nullptr;
+    builder.Finish(wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions));
+    return finished(builder);
+}
+
+std::variant<FleetState, FleetStateError> decodeSnapshot(std::span<const std::uint8_t> bytes)
+{
+    const auto *table = verified<wire::FleetSnapshot>(bytes);
+    if (table == nullptr) {
+        return FleetStateError{"the bytes are not a snapshot of this version"};
+    }
+    FleetState state;
+    state.index = table->index();
+    state.catalogVersion = table->catalog_version();
+    if (table->has_catalog()) {
+        state.catalogText = std::make_shared<const std::string>(textOf(table->catalog_text()));
+    }
+    if (table->evacuated() != nullptr) {
+        for (const flatbuffers::String *domain : *table->evacuated()) {
+            state.evacuatedDomains.insert(domain->str());
+        }
+    }
+    if (table->adapter_versions() != nullptr) {
+        for (const wire::AdapterVersion *entry : *table->adapter_versions()) {
+            state.adapterVersions[textOf(entry->adapter())] = entry->version();
+        }
+    }
+    return state;
+}
+
+} // namespace mimosahollow::fleetstate
--- /dev/null
+++ b/src/fleetstate/fleetstate.cpp
@@ -0,0 +1,48 @@
+#include "mimosahollow/fleetstate/fleetstate.h"
+
+#include "mimosahollow/fleetstate/fleetcommand.h"
+
+namespace mimosahollow::fleetstate {
+
+namespace {
+
+bool putCatalog(FleetState &state, const FleetCommand &command)
+{
+    // The highest version rules; an equal one is a resend, or another operator's change that lost the race.
+    if (state.catalogText && command.version <= state.catalogVersion) {
+        return false;
+    }
+    state.catalogVersion = command.version;
+    state.catalogText = std::make_shared<const std::string>(command.text);
+    return true;
+}
+
+bool nameAdapterVersion(FleetState &state, const FleetCommand &command)
+{
+    std::uint64_t &version = state.adapterVersions[command.subject];
+    if (command.version <= version) {
+        return false;
+    }
+    version = command.version;
+    return true;
+}
+
+} // namespace
+
+bool apply(FleetState &state, control::LogIndex index, const FleetCommand &command)
+{
+    state.index = index;
+    switch (command.kind) {
+    case CommandKind::PutCatalog:
+        return putCatalog(state, command);
+    case CommandKind::EvacuateDomain:
+        return state.evacuatedDomains.insert(command.subject).second;
+    case CommandKind::ReturnDomain:
+        return state.evacuatedDomains.erase(command.subject) != 0;
+    case CommandKind::NameAdapterVersion:
+        return nameAdapterVersion(state, command);
+    }
+    return false;
+}
+
+} // namespace mimosahollow::fleetstate
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "addresses.h"
+#include "link/lossdetection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,9 +16,6 @@
 
 // Enough for the slots of one server; more idle connections only hold memory.
 constexpr std::size_t maximumIdlePerServer = 64;
-constexpr seconds connectTimeout{2};
-// Connections to servers that left are closed after this time; servers that get calls reuse theirs much sooner.
-constexpr seconds maximumIdleTime{30};
 constexpr seconds sweepInterval{5};
 
 /** An idle connection on which the server has sent something, or which it has closed, must not carry another call. */
@@ -31,7 +29,7 @@
 
 } // namespace
 
-UpstreamConnections::UpstreamConnections(asio::io_context &context) : m_context(context)
+UpstreamConnections::UpstreamConnections(asio::io_context &context, const UpstreamOptions &options) : m_context(context), m_options(options)
 {
 }
 
@@ -45,7 +43,8 @@
     while (!idle.empty()) {
         UpstreamPointer connection = std::move(idle.back());
         idle.pop_back();
-        if (isQuiet(connection->stream)) {
+        const bool isFresh = std::chrono::steady_clock::now() - connection->idleSince < connection->idleLimit;
+        if (isFresh && isQuiet(connection->stream)) {
             connection->reused = true;
             return connection;
         }
@@ -64,7 +63,7 @@
     if (!endpoint) {
         co_return false;
     }
-    connection.stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + connectTimeout));
+    connection.stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + m_options.connectTimeout));
     const auto [error] = co_await connection.stream.async_connect(*endpoint, asio::as_tuple(asio::use_awaitable));
     if (error) {
         co_return false;
@@ -73,6 +72,9 @@
     connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), optionError);
     // isQuiet() must not block; set once here, because setting it for each call costs a system call.
     connection.stream.socket().non_blocking(true, optionError);
+    if (!optionError && m_options.lossTimeout > Duration::zero()) {
+        link::detectLoss(connection.stream.socket(), m_options.lossTimeout);
+    }
     co_return !optionError;
 }
 
@@ -96,7 +98,7 @@
     m_nextSweep = now + sweepInterval;
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
         std::erase_if(entry->second, [now](const UpstreamPointer &connection) {
-            return now - connection->idleSince > maximumIdleTime || !isQuiet(connection->stream);
+            return now - connection->idleSince > connection->idleLimit || !isQuiet(connection->stream);
         });
         entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
     }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -24,6 +24,14 @@
     boost::beast::flat_buffer buffer;
     bool reused = false; /**< The server may have closed it while it was idle. */
     TimePoint idleSince{};
+    Duration idleLimit = seconds(30); /**< Servers that left keep theirs open this long; a server may announce a shorter time. */
+};
+
+struct UpstreamOptions
+{
+    Duration connectTimeout = seconds(2);
+    /** Ends a connection on which the peer confirms nothing; 0: as the operating system does. */
+    Duration lossTimeout{};
 };
 
 using UpstreamPointer = std::unique_ptr<UpstreamConnection>;
@@ -32,7 +40,7 @@
 class UpstreamConnections
 {
 public:
-    explicit UpstreamConnections(boost::asio::io_context &context);
+    explicit UpstreamConnections(boost::asio::io_context &context, const UpstreamOptions &options = {});
 
     /** An idle connection that the server has neither closed nor written to; null when there is none. */
     [[nodiscard]] UpstreamPointer takeIdle(const std::string &address);
@@ -48,6 +56,7 @@
     void closeOld(TimePoint now);
 
     boost::asio::io_context &m_context;
+    UpstreamOptions m_options;
     std::unordered_map<std::string, std::vector<UpstreamPointer>> m_idle;
     TimePoint m_nextSweep{};
 };
--- /dev/null
+++ b/src/httpio/httplistener.cpp
@@ -0,0 +1,133 @@
+#include "httplistener.h"
+
+#include "gateway/addresses.h"
+#include "mimosahollow/observability/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace mimosahollow::httpio {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+struct HttpListener::Impl
+{
+    Impl(asio::io_context &ioContext, HttpListenerOptions listenerOptions, HttpHandler callHandler)
+        : context(ioContext), options(std::move(listenerOptions)), handler(std::move(callHandler)), acceptor(ioContext)
+    {
+    }
+
+    asio::io_context &context;
+    HttpListenerOptions options;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+};
+
+namespace {
+
+template<typename Impl>
+asio::awaitable<void> serveConnection(std::shared_ptr<Impl> impl, tcp::socket socket)
+{
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    for (;;) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(impl->options.bodyBytes);
+        stream.expires_after(impl->options.readTimeout);
+        if (const auto [error, count] = co_await http::async_read(stream, buffer, parser, token); error) {
+            break;
+        }
+        auto request = parser.release();
+        const bool keepAlive = request.keep_alive();
+        stream.expires_never();
+        // GCC 12 destroys aggregates twice that are temporaries of an expression with co_await.
+        HttpCall call{std::string(request.method_string()), std::string(request.target()), std::move(request.body())};
+        HttpReply reply = co_await impl->handler(std::move(call));
+        http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
+        response.set(http::field::content_type, reply.contentType);
+        for (const auto &[name, value] : reply.headers) {
+            response.set(name, value);
+        }
+        response.body() = std::move(reply.body);
+        response.keep_alive(keepAlive);
+        response.prepare_payload();
+        stream.expires_after(impl->options.readTimeout);
+        if (const auto [error, count] = co_await http::async_write(stream, response, token); error || !keepAlive) {
+            break;
+        }
+    }
+    boost::system::error_code ignored; // the peer may have closed the connection already
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+template<typename Impl>
+asio::awaitable<void> acceptConnections(std::shared_ptr<Impl> impl)
+{
+    for (;;) {
+        auto [error, socket] = co_await impl->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            observability::logWarning("listener " + impl->options.address + ": " + error.message());
+            continue;
+        }
+        asio::co_spawn(impl->context, serveConnection(impl, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+std::string listen(tcp::acceptor &acceptor, const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return "invalid address " + address;
+    }
+    boost::system::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    return error ? "cannot listen on " + address + ": " + error.message() : std::string();
+}
+
+HttpListener::HttpListener(asio::io_context &context, HttpListenerOptions options, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(context, std::move(options), std::move(handler)))
+{
+}
+
+HttpListener::~HttpListener()
+{
+    boost::system::error_code ignored; // closing an acceptor that is not open is no fault
+    m_impl->acceptor.close(ignored);
+}
+
+std::string HttpListener::start()
+{
+    if (auto problem = listen(m_impl->acceptor, m_impl->options.address); !problem.empty()) {
+        return problem;
+    }
+    asio::co_spawn(m_impl->context, acceptConnections(m_impl), asio::detached);
+    return {};
+}
+
+} // namespace mimosahollow::httpio
--- /dev/null
+++ b/src/ingress/answerwriter.cpp
@@ -0,0 +1,78 @@
+#include "ingress/answerwriter.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace mimosahollow::ingress {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** A caller that takes nothing for so long is given up. */
+constexpr seconds writeTimeout{10};
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.3f", toSeconds(duration));
+    return {text.data(), static_cast<std::size_t>(std::max(0, length))};
+}
+
+} // namespace
+
+unsigned statusOf(const OwnAnswer &answer) noexcept
+{
+    return answer.status.value_or(httpStatus(answer.reason));
+}
+
+asio::awaitable<bool> writeBytes(CallerConnection &caller, std::string_view bytes)
+{
+    caller.stream.expires_after(writeTimeout);
+    const auto [error, count] = co_await asio::async_write(caller.stream, asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+    caller.stream.expires_never();
+    co_return !error;
+}
+
+asio::awaitable<bool> writeChunk(CallerConnection &caller, std::string_view bytes)
+{
+    std::array<char, 20> size{};
+    const auto [end, sizeError] = std::to_chars(size.data(), size.data() + 16, bytes.size(), 16);
+    end[0] = '\r';
+    end[1] = '\n';
+    const std::array<asio::const_buffer, 3> buffers{
+        asio::buffer(size.data(), static_cast<std::size_t>(end + 2 - size.data())), asio::buffer(bytes), asio::buffer("\r\n", 2)};
+    caller.stream.expires_after(writeTimeout);
+    const auto [error, count] = co_await asio::async_write(caller.stream, buffers, asio::as_tuple(asio::use_awaitable));
+    caller.stream.expires_never();
+    co_return !error;
+}
+
+asio::awaitable<bool> writeOwnAnswer(CallerConnection &caller, std::string_view callId, const OwnAnswer &answer)
+{
+    const unsigned status = statusOf(answer);
+    const std::string body = R"({"error":")" + std::string(toString(answer.reason)) + R"(","detail":")" + answer.detail + "\"}\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(http::obsolete_reason(static_cast<http::status>(status)));
+    text += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (!callId.empty()) {
+        text.append(caller.entry.settings().headers.callId).append(": ").append(callId).append("\r\n");
+    }
+    if (answer.retryAfter) {
+        text += "Retry-After: " + secondsText(*answer.retryAfter) + "\r\n";
+    }
+    if (!caller.keepAlive) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n" + body;
+    co_return co_await writeBytes(caller, text);
+}
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/answerwriter.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ingress/callerconnection.h"
+#include "mimosahollow/core/refusal.h"
+#include "mimosahollow/core/time.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mimosahollow::ingress {
+
+/** An answer of the entry instance itself. */
+struct OwnAnswer
+{
+    RefusalReason reason{};
+    std::string detail;
+    std::optional<Duration> retryAfter;
+    std::optional<unsigned> status; /**< Instead of the usual one of the reason. */
+};
+
+[[nodiscard]] unsigned statusOf(const OwnAnswer &answer) noexcept;
+
+/** Writes @p answer. Returns false when the connection cannot be used further. */
+[[nodiscard]] boost::asio::awaitable<bool> writeOwnAnswer(CallerConnection &caller, std::string_view callId, const OwnAnswer &answer);
+
+/** Writes @p bytes. Returns false when the connection has ended. */
+[[nodiscard]] boost::asio::awaitable<bool> writeBytes(CallerConnection &caller, std::string_view bytes);
+
+/** Writes @p bytes as one chunk of a chunked body. */
+[[nodiscard]] boost::asio::awaitable<bool> writeChunk(CallerConnection &caller, std::string_view bytes);
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/callerconnection.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "gateway/callerwatch.h"
+#include "ingress/entry.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+
+namespace mimosahollow::ingress {
+
+using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/** Connection of a caller; carries one call at a time. */
+struct CallerConnection
+{
+    CallerConnection(Entry &owner, boost::asio::ip::tcp::socket socket)
+        : entry(owner), stream(std::move(socket)), watch(std::make_shared<gateway::CallerWatch>(stream, buffer))
+    {
+    }
+    Entry &entry;
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    std::shared_ptr<gateway::CallerWatch> watch;
+    bool keepAlive = true; /**< Whether the connection can carry another call. */
+};
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/callerrequest.cpp
@@ -0,0 +1,172 @@
+#include "ingress/callerrequest.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace mimosahollow::ingress {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::array<std::string_view, 9> hopByHopNames{
+    "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade"};
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+template<typename Number>
+std::optional<Number> numberIn(std::string_view text)
+{
+    Number value{};
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && rest == text.data() + text.size() ? std::optional(value) : std::nullopt;
+}
+
+/** Prompt and output counts, separated by a comma. */
+std::optional<double> sumOfCounts(std::string_view text)
+{
+    const std::size_t comma = text.find(',');
+    const auto prompt = numberIn<std::uint64_t>(text.substr(0, comma));
+    const auto output = comma == std::string_view::npos ? std::optional<std::uint64_t>(0) : numberIn<std::uint64_t>(text.substr(comma + 1));
+    if (!prompt || !output) {
+        return std::nullopt;
+    }
+    return static_cast<double>(*prompt) + static_cast<double>(*output);
+}
+
+bool isSet(const std::string &name, std::string_view candidate)
+{
+    return !name.empty() && beast::iequals(name, candidate);
+}
+
+/** Headers that the system sets itself, or keeps to itself, whatever the caller sent. */
+bool isOwn(std::string_view name, const HeaderNames &names)
+{
+    if (beast::iequals(name, "Authorization") || beast::iequals(name, "Content-Length") || isSet(names.deadline, name) || isSet(names.organisation, name)
+        || isSet(names.expectedServer, name) || isSet(names.expectedVersion, name) || isSet(names.priority, name)) {
+        return true;
+    }
+    return std::any_of(names.reserved.begin(), names.reserved.end(), [name](const std::string &reserved) {
+        return isSet(reserved, name);
+    });
+}
+
+void appendHeader(std::string &head, std::string_view name, std::string_view value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+std::string findFraming(const CallerRequest &request)
+{
+    if (request.count(http::field::host) != 1) {
+        return "exactly one Host header is required";
+    }
+    if (request.count(http::field::authorization) > 1) {
+        return "more than one Authorization header";
+    }
+    if (request.count(http::field::transfer_encoding) > 0) {
+        // Any other value is taken for a request without a body, and the body for the next request.
+        if (request.count(http::field::transfer_encoding) > 1 || !beast::iequals(request[http::field::transfer_encoding], "chunked")) {
+            return "the transfer encoding is not supported";
+        }
+        if (request.count(http::field::content_length) > 0) {
+            return "both a length and a transfer encoding";
+        }
+    }
+    if (request.count(http::field::content_length) > 1) {
+        return "more than one Content-Length header";
+    }
+    if (request.target().empty() || request.target().front() != '/') {
+        return "the target must be a path";
+    }
+    return {};
+}
+
+CallHead readHead(const CallerRequest &request, const HeaderNames &names)
+{
+    CallHead head;
+    head.id = view(request[names.callId]);
+    head.host = view(request[http::field::host]);
+    head.host.resize(std::min(head.host.find(':'), head.host.size()));
+    head.path = view(request.target());
+    head.path.resize(std::min(head.path.find('?'), head.path.size()));
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view authorization = view(request[http::field::authorization]);
+    if (authorization.size() > scheme.size() && beast::iequals(authorization.substr(0, scheme.size()), scheme)) {
+        head.key = authorization.substr(scheme.size());
+    }
+    const std::string_view model = view(request[names.model]);
+    const std::size_t slash = model.find('/');
+    head.model = model.substr(0, slash);
+    if (slash != std::string_view::npos) {
+        head.adapter = model.substr(slash + 1);
+    }
+    head.tokens = sumOfCounts(view(request[names.tokenCounts]));
+    head.lastEvent = numberIn<std::uint64_t>(view(request[names.lastEvent]));
+    if (const auto patience = numberIn<std::uint32_t>(view(request[names.deadline]))) {
+        head.patience = milliseconds(*patience);
+    }
+    return head;
+}
+
+bool isHopByHop(std::string_view name, std::string_view connectionHeader)
+{
+    const auto isSame = [name](std::string_view other) {
+        return beast::iequals(name, other);
+    };
+    if (std::any_of(hopByHopNames.begin(), hopByHopNames.end(), isSame)) {
+        return true;
+    }
+    const http::token_list named(connectionHeader);
+    return std::any_of(named.begin(), named.end(), [&isSame](beast::string_view token) {
+        return isSame(view(token));
+    });
+}
+
+std::string makeForwardedHead(const CallerRequest &request, const HeaderNames &names, const ForwardedHeaders &added)
+{
+    std::string head;
+    head.reserve(1024);
+    head.append(view(request.method_string())).append(" ").append(view(request.target())).append(" HTTP/1.1\r\n");
+    const std::string connectionHeader(view(request[http::field::connection]));
+    for (const auto &field : request) {
+        const std::string_view name = view(field.name_string());
+        const bool isReplaced = added.lastEvent && isSet(names.lastEvent, name);
+        if (!isReplaced && !isHopByHop(name, connectionHeader) && !isOwn(name, names)) {
+            appendHeader(head, name, view(field.value()));
+        }
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(added.remaining).count();
+    appendHeader(head, names.deadline, std::to_string(std::max<std::int64_t>(1, left)));
+    if (!added.organisation.empty()) {
+        appendHeader(head, names.organisation, added.organisation);
+    }
+    appendHeader(head, names.expectedServer, added.expectedServer);
+    if (added.expectedVersion != 0) {
+        appendHeader(head, names.expectedVersion, std::to_string(added.expectedVersion));
+    }
+    if (added.priority) {
+        appendHeader(head, names.priority, std::to_string(*added.priority));
+    }
+    if (added.lastEvent) {
+        appendHeader(head, names.lastEvent, std::to_string(*added.lastEvent));
+    }
+    const bool hasBody = !request.body().empty() || request.count(http::field::content_length) > 0 || request.count(http::field::transfer_encoding) > 0;
+    if (hasBody) {
+        appendHeader(head, "Content-Length", std::to_string(request.body().size()));
+    }
+    head.append("\r\n");
+    return head;
+}
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/callersession.cpp
@@ -0,0 +1,124 @@
+#include "ingress/callersession.h"
+
+#include "ingress/answerwriter.h"
+#include "ingress/callerconnection.h"
+#include "ingress/callrelay.h"
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <optional>
+
+namespace mimosahollow::ingress {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+constexpr seconds bodyTimeout{10};
+
+catalog::CallerLimits limitsOf(const Entry &entry)
+{
+    return entry.catalog() ? entry.catalog()->catalog().limits : catalog::CallerLimits{};
+}
+
+/** Answer to a request that could not be read; nothing when the caller has just closed the connection. */
+std::optional<OwnAnswer> answerTo(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return OwnAnswer{RefusalReason::InvalidRequest, "the head is too large", std::nullopt, 431};
+    }
+    if (error == http::error::body_limit) {
+        return OwnAnswer{RefusalReason::InvalidRequest, "the body is too large", std::nullopt, 413};
+    }
+    const bool isConnectionEnd = error == http::error::end_of_stream || error == http::error::partial_message || error == beast::error::timeout;
+    if (isConnectionEnd || error.category() != make_error_code(http::error::bad_method).category()) {
+        return std::nullopt;
+    }
+    return OwnAnswer{RefusalReason::InvalidRequest, "the request is not valid HTTP", std::nullopt, std::nullopt};
+}
+
+/** Reads one request. Nothing when the connection is over; a request that cannot be read has been answered then. */
+asio::awaitable<std::optional<CallerRequest>> readRequest(CallerConnection &caller)
+{
+    const catalog::CallerLimits limits = limitsOf(caller.entry);
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    caller.stream.expires_after(limits.idleTimeout);
+    const auto idle = caller.entry.noteIdle(caller.stream);
+    auto [error, count] = co_await http::async_read_header(caller.stream, caller.buffer, parser, token);
+    caller.entry.noteBusy(idle);
+    if (!error) {
+        caller.stream.expires_after(bodyTimeout);
+        error = std::get<0>(co_await http::async_read(caller.stream, caller.buffer, parser, token));
+    }
+    caller.stream.expires_never();
+    if (!error) {
+        co_return parser.release();
+    }
+    if (const auto answer = answerTo(error)) {
+        caller.keepAlive = false;
+        const bool isWritten = co_await writeOwnAnswer(caller, {}, *answer);
+        if (!isWritten) {
+            observability::logInfo("the caller left before the answer to its invalid request");
+        }
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> serveRequests(CallerConnection &caller)
+{
+    while (caller.keepAlive) {
+        const auto request = co_await readRequest(caller);
+        if (!request) {
+            co_return;
+        }
+        caller.keepAlive = request->keep_alive() && !caller.entry.isStopping();
+        if (const std::string problem = findFraming(*request); !problem.empty()) {
+            caller.keepAlive = false;
+            observability::DecisionLine line("call-refused");
+            line.add("reason", problem);
+            observability::logDecision(line.text());
+            const OwnAnswer answer{RefusalReason::InvalidRequest, problem, std::nullopt, std::nullopt};
+            co_await writeOwnAnswer(caller, {}, answer);
+            co_return;
+        }
+        caller.watch->beginCall();
+        const bool isUsable = co_await relayCall(caller, *request);
+        caller.watch->endCall();
+        if (!isUsable || caller.watch->callerLeft()) {
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> serveCaller(Entry &entry, asio::ip::tcp::socket socket)
+{
+    boost::system::error_code error;
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    socket.non_blocking(true, error);
+    if (error) {
+        co_return; // the caller has closed the connection already
+    }
+    entry.sessionOpened();
+    {
+        CallerConnection caller(entry, std::move(socket));
+        co_await serveRequests(caller);
+        boost::system::error_code ignored; // the caller may have closed the connection already
+        caller.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+    entry.sessionClosed();
+}
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/callersession.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace mimosahollow::ingress {
+
+class Entry;
+
+/** Serves the requests of one caller's connection until it ends. */
+boost::asio::awaitable<void> serveCaller(Entry &entry, boost::asio::ip::tcp::socket socket);
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/callrelay.cpp
@@ -0,0 +1,529 @@
+#include "ingress/callrelay.h"
+
+#include "ingress/answerwriter.h"
+#include "ingress/eventrelay.h"
+#include "ingress/serverexchange.h"
+#include "mimosahollow/dispatch/dispatch.h"
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <set>
+
+namespace mimosahollow::ingress {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/** Attempts that reach no backend server are bounded too. */
+constexpr unsigned maximumRounds = 6;
+constexpr Duration staleRetry = milliseconds(500); // an election takes less than a second
+constexpr Duration rateRetry = milliseconds(1000); // a bucket holds about one second of its rate
+constexpr Duration notRunRetry = milliseconds(300);
+
+std::uint64_t millisecondsOf(Duration duration)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(duration).count()));
+}
+
+enum class AttemptEnd : std::uint8_t {
+    Answered, /**< The caller has the whole answer. */
+    CallerLeft,
+    Unreachable, /**< No byte was sent. */
+    NotRun, /**< The backend server says so. */
+    Missing, /**< The same, because it does not hold the adapter or is another one. */
+    Failed, /**< The call may have run, and the caller has nothing of it yet, or only whole events. */
+    Cut, /**< The caller has a part that cannot be continued. */
+    TimedOut,
+};
+
+AttemptEnd writeEnd(bool isWritten)
+{
+    return isWritten ? AttemptEnd::Answered : AttemptEnd::CallerLeft;
+}
+
+constexpr std::array<std::string_view, 8> endNames{"answered", "caller-left", "unreachable", "not-run", "missing", "failed", "cut", "timed-out"};
+
+/** One call of a caller while it is served. */
+class Relay
+{
+public:
+    Relay(CallerConnection &caller, const CallerRequest &request)
+        : m_caller(caller), m_entry(caller.entry), m_request(request), m_head(readHead(request, caller.entry.settings().headers)), m_arrived(Clock::now())
+    {
+        m_events.lastId = m_head.lastEvent;
+    }
+
+    asio::awaitable<bool> run();
+
+private:
+    asio::awaitable<bool> refuse(OwnAnswer answer);
+    asio::awaitable<bool> attempts();
+    asio::awaitable<AttemptEnd> attempt(const dispatch::Send &target);
+    asio::awaitable<AttemptEnd> takeAnswer(ServerExchange &exchange);
+    asio::awaitable<AttemptEnd> passWhole(ServerExchange &exchange);
+    asio::awaitable<AttemptEnd> passEvents(ServerExchange &exchange);
+    [[nodiscard]] AttemptEnd endOf(ExchangeError error) const;
+    [[nodiscard]] std::string answerHead(const ServerExchange &exchange, std::optional<std::size_t> length) const;
+    [[nodiscard]] bool isRepeatable() const;
+    [[nodiscard]] OwnAnswer failure(AttemptEnd end) const;
+    void chooseService();
+    void logEnd(std::string_view outcome, unsigned status, std::string_view reason);
+    void logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint begun, unsigned status);
+
+    CallerConnection &m_caller;
+    Entry &m_entry;
+    const CallerRequest &m_request;
+    CallHead m_head;
+    TimePoint m_arrived;
+    std::shared_ptr<const catalog::CatalogIndex> m_catalog; // keeps m_route and m_organisation alive
+    const catalog::CallRoute *m_route = nullptr;
+    const catalog::OrganisationSpec *m_organisation = nullptr;
+    dispatch::Call m_call;
+    std::set<std::string> m_sentTo;
+    unsigned m_sends = 0;
+    bool m_mayHaveRun = false;
+    bool m_headSent = false; // the caller has the head of a stream
+    unsigned m_status = 0; // of the newest answer of a backend server
+    EventRelay m_events;
+};
+
+bool Relay::isRepeatable() const
+{
+    return m_route->kind == catalog::CallKind::Idempotent || (m_route->kind == catalog::CallKind::Stream && m_route->isResumable);
+}
+
+void Relay::logEnd(std::string_view outcome, unsigned status, std::string_view reason)
+{
+    const TimePoint now = Clock::now();
+    observability::DecisionLine line("call");
+    line.add("id", m_head.id).add("outcome", outcome).add("status", status).add("reason", reason);
+    line.add("route", m_route == nullptr ? "" : m_route->name).add("organisation", m_organisation == nullptr ? "" : m_organisation->name);
+    line.add("service", m_call.service)
+        .add("model", m_head.model)
+        .add("adapter", m_head.adapter)
+        .add("sends", m_sends)
+        .add("ms", millisecondsOf(now - m_arrived));
+    line.add("catalog", m_catalog ? m_catalog->catalog().version : 0)
+        .add("state-age-ms", millisecondsOf(std::min(m_entry.stateAge(), Duration(seconds(1000)))));
+    observability::logDecision(line.text());
+}
+
+void Relay::logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint begun, unsigned status)
+{
+    const auto &servers = m_entry.dispatchState().servers;
+    const auto server = servers.find(target.server);
+    observability::DecisionLine line("attempt");
+    line.add("id", m_head.id).add("server", target.server).add("end", endNames.at(static_cast<std::size_t>(end))).add("status", status);
+    line.add("waited-ms", millisecondsOf(begun - m_arrived)).add("ms", millisecondsOf(Clock::now() - begun)).add("events", m_events.events);
+    if (server != servers.end()) {
+        line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
+    }
+    observability::logDecision(line.text());
+}
+
+asio::awaitable<bool> Relay::refuse(OwnAnswer answer)
+{
+    if (answer.retryAfter) {
+        // Callers that were refused together must not come back together.
+        const double spread = std::uniform_real_distribution<double>(0.7, 1.3)(m_entry.dispatchState().random);
+        answer.retryAfter = fromSeconds(toSeconds(*answer.retryAfter) * spread);
+    }
+    m_entry.metrics().refused(answer.reason);
+    m_entry.metrics().callEnded(observability::CallEnd::Refused, Clock::now() - m_arrived);
+    logEnd("refused", statusOf(answer), answer.detail);
+    co_return co_await writeOwnAnswer(m_caller, m_head.id, answer);
+}
+
+void Relay::chooseService()
+{
+    std::uint64_t total = 0;
+    for (const catalog::TrafficShare &share : m_route->split) {
+        total += share.weight;
+    }
+    std::uint64_t draw = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(m_entry.dispatchState().random);
+    for (const catalog::TrafficShare &share : m_route->split) {
+        if (draw < share.weight) {
+            m_call.service = share.service;
+            return;
+        }
+        draw -= share.weight;
+    }
+}
+
+asio::awaitable<bool> Relay::run()
+{
+    m_entry.metrics().callStarted();
+    m_catalog = m_entry.catalog();
+    if (!m_catalog || !m_entry.isCurrent()) {
+        // Keys may have been withdrawn, and routes added, since the leader confirmed the state.
+        const OwnAnswer answer{RefusalReason::ConfigurationStale, "no confirmed configuration", staleRetry, std::nullopt};
+        co_return co_await refuse(answer);
+    }
+    m_route = m_catalog->findRoute(m_head.host, m_head.path);
+    if (m_route == nullptr) {
+        const OwnAnswer answer{RefusalReason::UnknownRoute, "no route", std::nullopt, 404};
+        co_return co_await refuse(answer);
+    }
+    if (!m_route->isOpen && !m_catalog->catalog().organisations.empty()) {
+        m_organisation = m_catalog->findOrganisation(m_head.key);
+        if (m_organisation == nullptr) {
+            const OwnAnswer answer{RefusalReason::InvalidKey, "unknown key", std::nullopt, 401};
+            co_return co_await refuse(answer);
+        }
+    }
+    const Duration patience = std::min(m_head.patience.value_or(m_route->timeout), m_route->timeout);
+    m_call.id = m_head.id;
+    m_call.arrived = m_arrived;
+    m_call.objectiveEnd = m_arrived + m_route->objective;
+    m_call.deadline = m_arrived + patience;
+    m_call.priority = m_organisation != nullptr && m_organisation->priority >= 0 ? m_organisation->priority : m_route->priority;
+    chooseService();
+    const catalog::ServiceSpec *service = m_catalog->findService(m_call.service);
+    if (service != nullptr && service->engine) {
+        m_call.model = m_head.model;
+        m_call.adapter = m_head.adapter;
+    }
+    double tokens = 0;
+    if (m_organisation != nullptr) {
+        tokens = m_organisation->countsTokens ? m_head.tokens.value_or(m_organisation->plainTokens) : 1;
+        const bool hasTokens = co_await m_entry.takeTokens(*m_organisation, tokens, *m_caller.watch);
+        if (!hasTokens) {
+            if (m_caller.watch->callerLeft()) {
+                logEnd("caller-left", 0, "while waiting for tokens");
+                co_return false;
+            }
+            const OwnAnswer answer{RefusalReason::RateLimited, "over the rate of the organisation", rateRetry, 429};
+            co_return co_await refuse(answer);
+        }
+    }
+    const bool isUsable = co_await attempts();
+    if (m_organisation != nullptr && m_sends == 0) {
+        m_entry.giveBackTokens(m_organisation->name, tokens);
+    }
+    co_return isUsable;
+}
+
+OwnAnswer Relay::failure(AttemptEnd end) const
+{
+    if (end == AttemptEnd::TimedOut && m_mayHaveRun) {
+        return {RefusalReason::DeadlineExceeded, "the backend server has not answered in time", std::nullopt, 504};
+    }
+    if (m_mayHaveRun) {
+        return {RefusalReason::BackendFailed, "the backend server failed", std::nullopt, 502};
+    }
+    return {RefusalReason::Overloaded, std::string(endNames.at(static_cast<std::size_t>(end))), notRunRetry, 503};
+}
+
+asio::awaitable<bool> Relay::attempts()
+{
+    m_entry.countRequest(m_call.service);
+    AttemptEnd last = AttemptEnd::Unreachable;
+    for (unsigned round = 0; round < maximumRounds; ++round) {
+        const ServerChoice choice = co_await m_entry.chooseServer(m_call, *m_caller.watch);
+        if (std::holds_alternative<CallerGone>(choice)) {
+            logEnd("caller-left", 0, "while waiting for a backend server");
+            m_entry.metrics().callEnded(observability::CallEnd::CallerLeft, Clock::now() - m_arrived);
+            co_return false;
+        }
+        if (const auto *refusal = std::get_if<dispatch::Refuse>(&choice)) {
+            if (m_headSent) {
+                break;
+            }
+            if (m_mayHaveRun) {
+                const OwnAnswer answer = failure(last);
+                co_return co_await refuse(answer);
+            }
+            const OwnAnswer answer{RefusalReason::NoCapacity, std::string(dispatch::toString(refusal->cause)), refusal->retryAfter, 503};
+            co_return co_await refuse(answer);
+        }
+        const auto &target = std::get<dispatch::Send>(choice);
+        const TimePoint begun = Clock::now();
+        m_status = 0;
+        last = co_await attempt(target);
+        logAttempt(target, last, begun, m_status);
+        if (last == AttemptEnd::Answered) {
+            m_entry.metrics().callEnded(observability::CallEnd::Completed, Clock::now() - m_arrived);
+            logEnd("answered", m_status, "");
+            co_return true;
+        }
+        if (last == AttemptEnd::CallerLeft) {
+            m_entry.metrics().callEnded(observability::CallEnd::CallerLeft, Clock::now() - m_arrived);
+            logEnd("caller-left", 0, "while its call ran");
+            co_return false;
+        }
+        if (last == AttemptEnd::Cut || last == AttemptEnd::TimedOut || Clock::now() >= m_call.deadline) {
+            break;
+        }
+        if (last == AttemptEnd::Missing) {
+            m_entry.noteMissing(target.server, m_call);
+        } else {
+            m_call.tried.insert(target.server);
+        }
+        if (last == AttemptEnd::Unreachable) {
+            continue;
+        }
+        if (last == AttemptEnd::Failed && !isRepeatable()) {
+            break;
+        }
+        if (m_sentTo.size() >= m_route->maximumAttempts || !m_entry.takeRetry(m_call.service)) {
+            break;
+        }
+        m_entry.metrics().attemptRetried();
+    }
+    if (m_headSent) {
+        m_entry.metrics().callEnded(observability::CallEnd::Failed, Clock::now() - m_arrived);
+        logEnd("cut", m_status, endNames.at(static_cast<std::size_t>(last)));
+        m_caller.stream.close(); // without the end of the body, so that the answer does not look complete
+        co_return false;
+    }
+    const OwnAnswer answer = failure(last);
+    co_return co_await refuse(answer);
+}
+
+AttemptEnd Relay::endOf(ExchangeError error) const
+{
+    if (m_caller.watch->callerLeft()) {
+        return AttemptEnd::CallerLeft;
+    }
+    switch (error) {
+    case ExchangeError::Unreachable:
+        return AttemptEnd::Unreachable;
+    case ExchangeError::TimedOut:
+        return Clock::now() >= m_call.deadline ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+    case ExchangeError::None:
+    case ExchangeError::Broken:
+        break;
+    }
+    return AttemptEnd::Failed;
+}
+
+dispatch::CallResult resultOf(AttemptEnd end, unsigned status)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return status >= 500 ? dispatch::CallResult::Failed : dispatch::CallResult::Answered;
+    case AttemptEnd::CallerLeft:
+        return dispatch::CallResult::Abandoned;
+    case AttemptEnd::Unreachable:
+        return dispatch::CallResult::Unreachable;
+    case AttemptEnd::NotRun:
+    case AttemptEnd::Missing:
+        return dispatch::CallResult::NotRun;
+    case AttemptEnd::Failed:
+    case AttemptEnd::Cut:
+    case AttemptEnd::TimedOut:
+        break;
+    }
+    return dispatch::CallResult::Failed;
+}
+
+asio::awaitable<AttemptEnd> Relay::attempt(const dispatch::Send &target)
+{
+    ServerExchange exchange(m_entry, target.address);
+    m_caller.watch->setInterrupt([&exchange] {
+        exchange.abort();
+    });
+    AttemptEnd end = AttemptEnd::CallerLeft;
+    if (!m_caller.watch->callerLeft()) {
+        ExchangeError error = co_await exchange.open(m_call.deadline);
+        if (error == ExchangeError::None && !m_caller.watch->callerLeft()) {
+            ForwardedHeaders added;
+            added.organisation = m_organisation == nullptr ? std::string() : m_organisation->name;
+            added.expectedServer = target.server;
+            added.expectedVersion = target.adapterVersion;
+            added.remaining = m_call.deadline - Clock::now();
+            added.lastEvent = m_events.events > 0 ? m_events.lastId : std::nullopt;
+            if (!m_call.model.empty()) {
+                added.priority = std::clamp(m_call.priority, 0, 9);
+            }
+            m_sentTo.insert(target.server);
+            ++m_sends;
+            error = co_await exchange.begin(makeForwardedHead(m_request, m_entry.settings().headers, added), m_request.body(), m_head.id, m_call.deadline);
+            if (error == ExchangeError::None) {
+                end = co_await takeAnswer(exchange);
+            } else {
+                end = endOf(error);
+            }
+        } else {
+            end = endOf(error);
+        }
+    }
+    m_caller.watch->clearInterrupt();
+    if (end == AttemptEnd::Failed || end == AttemptEnd::Cut || end == AttemptEnd::TimedOut) {
+        m_mayHaveRun = true;
+    }
+    if (m_caller.watch->callerLeft()) {
+        end = AttemptEnd::CallerLeft;
+    }
+    m_entry.callEnded(target.server, resultOf(end, m_status));
+    co_return end;
+}
+
+asio::awaitable<AttemptEnd> Relay::takeAnswer(ServerExchange &exchange)
+{
+    const HeaderNames &names = m_entry.settings().headers;
+    m_status = exchange.status();
+    if (m_status == 421 || !exchange.header(names.notRun).empty()) {
+        const AttemptEnd notRun = m_status == 421 ? AttemptEnd::Missing : AttemptEnd::NotRun;
+        std::string dropped;
+        do {
+            dropped.clear();
+            const ExchangeError error = co_await exchange.readBody(dropped, m_call.deadline);
+            if (error != ExchangeError::None) {
+                co_return notRun;
+            }
+        } while (!dropped.empty());
+        exchange.finish();
+        co_return notRun;
+    }
+    // Only an answer that states it was not run may bear one of these; any answer without a signature is not of a backend server.
+    const bool promisesNotRun = m_status == 408 || m_status == 429 || m_status == 503;
+    if (promisesNotRun || exchange.header(names.answerSignature).empty()) {
+        co_return AttemptEnd::Failed;
+    }
+    const bool isSuccess = m_status >= 200 && m_status < 300;
+    if (m_route->kind == catalog::CallKind::Stream && isSuccess) {
+        co_return co_await passEvents(exchange);
+    }
+    co_return co_await passWhole(exchange);
+}
+
+std::string Relay::answerHead(const ServerExchange &exchange, std::optional<std::size_t> length) const
+{
+    std::string head = "HTTP/1.1 " + std::to_string(exchange.status()) + " ";
+    head.append(http::obsolete_reason(static_cast<http::status>(exchange.status()))).append("\r\n");
+    const auto connection = exchange.fields()[http::field::connection];
+    for (const auto &field : exchange.fields()) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!isHopByHop(name, {connection.data(), connection.size()}) && field.name() != http::field::content_length) {
+            head.append(name).append(": ").append(field.value().data(), field.value().size()).append("\r\n");
+        }
+    }
+    if (length) {
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    } else {
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    if (!m_caller.keepAlive) {
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    return head;
+}
+
+/** Passes an answer on once it is complete, or piece by piece when it is large. */
+asio::awaitable<AttemptEnd> Relay::passWhole(ServerExchange &exchange)
+{
+    std::string body;
+    std::size_t before = 0;
+    bool isComplete = false;
+    while (!isComplete && body.size() <= m_entry.settings().bufferedAnswerBytes) {
+        before = body.size();
+        const ExchangeError error = co_await exchange.readBody(body, m_call.deadline);
+        if (error != ExchangeError::None) {
+            co_return endOf(error);
+        }
+        isComplete = body.size() == before;
+    }
+    if (isComplete) {
+        const bool isServerFault = m_status >= 500 && isRepeatable() && m_sentTo.size() < m_route->maximumAttempts;
+        std::string text = answerHead(exchange, body.size());
+        exchange.finish();
+        if (isServerFault) {
+            co_return AttemptEnd::Failed;
+        }
+        text += body;
+        const bool isWritten = co_await writeBytes(m_caller, text);
+        co_return writeEnd(isWritten);
+    }
+    m_headSent = true;
+    const std::string head = answerHead(exchange, std::nullopt);
+    bool isWritten = co_await writeBytes(m_caller, head);
+    if (isWritten) {
+        isWritten = co_await writeChunk(m_caller, body);
+    }
+    if (!isWritten) {
+        co_return AttemptEnd::CallerLeft;
+    }
+    for (;;) {
+        body.clear();
+        const ExchangeError error = co_await exchange.readBody(body, m_call.deadline);
+        if (error != ExchangeError::None) {
+            co_return m_caller.watch->callerLeft() ? AttemptEnd::CallerLeft : AttemptEnd::Cut;
+        }
+        if (body.empty()) {
+            exchange.finish();
+            isWritten = co_await writeBytes(m_caller, "0\r\n\r\n");
+            co_return writeEnd(isWritten);
+        }
+        isWritten = co_await writeChunk(m_caller, body);
+        if (!isWritten) {
+            co_return AttemptEnd::CallerLeft;
+        }
+    }
+}
+
+asio::awaitable<AttemptEnd> Relay::passEvents(ServerExchange &exchange)
+{
+    m_events.partial.clear();
+    std::string bytes;
+    std::string whole;
+    const auto cutOrFailed = [this] {
+        return m_route->isResumable || !m_headSent ? AttemptEnd::Failed : AttemptEnd::Cut;
+    };
+    for (;;) {
+        bytes.clear();
+        whole.clear();
+        const ExchangeError error = co_await exchange.readBody(bytes, m_call.deadline);
+        if (error != ExchangeError::None) {
+            const AttemptEnd end = endOf(error);
+            co_return end == AttemptEnd::Failed ? cutOrFailed() : end;
+        }
+        const bool isEnd = bytes.empty();
+        relayEvents(m_events, bytes, whole);
+        if (isEnd && !m_events.partial.empty()) {
+            // The end is complete, but its last event is not: the backend server broke off.
+            co_return cutOrFailed();
+        }
+        if (!m_headSent && (!whole.empty() || isEnd)) {
+            m_headSent = true;
+            m_entry.metrics().firstToken(Clock::now() - m_arrived);
+            const std::string head = answerHead(exchange, std::nullopt);
+            const bool isWritten = co_await writeBytes(m_caller, head);
+            if (!isWritten) {
+                co_return AttemptEnd::CallerLeft;
+            }
+        }
+        if (!whole.empty()) {
+            const bool isWritten = co_await writeChunk(m_caller, whole);
+            if (!isWritten) {
+                co_return AttemptEnd::CallerLeft;
+            }
+        }
+        if (isEnd) {
+            exchange.finish();
+            const bool isWritten = co_await writeBytes(m_caller, "0\r\n\r\n");
+            co_return writeEnd(isWritten);
+        }
+    }
+}
+
+} // namespace
+
+asio::awaitable<bool> relayCall(CallerConnection &caller, const CallerRequest &request)
+{
+    Relay relay(caller, request);
+    co_return co_await relay.run();
+}
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/entry.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "fleetlink/linkhub.h"
+#include "gateway/upstream.h"
+#include "ingress/entrysettings.h"
+#include "mimosahollow/allowance/tokenwallet.h"
+#include "mimosahollow/catalog/catalogdecoder.h"
+#include "mimosahollow/dispatch/dispatch.h"
+#include "mimosahollow/fleetstate/fleetstate.h"
+#include "mimosahollow/observability/metrics.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace mimosahollow::gateway {
+class CallerWatch;
+}
+
+namespace mimosahollow::ingress {
+
+/** The caller left while its call waited. */
+struct CallerGone
+{
+};
+
+using ServerChoice = std::variant<dispatch::Send, dispatch::Refuse, CallerGone>;
+
+/** A process that callers connect to. Runs on one event loop. */
+class Entry
+{
+public:
+    Entry(boost::asio::io_context &context, EntrySettings settings, catalog::CatalogDecoder decodeCatalog);
+    ~Entry();
+    Entry(const Entry &) = delete;
+    Entry &operator=(const Entry &) = delete;
+
+    /** Opens the listener for callers and the links. Returns an error message or nothing. */
+    [[nodiscard]] std::string start();
+    void setSeeds(const std::vector<std::string> &seeds);
+    /** Finishes the calls at hand; @p stopped is called when the last one has ended or the drain time is over. */
+    void stop(std::function<void()> stopped);
+    /** Whether callers should be sent here. */
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::string metricsText() const;
+
+    // For the sessions of callers, all on the event loop.
+
+    [[nodiscard]] const EntrySettings &settings() const noexcept;
+    [[nodiscard]] boost::asio::io_context &context() noexcept;
+    [[nodiscard]] dispatch::DispatchState &dispatchState() noexcept;
+    [[nodiscard]] gateway::UpstreamConnections &upstream() noexcept;
+    [[nodiscard]] observability::ThreadMetrics &metrics() noexcept;
+    /** Null before the first catalog. */
+    [[nodiscard]] const std::shared_ptr<const catalog::CatalogIndex> &catalog() const noexcept;
+    /** Whether the leader has confirmed the state lately enough to trust keys. */
+    [[nodiscard]] bool isCurrent() const;
+    [[nodiscard]] Duration stateAge() const;
+    [[nodiscard]] bool isStopping() const noexcept;
+    [[nodiscard]] bool isLameDuckOver() const;
+    /** Takes the tokens of a call, waiting for the leader when needed. Returns false when the organisation is over its rate. */
+    [[nodiscard]] boost::asio::awaitable<bool> takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch);
+    void giveBackTokens(const std::string &organisation, double tokens);
+    /** Waits until a backend server can take @p call, and counts it there. */
+    [[nodiscard]] boost::asio::awaitable<ServerChoice> chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch);
+    void callEnded(const std::string &server, dispatch::CallResult result);
+    /** Counts a first attempt, for the retry budget. */
+    void countRequest(const std::string &service);
+    [[nodiscard]] bool takeRetry(const std::string &service);
+    void noteMissing(const std::string &server, const dispatch::Call &call);
+
+    void sessionOpened();
+    void sessionClosed();
+    /** @p stream waits for a request: it is closed when the time for late callers is over. Ends with noteBusy(). */
+    std::list<boost::beast::tcp_stream *>::iterator noteIdle(boost::beast::tcp_stream &stream);
+    void noteBusy(std::list<boost::beast::tcp_stream *>::iterator place);
+
+private:
+    struct Waiter;
+    struct TokenWaiter;
+
+    boost::asio::awaitable<void> acceptCallers();
+    void linkOpened(const fleetlink::Peer &peer);
+    void linkClosed(const fleetlink::Peer &peer);
+    void linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message);
+    void takeState(fleetstate::FleetState state);
+    void takeReply(const fleetlink::LeaderReply &reply);
+    void scheduleReport(TimePoint at);
+    void sendReport(TimePoint now);
+    void postPump();
+    void pump();
+    void checkStopped();
+
+    boost::asio::io_context &m_context;
+    EntrySettings m_settings;
+    catalog::CatalogDecoder m_decodeCatalog;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_reportTimer;
+    boost::asio::steady_timer m_pumpTimer;
+    boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_lameDuckTimer;
+    std::unique_ptr<fleetlink::LinkHub> m_hub;
+    gateway::UpstreamConnections m_upstream;
+    observability::Metrics m_metrics;
+
+    fleetstate::FleetState m_state;
+    dispatch::DispatchState m_dispatch;
+    allowance::TokenWallet m_wallet;
+    std::string m_leader; // link address
+    std::int64_t m_confirmedAt = 0; // boot clock, milliseconds, when the newest confirmed report was sent; 0: never
+    TimePoint m_reportAt{};
+    TimePoint m_lastReport{};
+    std::map<std::pair<std::string, std::string>, fleetlink::AdapterDemand> m_demand; // since the last report
+    std::list<Waiter *> m_waiters; // most urgent first
+    std::list<TokenWaiter *> m_tokenWaiters;
+    bool m_pumpPosted = false;
+    std::list<boost::beast::tcp_stream *> m_idle;
+    std::size_t m_sessions = 0;
+    bool m_stopping = false;
+    TimePoint m_stopSince{};
+    std::function<void()> m_stopped;
+};
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/entrysettings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ingress/headernames.h"
+#include "mimosahollow/allowance/tokenwallet.h"
+#include "mimosahollow/core/time.h"
+#include "mimosahollow/dispatch/dispatchstate.h"
+
+#include <string>
+#include <vector>
+
+namespace mimosahollow::ingress {
+
+struct EntrySettings
+{
+    std::string name;
+    std::string domain;
+    std::string address; /**< Where callers connect. */
+    std::vector<std::string> seeds; /**< Link addresses of coordinators. */
+    HeaderNames headers;
+    /** For how long the state counts as current after the leader has confirmed it; below the time in which a withdrawn key must be dead. */
+    Duration freshness = milliseconds(4000);
+    Duration reportInterval = milliseconds(150); /**< While calls run. */
+    Duration idleReportInterval = milliseconds(500);
+    Duration urgentReportDelay = milliseconds(3); /**< Collects the adapters that calls begin to wait for at the same moment. */
+    Duration tokenWait = milliseconds(250); /**< Several round trips to the leader. */
+    double retryRatio = 0.15; /**< Of the platform's budget, less what other instances' counts may be late by. */
+    double retryReserve = 30; /**< Retries of the whole fleet above the ratio. */
+    Duration lossTimeout = milliseconds(1200); /**< A backend server that confirms nothing for so long is lost; above one lost packet. */
+    Duration connectTimeout = milliseconds(500);
+    Duration drainTime = milliseconds(6500); /**< From the stop signal until the last call is cut; below the platform's grace time. */
+    Duration lameDuck = milliseconds(3500); /**< Idle connections stay open for so long after a stop signal: callers come until then. */
+    std::size_t bufferedAnswerBytes = 65'536; /**< Larger answers are passed on before they are complete. */
+    dispatch::DispatchOptions dispatch;
+    allowance::WalletOptions wallet;
+};
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/serverexchange.cpp
@@ -0,0 +1,192 @@
+#include "ingress/serverexchange.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace mimosahollow::ingress {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t readBytes = 8192; // an event is some hundred bytes
+constexpr std::size_t headBytes = 16'384;
+// Answers to earlier calls that may lie before the one that is due; more of them mean that the connection is out of step.
+constexpr unsigned maximumStrayAnswers = 2;
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+ExchangeError toExchangeError(const boost::system::error_code &error)
+{
+    return error == beast::error::timeout ? ExchangeError::TimedOut : ExchangeError::Broken;
+}
+
+/** Seconds for which the backend server keeps an idle connection; nothing when it does not say. */
+std::optional<Duration> idleLimit(std::string_view keepAlive)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::size_t at = keepAlive.find(key);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view value = keepAlive.substr(at + key.size());
+    unsigned count = 0;
+    if (std::from_chars(value.data(), value.data() + value.size(), count).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return seconds(count);
+}
+
+} // namespace
+
+/** The request while it is being sent; an early answer may arrive before its end. */
+struct ServerExchange::Outgoing
+{
+    std::string head;
+    std::string body;
+    bool isDone = false;
+};
+
+ServerExchange::ServerExchange(Entry &entry, std::string address) : m_entry(entry), m_address(std::move(address))
+{
+}
+
+ServerExchange::~ServerExchange()
+{
+    abort();
+}
+
+asio::awaitable<ExchangeError> ServerExchange::open(TimePoint deadline)
+{
+    m_connection = m_entry.upstream().takeIdle(m_address);
+    if (m_connection) {
+        m_reused = true;
+        co_return ExchangeError::None;
+    }
+    m_connection = m_entry.upstream().create();
+    const bool isOpen = co_await m_entry.upstream().connect(*m_connection, m_address, deadline);
+    if (!isOpen) {
+        m_connection.reset();
+        co_return ExchangeError::Unreachable;
+    }
+    if (m_aborted) {
+        co_return ExchangeError::Broken;
+    }
+    co_return ExchangeError::None;
+}
+
+asio::awaitable<ExchangeError> ServerExchange::begin(std::string head, const std::string &body, const std::string &callId, TimePoint deadline)
+{
+    m_outgoing = std::make_shared<Outgoing>();
+    m_outgoing->head = std::move(head);
+    m_outgoing->body = body;
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_outgoing->head), asio::buffer(m_outgoing->body)};
+    asio::async_write(m_connection->stream.socket(), buffers, [outgoing = m_outgoing](boost::system::error_code error, std::size_t) {
+        outgoing->isDone = !error;
+    });
+    for (unsigned stray = 0; stray <= maximumStrayAnswers; ++stray) {
+        const ExchangeError error = co_await readHead(deadline);
+        if (error != ExchangeError::None) {
+            co_return error;
+        }
+        const std::string_view echoed = header(m_entry.settings().headers.callId);
+        if (echoed.empty() || echoed == callId) {
+            co_return ExchangeError::None;
+        }
+        std::string dropped;
+        do {
+            dropped.clear();
+            const ExchangeError error = co_await readBody(dropped, deadline);
+            if (error != ExchangeError::None) {
+                co_return error;
+            }
+        } while (!dropped.empty());
+    }
+    co_return ExchangeError::Broken;
+}
+
+asio::awaitable<ExchangeError> ServerExchange::readHead(TimePoint deadline)
+{
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(headBytes);
+        m_parser->body_limit(boost::none);
+        m_connection->stream.expires_at(deadline);
+        if (const auto [error, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, token); error) {
+            co_return toExchangeError(error);
+        }
+    } while (m_parser->get().result_int() < 200);
+    co_return ExchangeError::None;
+}
+
+asio::awaitable<ExchangeError> ServerExchange::readBody(std::string &out, TimePoint deadline)
+{
+    m_space.resize(readBytes);
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = m_space.data();
+        body.size = m_space.size();
+        m_connection->stream.expires_at(deadline);
+        const auto [error, count] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, token);
+        const std::size_t filled = m_space.size() - body.size;
+        out.append(m_space.data(), filled);
+        if (error && error != http::error::need_buffer) {
+            co_return toExchangeError(error);
+        }
+        if (filled > 0) {
+            co_return ExchangeError::None;
+        }
+    }
+    co_return ExchangeError::None;
+}
+
+void ServerExchange::finish()
+{
+    const bool isKept = m_parser->keep_alive() && m_outgoing->isDone && !m_aborted;
+    if (isKept) {
+        if (const auto limit = idleLimit(header("Keep-Alive"))) {
+            // The backend server counts from its own last byte; a call that crosses its close would be lost.
+            m_connection->idleLimit = *limit * 3 / 4;
+        }
+        m_entry.upstream().release(m_address, std::move(m_connection));
+    }
+    m_connection.reset();
+}
+
+void ServerExchange::abort()
+{
+    m_aborted = true;
+    if (m_connection) {
+        m_connection->stream.close();
+    }
+}
+
+unsigned ServerExchange::status() const
+{
+    return m_parser->get().result_int();
+}
+
+std::string_view ServerExchange::header(const std::string &name) const
+{
+    const auto value = m_parser->get()[name];
+    return {value.data(), value.size()};
+}
+
+const http::fields &ServerExchange::fields() const
+{
+    return m_parser->get();
+}
+
+bool ServerExchange::wasReused() const noexcept
+{
+    return m_reused;
+}
+
+} // namespace mimosahollow::ingress
--- a/src/link/messagekind.cpp
+++ b/src/link/messagekind.cpp
@@ -34,6 +34,7 @@
     case MessageKind::Confirm:
     case MessageKind::Command:
     case MessageKind::CommandReply:
+    case MessageKind::Relay:
         return true;
     }
     return false;
--- /dev/null
+++ b/src/placement/placement.cpp
@@ -0,0 +1,231 @@
+#include "mimosahollow/placement/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosahollow::placement {
+
+namespace {
+
+void rememberRecent(const PlacementState &state, EngineState &engine, const AdapterKey &key)
+{
+    engine.recent.remove(key);
+    engine.recent.push_front(key);
+    if (engine.recent.size() > state.options.recentAdapters) {
+        engine.recent.pop_back();
+    }
+}
+
+void startOver(EngineState &engine, TimePoint now)
+{
+    engine.isKnown = false;
+    engine.sequence.reset();
+    engine.baseModels.clear();
+    engine.comingModels.clear();
+    engine.adapters.clear();
+    engine.recent.clear();
+    engine.orderInFlight = false;
+    engine.reportInFlight = false;
+    engine.unresolved.reset();
+    engine.reportDue = now;
+    engine.pausedUntil = now;
+}
+
+/** Replaces what is known of @p engine by @p report. */
+void adopt(PlacementState &state, EngineState &engine, const ModelReport &report, TimePoint now)
+{
+    std::map<AdapterKey, AdapterCopy> adapters;
+    engine.baseModels.clear();
+    engine.comingModels.clear();
+    for (const ModelReport::Copy &copy : report.copies) {
+        if (copy.adapter.empty()) {
+            if (copy.isComing) {
+                engine.comingModels.emplace(copy.model, now + seconds(1));
+            } else {
+                engine.baseModels.insert(copy.model);
+            }
+            continue;
+        }
+        const AdapterKey key{copy.model, copy.adapter};
+        AdapterCopy known;
+        if (const auto found = engine.adapters.find(key); found != engine.adapters.end()) {
+            known = found->second;
+        }
+        known.version = copy.version;
+        known.readyAt = copy.isComing ? std::max(known.readyAt, now + state.options.adapterLoad / 2) : std::min(known.readyAt, now);
+        adapters[key] = known;
+        rememberRecent(state, engine, key);
+    }
+    engine.adapters = std::move(adapters);
+    engine.sequence = report.sequence;
+    engine.isKnown = true;
+}
+
+} // namespace
+
+void begin(PlacementState &state, std::uint64_t term, TimePoint now)
+{
+    const PlacementOptions options = state.options;
+    state = {};
+    state.options = options;
+    state.fencingNumber = term;
+    state.activeFrom = now + options.holderSilence;
+}
+
+void noteServer(PlacementState &state, const registry::ServerRecord &record, bool isUsable, TimePoint now)
+{
+    if (record.state == registry::ServerState::Gone) {
+        if (const auto found = state.engines.find(record.id); found != state.engines.end() && found->second.born <= record.born) {
+            state.engines.erase(found);
+        }
+        return;
+    }
+    EngineState &engine = state.engines[record.id];
+    if (engine.born > record.born) {
+        return;
+    }
+    if (engine.born != record.born || engine.address != record.address) {
+        startOver(engine, now);
+        state.changed.insert(record.id);
+    }
+    engine.born = record.born;
+    engine.service = record.service;
+    engine.address = record.address;
+    engine.domain = record.domain;
+    engine.isReady = isUsable && record.state == registry::ServerState::Ready;
+}
+
+void noteDemand(
+    PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, unsigned waiting, unsigned started, TimePoint now)
+{
+    DemandState &demand = state.demand[key];
+    demand.service = service;
+    const double age = std::max(0.0, toSeconds(now - demand.measured));
+    const double window = toSeconds(state.options.smoothing);
+    demand.callsPerSecond = demand.callsPerSecond * std::exp(-age / window) + started / window;
+    demand.measured = now;
+    if (waiting == 0) {
+        demand.waiting.erase(std::string(entry));
+    } else {
+        if (demand.waiting.empty()) {
+            demand.firstWait = now;
+        }
+        demand.waiting[std::string(entry)] = {waiting, now};
+    }
+    if (started == 0) {
+        return;
+    }
+    for (auto &[id, engine] : state.engines) {
+        if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
+            copy->second.lastUse = now;
+        }
+    }
+}
+
+std::vector<std::string> dueReports(PlacementState &state, TimePoint now)
+{
+    std::vector<std::string> due;
+    for (auto &[id, engine] : state.engines) {
+        if (!engine.reportInFlight && !engine.orderInFlight && now >= engine.reportDue) {
+            engine.reportInFlight = true;
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+void noteReport(PlacementState &state, const std::string &server, std::uint64_t born, const ModelReport &report, TimePoint now)
+{
+    const auto found = state.engines.find(server);
+    if (found == state.engines.end() || found->second.born != born) {
+        return;
+    }
+    EngineState &engine = found->second;
+    engine.reportInFlight = false;
+    engine.reportDue = now + state.options.reportInterval;
+    if (engine.unresolved) {
+        if (report.sequence <= engine.unresolved->expectedSequence && now - engine.lastOrder < state.options.reportLag) {
+            engine.reportDue = engine.lastOrder + state.options.reportLag;
+            return;
+        }
+        // Not carried out yet: the same order is sent again. Its sequence lets only one of the two be carried out.
+        if (report.sequence == engine.unresolved->expectedSequence) {
+            engine.sequence = report.sequence;
+            engine.unresolved.reset();
+            return;
+        }
+        engine.unresolved.reset();
+    } else if (engine.sequence) {
+        if (report.sequence < *engine.sequence) {
+            return;
+        }
+        if (report.sequence == *engine.sequence && now - engine.lastOrder < state.options.reportLag) {
+            return;
+        }
+    }
+    adopt(state, engine, report, now);
+    state.changed.insert(server);
+}
+
+void reportFailed(PlacementState &state, const std::string &server, TimePoint now)
+{
+    if (const auto found = state.engines.find(server); found != state.engines.end()) {
+        found->second.reportInFlight = false;
+        found->second.reportDue = now + milliseconds(500);
+    }
+}
+
+void orderAnswered(PlacementState &state, const ModelOrder &order, OrderOutcome outcome, TimePoint now)
+{
+    const auto found = state.engines.find(order.server);
+    if (found == state.engines.end() || found->second.born != order.born) {
+        return;
+    }
+    EngineState &engine = found->second;
+    engine.orderInFlight = false;
+    const AdapterKey key{order.model, order.adapter};
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+    case OrderOutcome::AlreadyDone:
+        if (engine.sequence) {
+            engine.sequence = *engine.sequence + (outcome == OrderOutcome::Accepted || order.kind == OrderKind::Unload ? 1 : 0);
+        }
+        if (outcome == OrderOutcome::AlreadyDone && order.kind == OrderKind::Load) {
+            // Whether the engine counts an order that changes nothing is not known.
+            engine.sequence.reset();
+            engine.reportDue = now + state.options.reportLag;
+        }
+        if (order.kind == OrderKind::Unload) {
+            engine.adapters.erase(key);
+        } else if (outcome == OrderOutcome::AlreadyDone && !order.adapter.empty()) {
+            engine.adapters[key].readyAt = now;
+        }
+        break;
+    case OrderOutcome::Conflict:
+    case OrderOutcome::Rejected:
+        if (order.kind == OrderKind::Load) {
+            engine.adapters.erase(key);
+            if (order.adapter.empty()) {
+                engine.comingModels.erase(order.model);
+            }
+        }
+        engine.sequence.reset();
+        engine.reportDue = now + milliseconds(150);
+        engine.pausedUntil = now + milliseconds(150);
+        break;
+    case OrderOutcome::Unknown:
+        engine.unresolved = order;
+        engine.sequence.reset();
+        engine.reportDue = now + milliseconds(100);
+        break;
+    }
+    state.changed.insert(order.server);
+}
+
+std::uint64_t requiredVersion(const PlacementState &state, const AdapterKey &key)
+{
+    const auto found = state.namedVersions.find(key.model + "/" + key.adapter);
+    return found == state.namedVersions.end() ? 0 : found->second;
+}
+
+} // namespace mimosahollow::placement
--- /dev/null
+++ b/src/placement/planorders.cpp
@@ -0,0 +1,313 @@
+#include "mimosahollow/catalog/catalogindex.h"
+#include "mimosahollow/placement/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace mimosahollow::placement {
+
+namespace {
+
+/** Longest time over which loads of weights are counted against the rate of the store. */
+constexpr Duration storeWindow = seconds(5);
+
+struct Planner
+{
+    PlacementState &state;
+    const catalog::CatalogIndex &catalog;
+    TimePoint now;
+    std::vector<ModelOrder> orders;
+    unsigned storeTransfers = 0;
+    std::map<std::string, double> expectedCalls; // calls per second by engine
+
+    [[nodiscard]] const catalog::EngineSpec *specOf(const EngineState &engine) const
+    {
+        const catalog::ServiceSpec *service = catalog.findService(engine.service);
+        return service != nullptr && service->engine ? &*service->engine : nullptr;
+    }
+
+    [[nodiscard]] bool takesOrders(const EngineState &engine) const
+    {
+        return engine.isReady && engine.sequence && !engine.orderInFlight && !engine.unresolved && now >= engine.pausedUntil;
+    }
+
+    [[nodiscard]] double callsPerSecond(const DemandState &demand) const
+    {
+        const double age = std::max(0.0, toSeconds(now - demand.measured));
+        return demand.callsPerSecond * std::exp(-age / toSeconds(state.options.smoothing));
+    }
+
+    [[nodiscard]] unsigned waitingCalls(const DemandState &demand) const
+    {
+        unsigned count = 0;
+        for (const auto &[entry, report] : demand.waiting) {
+            if (now - report.second <= state.options.waitMemory) {
+                count += report.first;
+            }
+        }
+        return count;
+    }
+
+    [[nodiscard]] unsigned transfersTo(const EngineState &engine) const
+    {
+        return static_cast<unsigned>(std::count_if(engine.adapters.begin(), engine.adapters.end(), [this](const auto &copy) {
+            return copy.second.readyAt > now;
+        }));
+    }
+
+    [[nodiscard]] bool heldRecently(const EngineState &engine, const AdapterKey &key) const
+    {
+        return std::find(engine.recent.begin(), engine.recent.end(), key) != engine.recent.end();
+    }
+
+    [[nodiscard]] bool hasRoom(const EngineState &engine, const catalog::EngineSpec &spec) const
+    {
+        if (engine.adapters.size() >= spec.adapterSlots) {
+            return false;
+        }
+        double used = 0;
+        double adapterMb = 0;
+        for (const catalog::BaseModelSpec &model : spec.models) {
+            if (engine.baseModels.contains(model.name) || engine.comingModels.contains(model.name)) {
+                used += model.weightsMb;
+            }
+            adapterMb = std::max(adapterMb, model.adapterMb);
+        }
+        return used + adapterMb * static_cast<double>(engine.adapters.size() + 1) <= spec.memoryMb;
+    }
+
+    /** The adapter that has been idle for longest, if that is at least @p minimumIdle and no call waits for it. */
+    [[nodiscard]] std::optional<AdapterKey> victim(const EngineState &engine, Duration minimumIdle) const
+    {
+        std::optional<AdapterKey> oldest;
+        TimePoint lastUse = now - minimumIdle;
+        for (const auto &[key, copy] : engine.adapters) {
+            if (copy.readyAt > now || copy.lastUse > lastUse || copy.readyAt > now - minimumIdle) {
+                continue;
+            }
+            const auto demand = state.demand.find(key);
+            if (demand != state.demand.end() && waitingCalls(demand->second) > 0) {
+                continue;
+            }
+            oldest = key;
+            lastUse = copy.lastUse;
+        }
+        return oldest;
+    }
+
+    void send(const std::string &id, EngineState &engine, OrderKind kind, const AdapterKey &key, std::uint64_t version)
+    {
+        orders.push_back({id, engine.address, engine.born, kind, key.model, key.adapter, version, *engine.sequence, state.fencingNumber});
+        engine.orderInFlight = true;
+        engine.lastOrder = now;
+        state.changed.insert(id);
+    }
+
+    void sendAdapterLoad(const std::string &id, EngineState &engine, const AdapterKey &key)
+    {
+        const bool isRecent = heldRecently(engine, key) && !engine.adapters.contains(key);
+        Duration time = state.options.recentAdapterLoad;
+        if (!isRecent) {
+            ++storeTransfers;
+            time = state.options.adapterLoad * std::max(1U, (storeTransfers + state.options.storeTransfers - 1) / state.options.storeTransfers);
+        }
+        const std::uint64_t version = requiredVersion(state, key);
+        engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isRecent};
+        engine.recent.remove(key);
+        engine.recent.push_front(key);
+        if (engine.recent.size() > state.options.recentAdapters) {
+            engine.recent.pop_back();
+        }
+        send(id, engine, OrderKind::Load, key, version);
+    }
+
+    /** Cost of a load on @p engine; lower is better, nothing when it cannot take it now. */
+    [[nodiscard]] std::optional<double> cost(const std::string &id, const EngineState &engine, const AdapterKey &key, Duration minimumIdle) const
+    {
+        const catalog::EngineSpec *spec = specOf(engine);
+        if (spec == nullptr || !takesOrders(engine) || !engine.baseModels.contains(key.model) || transfersTo(engine) >= state.options.transfersPerServer) {
+            return std::nullopt;
+        }
+        const bool isRecent = heldRecently(engine, key);
+        if (!isRecent && storeTransfers >= state.options.storeTransfers) {
+            return std::nullopt;
+        }
+        const bool isFree = hasRoom(engine, *spec);
+        if (!isFree && !victim(engine, minimumIdle)) {
+            return std::nullopt;
+        }
+        const auto expected = expectedCalls.find(id);
+        const double calls = expected == expectedCalls.end() ? 0 : expected->second;
+        // The hash makes an adapter return to the engine that keeps it in host memory.
+        const std::string name = key.model + "/" + key.adapter + "@" + id;
+        const double spread = static_cast<double>(XXH3_64bits(name.data(), name.size()) % 1024) / 1024;
+        return calls / state.options.callsPerCopy + (isRecent ? 0 : 2) + (isFree ? 0 : 0.3) + spread;
+    }
+
+    bool place(const AdapterKey &key, const DemandState &demand, Duration minimumIdle)
+    {
+        const std::string *best = nullptr;
+        double bestCost = 0;
+        for (auto &[id, engine] : state.engines) {
+            if (engine.service != demand.service) {
+                continue;
+            }
+            if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
+                // A new version waits for the calls on the earlier one: another engine has it sooner.
+                const bool isOutdated = copy->second.version < requiredVersion(state, key);
+                if (!isOutdated || now - copy->second.lastUse < state.options.minimumIdle) {
+                    continue;
+                }
+            }
+            const auto value = cost(id, engine, key, minimumIdle);
+            if (value && (best == nullptr || *value < bestCost)) {
+                best = &id;
+                bestCost = *value;
+            }
+        }
+        if (best == nullptr) {
+            return false;
+        }
+        EngineState &engine = state.engines[*best];
+        if (engine.adapters.contains(key) || hasRoom(engine, *specOf(engine))) {
+            sendAdapterLoad(*best, engine, key);
+        } else {
+            send(*best, engine, OrderKind::Unload, *victim(engine, minimumIdle), 0);
+        }
+        return true;
+    }
+
+    /** Copies that have the required version, loaded or on their way. */
+    [[nodiscard]] unsigned usableCopies(const AdapterKey &key) const
+    {
+        unsigned count = 0;
+        const std::uint64_t required = requiredVersion(state, key);
+        for (const auto &[id, engine] : state.engines) {
+            const auto copy = engine.adapters.find(key);
+            if (engine.isReady && copy != engine.adapters.end() && copy->second.version >= required) {
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    void countLoad()
+    {
+        for (const auto &[key, demand] : state.demand) {
+            const unsigned copies = usableCopies(key);
+            if (copies == 0) {
+                continue;
+            }
+            const double share = callsPerSecond(demand) / copies;
+            for (const auto &[id, engine] : state.engines) {
+                if (engine.adapters.contains(key)) {
+                    expectedCalls[id] += share;
+                }
+            }
+        }
+        for (const auto &[id, engine] : state.engines) {
+            for (const auto &[key, copy] : engine.adapters) {
+                storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
+            }
+        }
+    }
+
+    /** Engines without weights get the base model that is asked for most; the rate of the store bounds how many at once. */
+    void loadBaseModels()
+    {
+        while (!state.storeLoads.empty() && now - state.storeLoads.front() > storeWindow) {
+            state.storeLoads.pop_front();
+        }
+        for (auto &[id, engine] : state.engines) {
+            const catalog::EngineSpec *spec = specOf(engine);
+            if (spec == nullptr || spec->models.empty() || !takesOrders(engine) || !engine.baseModels.empty() || !engine.comingModels.empty()) {
+                continue;
+            }
+            if (static_cast<double>(state.storeLoads.size()) >= spec->storeLoadsPerSecond * toSeconds(storeWindow)) {
+                return;
+            }
+            const catalog::BaseModelSpec &model = scarcest(engine.service, *spec);
+            engine.comingModels[model.name] = now + model.loadTime;
+            state.storeLoads.push_back(now);
+            engine.reportDue = now + model.loadTime;
+            send(id, engine, OrderKind::Load, {model.name, {}}, 0);
+        }
+    }
+
+    /** The model with the most calls for each engine that holds it. */
+    [[nodiscard]] const catalog::BaseModelSpec &scarcest(const std::string &service, const catalog::EngineSpec &spec) const
+    {
+        const catalog::BaseModelSpec *best = &spec.models.front();
+        double bestNeed = -1;
+        for (const catalog::BaseModelSpec &model : spec.models) {
+            double calls = 0.01;
+            for (const auto &[key, demand] : state.demand) {
+                calls += key.model == model.name && demand.service == service ? callsPerSecond(demand) + waitingCalls(demand) : 0;
+            }
+            const auto holders = std::count_if(state.engines.begin(), state.engines.end(), [&](const auto &item) {
+                return item.second.service == service && (item.second.baseModels.contains(model.name) || item.second.comingModels.contains(model.name));
+            });
+            const double need = calls / static_cast<double>(holders + 1);
+            if (need > bestNeed && model.weightsMb <= spec.memoryMb) {
+                best = &model;
+                bestNeed = need;
+            }
+        }
+        return *best;
+    }
+
+    /** First copies for what calls wait for, in the order of their wait. */
+    void placeWaiting()
+    {
+        std::vector<std::pair<TimePoint, const AdapterKey *>> waiting;
+        for (const auto &[key, demand] : state.demand) {
+            if (!key.adapter.empty() && waitingCalls(demand) > 0 && usableCopies(key) == 0) {
+                waiting.emplace_back(demand.firstWait, &key);
+            }
+        }
+        std::sort(waiting.begin(), waiting.end());
+        for (const auto &[since, key] : waiting) {
+            place(*key, state.demand[*key], state.options.minimumIdle);
+        }
+    }
+
+    /** Further copies where one engine would carry too many calls of one adapter. */
+    void replicate()
+    {
+        for (const auto &[key, demand] : state.demand) {
+            const unsigned copies = usableCopies(key);
+            if (!key.adapter.empty() && copies > 0 && callsPerSecond(demand) > state.options.callsPerCopy * copies
+                && storeTransfers < state.options.storeTransfers / 2) {
+                place(key, demand, state.options.replicaIdle);
+            }
+        }
+    }
+};
+
+void forgetIdleDemand(PlacementState &state, TimePoint now)
+{
+    std::erase_if(state.demand, [now](const auto &item) {
+        return now - item.second.measured > seconds(30);
+    });
+}
+
+} // namespace
+
+std::vector<ModelOrder> planOrders(PlacementState &state, const catalog::CatalogIndex &catalog, TimePoint now)
+{
+    if (now < state.activeFrom) {
+        return {};
+    }
+    forgetIdleDemand(state, now);
+    Planner planner{state, catalog, now, {}, 0, {}};
+    planner.countLoad();
+    planner.loadBaseModels();
+    planner.placeWaiting();
+    planner.replicate();
+    return std::move(planner.orders);
+}
+
+} // namespace mimosahollow::placement
