Count an organisation's tokens over a sliding window

Cause: a bucket that runs empty gives the burst once; an organisation that asks for more than its rate for long got its rate only, though any window may hold the rate and the burst.

--- a/include/mimosahollow/allowance/tokenbank.h
+++ b/include/mimosahollow/allowance/tokenbank.h
@@ -2,6 +2,7 @@
 
 #include "mimosahollow/core/time.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -12,22 +13,41 @@
 
 namespace mimosahollow::allowance {
 
-/** Tokens that one organisation has not been granted yet. */
+struct BankOptions
+{
+    Duration window = seconds(8); /**< In any span of this length, an organisation gets its rate times the span, and its burst. */
+    Duration step = milliseconds(100); /**< Grants are kept in sums of this length; each adds to the span that they count in. */
+};
+
+/** Tokens granted within one step. */
+struct GrantSum
+{
+    TimePoint begin{};
+    double tokens = 0;
+};
+
+/** What one organisation was granted within the last window. */
 struct BankAccount
 {
     double ratePerSecond = 0;
     double burst = 0;
-    double tokens = 0;
-    TimePoint updated{};
+    double granted = 0; /**< Sum of the grants below. */
+    std::deque<GrantSum> grants;
 };
 
-/** The leader's token buckets, one for each organisation with a rate. Grants of all entry instances come from them. */
+/**
+ * The leader's accounts, one for each organisation with a rate. Grants of all entry instances come from them.
+ *
+ * Answers an organisation that asks for more than its rate for long: a sliding window gives it all that it may have, where a
+ * bucket that has run empty gives the burst only once.
+ */
 struct TokenBank
 {
+    BankOptions options;
     std::map<std::string, BankAccount, std::less<>> accounts;
 };
 
-/** Takes over the rates of @p catalog. A new account starts empty: an earlier leader may have granted its burst just now. */
+/** Takes over the rates of @p catalog. A new account counts as used up: an earlier leader may have granted everything just now. */
 void configure(TokenBank &bank, const catalog::Catalog &catalog, TimePoint now);
 
 /** Grants up to @p wish tokens. Returns 0 for an organisation without an account. */
--- a/src/allowance/tokenbank.cpp
+++ b/src/allowance/tokenbank.cpp
@@ -8,11 +8,30 @@
 
 namespace {
 
-void refill(BankAccount &account, TimePoint now)
+double limit(const TokenBank &bank, const BankAccount &account)
 {
-    const double seconds = std::max(0.0, toSeconds(now - account.updated));
-    account.tokens = std::min(account.burst, account.tokens + seconds * account.ratePerSecond);
-    account.updated = now;
+    return account.ratePerSecond * toSeconds(bank.options.window) + account.burst;
+}
+
+void forgetOld(const TokenBank &bank, BankAccount &account, TimePoint now)
+{
+    while (!account.grants.empty() && now - account.grants.front().begin >= bank.options.window + bank.options.step) {
+        account.granted -= account.grants.front().tokens;
+        account.grants.pop_front();
+    }
+    if (account.grants.empty()) {
+        account.granted = 0; // no rounding errors are carried on
+    }
+}
+
+/** As if the whole limit had been granted evenly over the window that ends at @p now. */
+void useUp(const TokenBank &bank, BankAccount &account, TimePoint now)
+{
+    const auto steps = bank.options.window / bank.options.step;
+    account.granted = limit(bank, account);
+    for (auto step = steps; step > 0; --step) {
+        account.grants.push_back({now - step * bank.options.step, account.granted / static_cast<double>(steps)});
+    }
 }
 
 } // namespace
@@ -24,15 +43,17 @@
         if (organisation.ratePerSecond <= 0) {
             continue;
         }
-        BankAccount account{0, 0, 0, now};
-        if (const auto known = bank.accounts.find(organisation.name); known != bank.accounts.end()) {
-            account = known->second;
-            refill(account, now);
+        BankAccount account;
+        const auto known = bank.accounts.find(organisation.name);
+        if (known != bank.accounts.end()) {
+            account = std::move(known->second);
         }
         account.ratePerSecond = organisation.ratePerSecond;
         account.burst = organisation.burst;
-        account.tokens = std::min(account.tokens, account.burst);
-        accounts.emplace(organisation.name, account);
+        if (known == bank.accounts.end()) {
+            useUp(bank, account, now);
+        }
+        accounts.emplace(organisation.name, std::move(account));
     }
     bank.accounts = std::move(accounts);
 }
@@ -44,9 +65,16 @@
         return 0;
     }
     BankAccount &account = found->second;
-    refill(account, now);
-    const double granted = std::clamp(wish, 0.0, account.tokens);
-    account.tokens -= granted;
+    forgetOld(bank, account, now);
+    const double granted = std::clamp(wish, 0.0, std::max(0.0, limit(bank, account) - account.granted));
+    if (granted <= 0) {
+        return 0;
+    }
+    if (account.grants.empty() || now - account.grants.back().begin >= bank.options.step) {
+        account.grants.push_back({now, 0});
+    }
+    account.grants.back().tokens += granted;
+    account.granted += granted;
     return granted;
 }
 
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -61,6 +61,7 @@
     m_settings.consensus.keptEntries = keptEntries;
     m_registry.options = m_settings.registry;
     m_placement.options = m_settings.placement;
+    m_bank.options = m_settings.bank;
 }
 
 Coordinator::~Coordinator()
@@ -435,7 +436,7 @@
     observability::DecisionLine line("leader");
     line.add("term", term).add("index", m_state.index).add("catalog", m_state.catalogVersion);
     observability::logDecision(line.text());
-    m_bank = {};
+    m_bank.accounts.clear();
     m_entries.clear();
     m_unconfirmed.clear();
     m_confirming.clear();
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -187,7 +187,19 @@
     entry.stamp = report.stamp;
     entry.running = report.running;
     for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
-        entry.granted[wish.name] += allowance::grant(m_bank, wish.name, wish.value, now);
+        if (!m_bank.accounts.contains(wish.name)) {
+            continue; // the rate is gone; the entry instance has not heard of it yet
+        }
+        const double granted = allowance::grant(m_bank, wish.name, wish.value, now);
+        entry.granted[wish.name] += granted;
+        if (granted < wish.value) {
+            const allowance::BankAccount &account = m_bank.accounts[wish.name];
+            observability::DecisionLine line("tokens-short");
+            line.add("entry", peer.hello.name).add("organisation", wish.name).add("wish", static_cast<std::uint64_t>(wish.value));
+            line.add("granted", static_cast<std::uint64_t>(granted)).add("rate", static_cast<std::uint64_t>(account.ratePerSecond));
+            line.add("burst", static_cast<std::uint64_t>(account.burst));
+            observability::logDecision(line.text());
+        }
     }
     bool anyWaits = false;
     for (const fleetlink::AdapterDemand &demand : report.demand) {
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/allowance/tokenbank.h"
 #include "mimosahollow/control/consensusstate.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/placement/placementstate.h"
@@ -36,6 +37,7 @@
     Duration tick = milliseconds(25); /**< A quarter of a heartbeat. */
     control::ConsensusOptions consensus = consensusDefaults();
     registry::RegistryOptions registry;
+    allowance::BankOptions bank;
     placement::PlacementOptions placement;
     voterplan::VoterPlanOptions voterPlan;
 };
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -425,7 +425,10 @@
     }
     const TimePoint now = Clock::now();
     allowance::noteDemand(m_wallet, organisation.name, tokens, now);
-    if (m_tokenWaiters.empty() && allowance::spend(m_wallet, organisation.name, tokens, now)) {
+    const bool othersWait = std::any_of(m_tokenWaiters.begin(), m_tokenWaiters.end(), [&organisation](const TokenWaiter *other) {
+        return other->organisation == organisation.name && !other->granted;
+    });
+    if (!othersWait && allowance::spend(m_wallet, organisation.name, tokens, now)) {
         co_return true;
     }
     TokenWaiter waiter(m_context);
