--- a/include/mimosahollow/allowance/tokenbank.h
+++ b/include/mimosahollow/allowance/tokenbank.h
@@ -16,6 +16,8 @@
 struct BankOptions
 {
     Duration window = seconds(8); /**< In any span of this length, an organisation gets its rate times the span, and its burst. */
+    /** A new leader grants nothing before: the entry instances tell it meanwhile what they have spent. Several reports long. */
+    Duration handover = milliseconds(700);
     Duration step = milliseconds(100); /**< Grants are kept in sums of this length; each adds to the span that they count in. */
 };
 
@@ -44,11 +46,15 @@
 struct TokenBank
 {
     BankOptions options;
+    TimePoint opensAt{}; /**< Nothing is granted before. */
     std::map<std::string, BankAccount, std::less<>> accounts;
 };
 
-/** Takes over the rates of @p catalog. A new account counts as used up: an earlier leader may have granted everything just now. */
-void configure(TokenBank &bank, const catalog::Catalog &catalog, TimePoint now);
+/** Takes over the rates of @p catalog. */
+void configure(TokenBank &bank, const catalog::Catalog &catalog);
+
+/** An entry instance has spent @p tokens of a grant of an earlier leader, @p age ago, or holds them still. */
+void notePast(TokenBank &bank, std::string_view organisation, double tokens, Duration age, TimePoint now);
 
 /** Grants up to @p wish tokens. Returns 0 for an organisation without an account. */
 [[nodiscard]] double grant(TokenBank &bank, std::string_view organisation, double wish, TimePoint now);
--- a/include/mimosahollow/allowance/tokenwallet.h
+++ b/include/mimosahollow/allowance/tokenwallet.h
@@ -2,9 +2,11 @@
 
 #include "mimosahollow/core/time.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mimosahollow::allowance {
 
@@ -12,10 +14,19 @@
 {
     /** Held tokens can be used in the window after the one in which they were granted; the tolerance of 10% of a window of 8 s bounds them. */
     Duration reserve = milliseconds(400);
-    Duration lifetime = seconds(2); /**< Unused tokens expire, so that those of a stopped instance are not spent much later. */
+    Duration history = seconds(8); /**< For how long spending is remembered, for a new leader; the window of the bank. */
+    Duration historyStep = milliseconds(250); /**< Spending is remembered in sums of this length. */
+    Duration lifetime = seconds(1); /**< Unused tokens expire, so that those of a stopped instance are not spent much later. */
     Duration smoothing = seconds(1); /**< Averaging time of the demand. */
 };
 
+/** Tokens spent within one step of the history. */
+struct Spending
+{
+    TimePoint begin{};
+    double tokens = 0;
+};
+
 /** Granted tokens of one organisation at this entry instance. */
 struct Purse
 {
@@ -23,6 +34,7 @@
     TimePoint granted{};
     double demandPerSecond = 0; /**< Of all calls, also those that were refused. */
     TimePoint measured{};
+    std::deque<Spending> spent; /**< Newest last. */
     double missing = 0; /**< Tokens that waiting calls lack. */
 };
 
@@ -43,6 +55,9 @@
 
 void deposit(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now);
 
+/** What @p purse has spent within the history, and holds, for a leader that does not know it. */
+[[nodiscard]] std::vector<Spending> history(const TokenWallet &wallet, const Purse &purse, TimePoint now);
+
 /** Tokens to ask the leader for. */
 [[nodiscard]] double wish(const TokenWallet &wallet, const Purse &purse, TimePoint now);
 
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -59,6 +59,14 @@
     unsigned started = 0; /**< Calls that were sent to a backend server. */
 };
 
+/** Tokens that an entry instance has spent, or holds, of grants of an earlier leader. */
+struct SpentTokens
+{
+    std::string organisation;
+    double tokens = 0;
+    unsigned ageMilliseconds = 0;
+};
+
 /** What an entry instance tells the leader. */
 struct EntryReport
 {
@@ -66,6 +74,7 @@
     std::vector<NamedNumber> tokenWishes; /**< By organisation. */
     std::vector<NamedNumber> running; /**< Calls by backend server, only those above 0. */
     std::vector<AdapterDemand> demand;
+    std::vector<SpentTokens> spent; /**< In the first report to a leader. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
--- a/src/allowance/tokenbank.cpp
+++ b/src/allowance/tokenbank.cpp
@@ -24,19 +24,9 @@
     }
 }
 
-/** As if the whole limit had been granted evenly over the window that ends at @p now. */
-void useUp(const TokenBank &bank, BankAccount &account, TimePoint now)
-{
-    const auto steps = bank.options.window / bank.options.step;
-    account.granted = limit(bank, account);
-    for (auto step = steps; step > 0; --step) {
-        account.grants.push_back({now - step * bank.options.step, account.granted / static_cast<double>(steps)});
-    }
-}
-
 } // namespace
 
-void configure(TokenBank &bank, const catalog::Catalog &catalog, TimePoint now)
+void configure(TokenBank &bank, const catalog::Catalog &catalog)
 {
     std::map<std::string, BankAccount, std::less<>> accounts;
     for (const catalog::OrganisationSpec &organisation : catalog.organisations) {
@@ -50,18 +40,30 @@
         }
         account.ratePerSecond = organisation.ratePerSecond;
         account.burst = organisation.burst;
-        if (known == bank.accounts.end()) {
-            useUp(bank, account, now);
-        }
         accounts.emplace(organisation.name, std::move(account));
     }
     bank.accounts = std::move(accounts);
 }
 
+void notePast(TokenBank &bank, std::string_view organisation, double tokens, Duration age, TimePoint now)
+{
+    const auto found = bank.accounts.find(organisation);
+    if (found == bank.accounts.end() || age >= bank.options.window) {
+        return;
+    }
+    BankAccount &account = found->second;
+    const auto isLater = [begin = now - age](const GrantSum &sum) {
+        return sum.begin > begin;
+    };
+    const auto place = std::find_if(account.grants.begin(), account.grants.end(), isLater);
+    account.grants.insert(place, {now - age, tokens});
+    account.granted += tokens;
+}
+
 double grant(TokenBank &bank, std::string_view organisation, double wish, TimePoint now)
 {
     const auto found = bank.accounts.find(organisation);
-    if (found == bank.accounts.end()) {
+    if (found == bank.accounts.end() || now < bank.opensAt) {
         return 0;
     }
     BankAccount &account = found->second;
--- a/src/allowance/tokenwallet.cpp
+++ b/src/allowance/tokenwallet.cpp
@@ -43,6 +43,13 @@
         return false;
     }
     purse.tokens -= tokens;
+    while (!purse.spent.empty() && now - purse.spent.front().begin > wallet.options.history) {
+        purse.spent.pop_front();
+    }
+    if (purse.spent.empty() || now - purse.spent.back().begin >= wallet.options.historyStep) {
+        purse.spent.push_back({now, 0});
+    }
+    purse.spent.back().tokens += tokens;
     return true;
 }
 
@@ -59,6 +66,20 @@
     purse.granted = now;
 }
 
+std::vector<Spending> history(const TokenWallet &wallet, const Purse &purse, TimePoint now)
+{
+    std::vector<Spending> past;
+    for (const Spending &spending : purse.spent) {
+        if (now - spending.begin <= wallet.options.history) {
+            past.push_back(spending);
+        }
+    }
+    if (purse.tokens > 0 && now - purse.granted <= wallet.options.lifetime) {
+        past.push_back({now, purse.tokens});
+    }
+    return past;
+}
+
 double wish(const TokenWallet &wallet, const Purse &purse, TimePoint now)
 {
     const bool isExpired = now - purse.granted > wallet.options.lifetime;
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -199,15 +199,13 @@
 
 void Coordinator::send(const control::SendToVoter &message)
 {
-    const auto member = std::find_if(m_consensus->members.begin(), m_consensus->members.end(), [&message](const control::Member &candidate) {
-        return candidate.id == message.to;
-    });
-    if (member == m_consensus->members.end()) {
-        return;
-    }
-    // A lost message is sent again by the log itself.
-    if (const fleetlink::Peer *peer = m_hub->findDialed(member->address); peer != nullptr && peer->hello.voter == message.to) {
-        m_hub->sendEncoded(peer->number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
+    // A voter that joins knows no members yet and has to answer the leader all the same. A lost message is sent again by the
+    // log itself.
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        if (peer.hello.voter == message.to && !peer.dialedAddress.empty()) {
+            m_hub->sendEncoded(peer.number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
+            return;
+        }
     }
 }
 
@@ -258,7 +256,7 @@
     const TimePoint now = Clock::now();
     if (leads()) {
         if (m_catalog) {
-            allowance::configure(m_bank, m_catalog->catalog(), now);
+            allowance::configure(m_bank, m_catalog->catalog());
         }
         m_placement.namedVersions = {m_state.adapterVersions.begin(), m_state.adapterVersions.end()};
         std::vector<registry::ServerRecord> all;
@@ -437,6 +435,7 @@
     line.add("term", term).add("index", m_state.index).add("catalog", m_state.catalogVersion);
     observability::logDecision(line.text());
     m_bank.accounts.clear();
+    m_bank.opensAt = now + m_bank.options.handover;
     m_entries.clear();
     m_unconfirmed.clear();
     m_confirming.clear();
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -186,6 +186,9 @@
     entry.heard = now;
     entry.stamp = report.stamp;
     entry.running = report.running;
+    for (const fleetlink::SpentTokens &spent : report.spent) {
+        allowance::notePast(m_bank, spent.organisation, spent.tokens, milliseconds(spent.ageMilliseconds), now);
+    }
     for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
         if (!m_bank.accounts.contains(wish.name)) {
             continue; // the rate is gone; the entry instance has not heard of it yet
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -91,6 +91,20 @@
     return {table->model, table->adapter, table->service, table->waiting, table->started};
 }
 
+std::unique_ptr<wire::SpentTokensT> toWire(const SpentTokens &spent)
+{
+    auto table = std::make_unique<wire::SpentTokensT>();
+    table->organisation = spent.organisation;
+    table->tokens = spent.tokens;
+    table->age_milliseconds = spent.ageMilliseconds;
+    return table;
+}
+
+SpentTokens fromWire(const std::unique_ptr<wire::SpentTokensT> &table)
+{
+    return {table->organisation, table->tokens, table->age_milliseconds};
+}
+
 std::unique_ptr<wire::ServerPlacementT> toWire(const ServerPlacement &placement)
 {
     auto table = std::make_unique<wire::ServerPlacementT>();
@@ -164,6 +178,7 @@
     table.token_wishes = converted<std::unique_ptr<wire::NamedNumberT>>(report.tokenWishes, itemToWire);
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
     table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
+    table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     body.Set(std::move(table));
 }
 
@@ -260,7 +275,8 @@
         return EntryReport{report->stamp,
                            converted<NamedNumber>(report->token_wishes, itemFromWire),
                            converted<NamedNumber>(report->running, itemFromWire),
-                           converted<AdapterDemand>(report->demand, itemFromWire)};
+                           converted<AdapterDemand>(report->demand, itemFromWire),
+                           converted<SpentTokens>(report->spent, itemFromWire)};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -164,6 +164,11 @@
 {
     m_entry.metrics().callStarted();
     m_catalog = m_entry.catalog();
+    if (m_entry.isLameDuckOver()) {
+        m_caller.keepAlive = false;
+        const OwnAnswer answer{RefusalReason::ShuttingDown, "the instance is stopping", notRunRetry, 503};
+        co_return co_await refuse(answer);
+    }
     if (!m_catalog || !m_entry.isCurrent()) {
         // Keys may have been withdrawn, and routes added, since the leader confirmed the state.
         const OwnAnswer answer{RefusalReason::ConfigurationStale, "no confirmed configuration", staleRetry, std::nullopt};
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -267,6 +267,7 @@
             line.add("leader", known->leader).add("before", m_leader).add("source", peer.hello.name);
             observability::logDecision(line.text());
             m_leader = known->leader;
+            m_toldHistory = 0;
             m_hub->dial(m_leader);
             sendReport(now);
         }
@@ -368,6 +369,17 @@
     });
 }
 
+/** Tells a new leader what was spent, so that its window starts where the earlier one ended. */
+void Entry::addHistory(fleetlink::EntryReport &report, TimePoint now) const
+{
+    for (const auto &[organisation, purse] : m_wallet.purses) {
+        for (const allowance::Spending &spending : allowance::history(m_wallet, purse, now)) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - spending.begin).count();
+            report.spent.push_back({organisation, spending.tokens, static_cast<unsigned>(age)});
+        }
+    }
+}
+
 void Entry::sendReport(TimePoint now)
 {
     m_lastReport = now;
@@ -385,6 +397,10 @@
                 report.tokenWishes.push_back({organisation, wish});
             }
         }
+        if (m_toldHistory != leader->number) {
+            m_toldHistory = leader->number;
+            addHistory(report, now);
+        }
         for (const auto &[id, server] : m_dispatch.servers) {
             if (server.running > 0) {
                 report.running.push_back({id, static_cast<double>(server.running)});
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -95,6 +95,7 @@
     void takeState(fleetstate::FleetState state);
     void takeReply(const fleetlink::LeaderReply &reply);
     void scheduleReport(TimePoint at);
+    void addHistory(fleetlink::EntryReport &report, TimePoint now) const;
     void sendReport(TimePoint now);
     void postPump();
     void pump();
@@ -116,6 +117,7 @@
     dispatch::DispatchState m_dispatch;
     allowance::TokenWallet m_wallet;
     std::string m_leader; // link address
+    fleetlink::PeerNumber m_toldHistory = 0; // connection to a leader that knows what was spent before
     std::int64_t m_confirmedAt = 0; // boot clock, milliseconds, when the newest confirmed report was sent; 0: never
     TimePoint m_reportAt{};
     TimePoint m_lastReport{};
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -27,8 +27,9 @@
     double retryReserve = 30; /**< Retries of the whole fleet above the ratio. */
     Duration lossTimeout = milliseconds(1200); /**< A backend server that confirms nothing for so long is lost; above one lost packet. */
     Duration connectTimeout = milliseconds(500);
-    Duration drainTime = milliseconds(6500); /**< From the stop signal until the last call is cut; below the platform's grace time. */
-    Duration lameDuck = milliseconds(3500); /**< Idle connections stay open for so long after a stop signal: callers come until then. */
+    Duration drainTime = milliseconds(7700); /**< From the stop signal until the last call is cut; below the platform's grace time. */
+    /** Calls are taken for so long after a stop signal: the balancer needs two misses of its question each second. Later ones could not end in time. */
+    Duration lameDuck = milliseconds(2800);
     std::size_t bufferedAnswerBytes = 65'536; /**< Larger answers are passed on before they are complete. */
     dispatch::DispatchOptions dispatch;
     allowance::WalletOptions wallet;
--- /dev/null
+++ b/tests/dispatch/dispatch.cpp
@@ -0,0 +1,203 @@
+#include "mimosahollow/dispatch/dispatch.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::dispatch;
+
+namespace {
+
+const TimePoint start{seconds(100)};
+
+registry::ServerRecord record(const std::string &id, const std::string &service, unsigned slots, std::uint64_t sequence = 1)
+{
+    registry::ServerRecord made;
+    made.id = id;
+    made.service = service;
+    made.address = "10.0.0." + id.substr(1) + ":80";
+    made.domain = "north";
+    made.slots = slots;
+    made.born = 1;
+    made.sequence = sequence;
+    if (service == "chat") {
+        made.held = {{"base", {}, 1}};
+    }
+    return made;
+}
+
+/** Two engines and two plain backend servers; the first engine holds adapter a1. */
+DispatchState makeState()
+{
+    catalog::Catalog catalog;
+    catalog::EngineSpec engine;
+    engine.models = {{"base", 1000, 10, seconds(2)}};
+    engine.memoryMb = 2000;
+    engine.adapterSlots = 4;
+    catalog.services = {{"chat", 100, 20, engine}, {"rest", 100, 0, std::nullopt}};
+    DispatchState state;
+    state.options.domain = "north";
+    state.catalog = std::make_shared<const catalog::CatalogIndex>(std::make_shared<const catalog::Catalog>(std::move(catalog)));
+    for (const char *id : {"s1", "s2"}) {
+        noteServer(state, record(id, "chat", 64), start);
+    }
+    for (const char *id : {"s3", "s4"}) {
+        noteServer(state, record(id, "rest", 6), start);
+    }
+    notePlacement(state, {1, {{"s1", 1, {{"base", "a1", 1, 0}}}, {"s2", 1, {}}}}, start);
+    return state;
+}
+
+Call modelCall(std::string adapter)
+{
+    Call call;
+    call.id = "q1";
+    call.service = "chat";
+    call.model = "base";
+    call.adapter = std::move(adapter);
+    call.arrived = start;
+    call.objectiveEnd = start + milliseconds(600);
+    call.deadline = start + seconds(12);
+    return call;
+}
+
+Call plainCall()
+{
+    Call call = modelCall({});
+    call.service = "rest";
+    call.model.clear();
+    call.objectiveEnd = start + milliseconds(100);
+    call.deadline = start + milliseconds(600);
+    return call;
+}
+
+std::string sentTo(const Decision &decision)
+{
+    const auto *send = std::get_if<Send>(&decision);
+    return send == nullptr ? std::string() : send->server;
+}
+
+} // namespace
+
+// Guards against calls on the wrong adapter or version, and against calls to backend servers that must get none.
+TEST_CASE("A call goes to a backend server that holds its adapter")
+{
+    DispatchState state = makeState();
+    REQUIRE(sentTo(decide(state, modelCall("a1"), start)) == "s1");
+
+    SECTION("only at the required version")
+    {
+        state.adapterVersions["base/a1"] = 2;
+        CHECK(std::holds_alternative<Wait>(decide(state, modelCall("a1"), start)));
+        notePlacement(state, {1, {{"s2", 1, {{"base", "a1", 2, 0}}}}}, start);
+        const Decision decision = decide(state, modelCall("a1"), start);
+        CHECK(sentTo(decision) == "s2");
+        CHECK(std::get<Send>(decision).adapterVersion == 2);
+    }
+    SECTION("once its load has ended")
+    {
+        notePlacement(state, {1, {{"s2", 1, {{"base", "a2", 1, 200}}}}}, start);
+        const Decision decision = decide(state, modelCall("a2"), start);
+        REQUIRE(std::holds_alternative<Wait>(decision));
+        CHECK(std::get<Wait>(decision).until == start + milliseconds(200));
+        CHECK(sentTo(decide(state, modelCall("a2"), start + milliseconds(200))) == "s2");
+    }
+    SECTION("not to one that drains, or whose domain is evacuated")
+    {
+        registry::ServerRecord draining = record("s1", "chat", 64, 2);
+        draining.state = registry::ServerState::Draining;
+        noteServer(state, draining, start);
+        CHECK(sentTo(decide(state, modelCall("a1"), start)).empty());
+        state.evacuatedDomains.insert("north");
+        CHECK(sentTo(decide(state, plainCall(), start)).empty());
+    }
+    SECTION("not by the word of an earlier leader")
+    {
+        notePlacement(state, {2, {{"s1", 1, {}}}}, start);
+        notePlacement(state, {1, {{"s1", 1, {{"base", "a1", 1, 0}}}}}, start);
+        CHECK(sentTo(decide(state, modelCall("a1"), start)).empty());
+    }
+}
+
+// Load pattern: more calls at once than the backend servers have places for.
+TEST_CASE("A full service makes calls wait within their objective, and then refuses them")
+{
+    DispatchState state = makeState();
+    unsigned sent = 0;
+    while (true) {
+        const std::string server = sentTo(decide(state, plainCall(), start));
+        if (server.empty()) {
+            break;
+        }
+        started(state, server, start);
+        ++sent;
+    }
+    CHECK(sent == 2 * (6 + state.options.plainQueue));
+    const Decision waiting = decide(state, plainCall(), start);
+    REQUIRE(std::holds_alternative<Wait>(waiting));
+    CHECK(std::get<Wait>(waiting).until <= plainCall().objectiveEnd);
+
+    SECTION("a place that becomes free is used")
+    {
+        ended(state, "s3", CallResult::Answered, start);
+        CHECK(sentTo(decide(state, plainCall(), start)) == "s3");
+    }
+    SECTION("near the end of the objective the call is refused with a time to come back")
+    {
+        const Decision late = decide(state, plainCall(), start + milliseconds(95));
+        REQUIRE(std::holds_alternative<Refuse>(late));
+        CHECK(std::get<Refuse>(late).cause == RefusalCause::NoCapacity);
+        CHECK(std::get<Refuse>(late).retryAfter > Duration{});
+    }
+}
+
+// Load pattern: a zone's backend servers come back cold together, and every entry instance has calls for them.
+TEST_CASE("A cold backend server gets no more than its share of what it bears")
+{
+    DispatchState state = makeState();
+    state.entries = 4;
+    for (const char *id : {"s1", "s2"}) {
+        registry::ServerRecord cold = record(id, "chat", 64, 2);
+        cold.coldMilliseconds = 3000;
+        noteServer(state, cold, start);
+    }
+    unsigned sent = 0;
+    for (int call = 0; call < 50; ++call) {
+        const std::string server = sentTo(decide(state, modelCall("a1"), start));
+        if (!server.empty()) {
+            started(state, server, start);
+            ++sent;
+        }
+    }
+    CHECK(sent == 5); // 20 a second, divided over four instances
+    CHECK_FALSE(sentTo(decide(state, modelCall("a1"), start + milliseconds(1001))).empty());
+    CHECK_FALSE(sentTo(decide(state, modelCall("a1"), start + milliseconds(3001))).empty());
+}
+
+// Load pattern: one backend server fails half of its calls while it says that it is well.
+TEST_CASE("A backend server that fails calls gets fewer of them, and its share back once it answers")
+{
+    DispatchState state = makeState();
+    for (int call = 0; call < 10; ++call) {
+        started(state, "s3", start);
+        ended(state, "s3", call % 2 == 0 ? CallResult::Failed : CallResult::Answered, start);
+    }
+    unsigned failing = 0;
+    for (int call = 0; call < 3; ++call) {
+        const std::string server = sentTo(decide(state, plainCall(), start));
+        started(state, server, start);
+        failing += server == "s3" ? 1 : 0;
+    }
+    CHECK(failing == 0);
+    for (int call = 0; call < 40; ++call) {
+        started(state, "s3", start);
+        ended(state, "s3", CallResult::Answered, start);
+    }
+    CHECK(state.servers.at("s3").failureShare < 0.01);
+
+    SECTION("one that refuses connections is left out for a moment")
+    {
+        started(state, "s4", start);
+        ended(state, "s4", CallResult::Unreachable, start);
+        CHECK(sentTo(decide(state, plainCall(), start)) == "s3");
+    }
+}
--- /dev/null
+++ b/tests/fleetstate/fleetstate.cpp
@@ -0,0 +1,78 @@
+#include "mimosahollow/fleetstate/fleetstate.h"
+#include "mimosahollow/fleetstate/fleetcommand.h"
+
+#include <catch2/catch.hpp>
+
+using namespace mimosahollow;
+using namespace mimosahollow::fleetstate;
+
+namespace {
+
+FleetCommand catalogOf(std::uint64_t version, std::string text)
+{
+    return {CommandKind::PutCatalog, version, {}, std::move(text)};
+}
+
+} // namespace
+
+// Guards against an accepted configuration that an older, repeated or rival one replaces.
+TEST_CASE("The highest catalog version rules")
+{
+    FleetState state;
+    REQUIRE(apply(state, 1, catalogOf(5, "five")));
+
+    SECTION("an older one changes nothing")
+    {
+        CHECK_FALSE(apply(state, 2, catalogOf(4, "four")));
+        CHECK(*state.catalogText == "five");
+    }
+    SECTION("another operator's content under the same version changes nothing")
+    {
+        CHECK_FALSE(apply(state, 2, catalogOf(5, "rival")));
+        CHECK(*state.catalogText == "five");
+    }
+    SECTION("a higher one replaces it")
+    {
+        CHECK(apply(state, 2, catalogOf(9, "nine")));
+        CHECK(*state.catalogText == "nine");
+        CHECK(state.catalogVersion == 9);
+    }
+}
+
+// Guards against a version of an adapter that goes back.
+TEST_CASE("Versions of an adapter only grow")
+{
+    FleetState state;
+    CHECK(apply(state, 1, {CommandKind::NameAdapterVersion, 3, "m/a1", {}}));
+    CHECK_FALSE(apply(state, 2, {CommandKind::NameAdapterVersion, 2, "m/a1", {}}));
+    CHECK(state.adapterVersions.at("m/a1") == 3);
+}
+
+// Guards against state that a restart or a transfer loses or alters.
+TEST_CASE("Commands and snapshots survive their encoding")
+{
+    const FleetCommand command{CommandKind::EvacuateDomain, 0, "north", {}};
+    const auto decoded = decodeCommand(encodeCommand(command));
+    REQUIRE(std::holds_alternative<FleetCommand>(decoded));
+    CHECK(std::get<FleetCommand>(decoded).subject == "north");
+
+    FleetState state;
+    apply(state, 1, catalogOf(7, "text"));
+    apply(state, 2, command);
+    apply(state, 3, {CommandKind::NameAdapterVersion, 4, "m/a1", {}});
+    const auto bytes = encodeSnapshot(state);
+    const auto restored = decodeSnapshot(bytes);
+    REQUIRE(std::holds_alternative<FleetState>(restored));
+    const auto &copy = std::get<FleetState>(restored);
+    CHECK(copy.index == 3);
+    CHECK(copy.catalogVersion == 7);
+    CHECK(*copy.catalogText == "text");
+    CHECK(copy.evacuatedDomains == std::set<std::string>{"north"});
+    CHECK(copy.adapterVersions == std::map<std::string, std::uint64_t>{{"m/a1", 4}});
+
+    SECTION("cut bytes are refused")
+    {
+        CHECK(std::holds_alternative<FleetStateError>(decodeSnapshot(std::span(bytes).first(bytes.size() / 2))));
+        CHECK(std::holds_alternative<FleetStateError>(decodeCommand({})));
+    }
+}
--- /dev/null
+++ b/tests/placement/placement.cpp
@@ -0,0 +1,255 @@
+#include "mimosahollow/placement/placement.h"
+#include "mimosahollow/catalog/catalogindex.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace mimosahollow;
+using namespace mimosahollow::placement;
+
+namespace {
+
+constexpr unsigned adapterSlots = 4;
+
+catalog::CatalogIndex makeCatalog()
+{
+    catalog::Catalog catalog;
+    catalog::EngineSpec engine;
+    engine.models = {{"base", 1000, 10, seconds(2)}};
+    engine.memoryMb = 1100;
+    engine.adapterSlots = adapterSlots;
+    engine.storeLoadsPerSecond = 2;
+    catalog.services = {{"chat", 100, 0, engine}};
+    return catalog::CatalogIndex(std::make_shared<const catalog::Catalog>(std::move(catalog)));
+}
+
+/** Leader and engines; orders are carried out by the engines at once, loads take their time. */
+struct Fleet
+{
+    explicit Fleet(unsigned engines) : catalog(makeCatalog())
+    {
+        begin(state, 1, now);
+        for (unsigned i = 1; i <= engines; ++i) {
+            const std::string id = "s" + std::to_string(i);
+            registry::ServerRecord record;
+            record.id = id;
+            record.service = "chat";
+            record.address = id + ":80";
+            record.born = 1;
+            noteServer(state, record, true, now);
+            held[id] = {};
+            sequences[id] = 0;
+        }
+        readReports();
+        now += state.options.holderSilence;
+    }
+
+    void readReports()
+    {
+        for (const std::string &id : dueReports(state, now)) {
+            ModelReport report;
+            report.sequence = sequences[id];
+            report.copies.push_back({"base", {}, 1, false});
+            for (const std::string &adapter : held[id]) {
+                report.copies.push_back({"base", adapter, 1, false});
+            }
+            noteReport(state, id, 1, report, now);
+        }
+    }
+
+    /** Lets all orders be given and carried out until there are none. */
+    void settle()
+    {
+        for (auto orders = planOrders(state, catalog, now); !orders.empty(); orders = planOrders(state, catalog, now)) {
+            for (const ModelOrder &order : orders) {
+                REQUIRE(order.expectedSequence == sequences[order.server]);
+                ++sequences[order.server];
+                if (order.kind == OrderKind::Load) {
+                    held[order.server].insert(order.adapter);
+                    ++loads;
+                } else {
+                    held[order.server].erase(order.adapter);
+                }
+                REQUIRE(held[order.server].size() <= adapterSlots);
+                orderAnswered(state, order, order.kind == OrderKind::Load ? OrderOutcome::Accepted : OrderOutcome::AlreadyDone, now);
+            }
+        }
+    }
+
+    void demand(const std::string &adapter, unsigned waiting, unsigned started = 0)
+    {
+        noteDemand(state, "entry-1", {"base", adapter}, "chat", waiting, started, now);
+    }
+
+    [[nodiscard]] unsigned copies(const std::string &adapter) const
+    {
+        unsigned count = 0;
+        for (const auto &[id, adapters] : held) {
+            count += adapters.contains(adapter) ? 1 : 0;
+        }
+        return count;
+    }
+
+    PlacementState state;
+    catalog::CatalogIndex catalog;
+    TimePoint now{seconds(100)};
+    std::map<std::string, std::set<std::string>> held;
+    std::map<std::string, std::uint64_t> sequences;
+    unsigned loads = 0;
+};
+
+} // namespace
+
+// Guards against two holders that order one engine in turn after a change of the leader.
+TEST_CASE("A new leader gives no orders before the earlier one has been silent for its lease")
+{
+    Fleet fleet(2);
+    begin(fleet.state, 2, fleet.now);
+    fleet.demand("a1", 1);
+    CHECK(planOrders(fleet.state, fleet.catalog, fleet.now + fleet.state.options.holderSilence - milliseconds(1)).empty());
+}
+
+// Load pattern: rare adapters are asked for at once, more of them than there are places.
+TEST_CASE("Adapters that calls wait for are loaded once each, within the places of the engines")
+{
+    Fleet fleet(3);
+    for (int i = 0; i < 30; ++i) {
+        fleet.demand("a" + std::to_string(i), 1);
+    }
+    fleet.settle();
+    CHECK(fleet.loads == fleet.state.options.storeTransfers);
+    for (int i = 0; i < 30; ++i) {
+        CHECK(fleet.copies("a" + std::to_string(i)) <= 1);
+    }
+    SECTION("the next ones follow when the first have arrived")
+    {
+        fleet.now += seconds(2);
+        for (int i = 8; i < 30; ++i) {
+            fleet.demand("a" + std::to_string(i), 1);
+        }
+        fleet.settle();
+        CHECK(fleet.loads > fleet.state.options.storeTransfers);
+    }
+}
+
+// Load pattern: one adapter takes most of the calls.
+TEST_CASE("A popular adapter gets more copies, an idle one gives its place")
+{
+    Fleet fleet(3);
+    fleet.demand("a1", 1);
+    fleet.settle();
+    for (int step = 0; step < 60; ++step) {
+        fleet.now += milliseconds(100);
+        fleet.demand("a1", 0, 3);
+        fleet.settle();
+    }
+    CHECK(fleet.copies("a1") == 3);
+}
+
+// Guards against more adapters than places when an order without an answer is carried out late.
+TEST_CASE("An order without an answer keeps its place until a report resolves it")
+{
+    Fleet fleet(1);
+    fleet.demand("a1", 1);
+    const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(orders.size() == 1);
+    orderAnswered(fleet.state, orders[0], OrderOutcome::Unknown, fleet.now);
+    fleet.now += milliseconds(50);
+    fleet.demand("a2", 1);
+    CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+
+    SECTION("it was carried out")
+    {
+        fleet.sequences["s1"] = 1;
+        fleet.held["s1"] = {"a1"};
+        fleet.now += milliseconds(400);
+        fleet.readReports();
+        fleet.settle();
+        CHECK(fleet.held["s1"] == std::set<std::string>{"a1", "a2"});
+    }
+    SECTION("it was not, and the next order takes its number")
+    {
+        fleet.now += milliseconds(400);
+        fleet.readReports();
+        fleet.now += milliseconds(400);
+        fleet.readReports();
+        fleet.demand("a2", 1);
+        const auto next = planOrders(fleet.state, fleet.catalog, fleet.now);
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].expectedSequence == 0); // the late order is refused once this one is accepted
+    }
+}
+
+// Guards against orders to an engine of an earlier incarnation and against what is known of it.
+TEST_CASE("A restarted engine is read anew before it gets orders")
+{
+    Fleet fleet(1);
+    fleet.demand("a1", 1);
+    fleet.settle();
+    registry::ServerRecord restarted;
+    restarted.id = "s1";
+    restarted.service = "chat";
+    restarted.address = "s1:80";
+    restarted.born = 2;
+    noteServer(fleet.state, restarted, true, fleet.now);
+    fleet.demand("a1", 1);
+    CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    REQUIRE(dueReports(fleet.state, fleet.now).size() == 1);
+    noteReport(fleet.state, "s1", 2, {0, false, {}}, fleet.now);
+    const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].adapter.empty()); // its weights first
+    CHECK(orders[0].born == 2);
+}
+
+// Guards against calls on an earlier version after a newer one was named.
+TEST_CASE("A newer version of an adapter is loaded where calls wait for it")
+{
+    Fleet fleet(2);
+    fleet.demand("a1", 1);
+    fleet.settle();
+    REQUIRE(fleet.copies("a1") == 1);
+    fleet.now += seconds(2);
+    fleet.state.namedVersions["base/a1"] = 5;
+    fleet.demand("a1", 1);
+    const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].adapter == "a1");
+    CHECK(orders[0].version == 5);
+}
+
+// Property: whatever the demand, the answers and their order, no engine is ever ordered to hold more than its places.
+TEST_CASE("Random demand and lost answers never overfill an engine")
+{
+    const auto seed = GENERATE(range(1U, 21U));
+    std::minstd_rand random(seed);
+    Fleet fleet(3);
+    INFO("seed " << seed);
+    for (int step = 0; step < 400; ++step) {
+        fleet.now += milliseconds(20);
+        fleet.demand("a" + std::to_string(random() % 40), static_cast<unsigned>(random() % 3), static_cast<unsigned>(random() % 2));
+        fleet.readReports();
+        for (const ModelOrder &order : planOrders(fleet.state, fleet.catalog, fleet.now)) {
+            const bool isCarriedOut = order.expectedSequence == fleet.sequences[order.server];
+            if (isCarriedOut && random() % 10 != 0) {
+                ++fleet.sequences[order.server];
+                auto &held = fleet.held[order.server];
+                if (order.kind == OrderKind::Load) {
+                    held.insert(order.adapter);
+                } else {
+                    held.erase(order.adapter);
+                }
+                REQUIRE(held.size() <= adapterSlots);
+            }
+            OrderOutcome outcome = order.kind == OrderKind::Load ? OrderOutcome::Accepted : OrderOutcome::AlreadyDone;
+            if (!isCarriedOut) {
+                outcome = OrderOutcome::Conflict;
+            } else if (fleet.sequences[order.server] == order.expectedSequence || random() % 10 == 0) {
+                outcome = OrderOutcome::Unknown;
+            }
+            orderAnswered(fleet.state, order, outcome, fleet.now);
+        }
+    }
+    CHECK(fleet.sequences["s1"] > 5);
+}
