Plan placements at most once in 8 ms, from the copies that exist

Cause: each answer to an order and each report planned anew over all known demand, 12 engines each; in a burst the leader used up its part of a core, answered operators late and lost its term.

--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -5,12 +5,10 @@
 
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace mimosahollow::placement {
@@ -32,6 +30,8 @@
     Duration replicaIdle = seconds(4); /**< The same for a further copy. */
     Duration waitMemory = milliseconds(1500); /**< For how long a reported wait counts; entry instances report more often while calls wait. */
     Duration smoothing = seconds(3); /**< Averaging time of the demand. */
+    Duration demandMemory = seconds(12); /**< Demand is forgotten after this; four averaging times leave 2% of it. */
+    Duration balanceInterval = milliseconds(250); /**< Load of the engines and further copies are worked out so often. */
 };
 
 /** Model and adapter; the adapter is empty for the base model. */
@@ -66,7 +66,9 @@
     std::set<std::string> baseModels;
     std::map<std::string, TimePoint> comingModels; /**< Base models in load, and when they are expected. */
     std::map<AdapterKey, AdapterCopy> adapters;
-    std::list<AdapterKey> recent; /**< Adapters held recently, newest first. */
+    std::map<AdapterKey, std::uint64_t> recent; /**< Adapters held recently, and when, as a number that grows. */
+    std::uint64_t lastRecent = 0;
+    double expectedCalls = 0; /**< Per second, by the demand for what it holds. */
     bool orderInFlight = false;
     bool reportInFlight = false;
     std::optional<ModelOrder> unresolved; /**< Order without an answer. */
@@ -91,6 +93,7 @@
     PlacementOptions options;
     std::uint64_t fencingNumber = 0;
     TimePoint activeFrom{}; /**< No orders before. */
+    TimePoint nextBalance{};
     std::map<std::string, EngineState> engines;
     std::map<AdapterKey, DemandState> demand;
     std::map<std::string, std::uint64_t> namedVersions; /**< By "model/adapter". */
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -56,7 +56,12 @@
 } // namespace
 
 Coordinator::Coordinator(asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EnginePort engines)
-    : m_context(context), m_settings(std::move(settings)), m_decodeCatalog(std::move(decodeCatalog)), m_engines(std::move(engines)), m_timer(context)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_decodeCatalog(std::move(decodeCatalog))
+    , m_engines(std::move(engines))
+    , m_timer(context)
+    , m_placementTimer(context)
 {
     m_settings.consensus.keptEntries = keptEntries;
     m_registry.options = m_settings.registry;
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -125,6 +125,7 @@
 
     void serversChanged(const std::vector<registry::ServerRecord> &servers, TimePoint now);
     void planPlacement(TimePoint now);
+    void planPlacementSoon();
     void sendOrder(const placement::ModelOrder &order);
     void readEngines(TimePoint now);
     void flushPlacement();
@@ -162,7 +163,9 @@
     std::string m_announcedLeader;
     TimePoint m_nextSecond{};
     TimePoint m_nextVoterPlan{};
-    TimePoint m_nextPlacement{};
+    TimePoint m_nextPlacement{}; // at the latest
+    boost::asio::steady_timer m_placementTimer;
+    bool m_placementTimed = false;
     CoordinatorCounters m_counters;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // handlers that outlive this object check it
 };
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -210,7 +210,7 @@
         anyWaits = anyWaits || demand.waiting > 0;
     }
     if (anyWaits) {
-        planPlacement(now);
+        planPlacementSoon();
     }
     m_unconfirmed.push_back(peer.hello.name);
     confirmReports();
--- a/src/coordinator/coordinatorplacement.cpp
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -12,7 +12,9 @@
 using Clock = std::chrono::steady_clock;
 
 /** Placement is planned anew so often when no report asks for it, for replicas and engines without weights. */
-constexpr Duration placementInterval = milliseconds(200);
+constexpr Duration placementInterval = milliseconds(250);
+/** Reports and answers are collected for so long before a plan. Small beside the 250 ms of a load. */
+constexpr Duration placementDelay = milliseconds(8);
 
 constexpr std::array<std::string_view, 5> outcomeNames{"accepted", "already-done", "conflict", "rejected", "unknown"};
 
@@ -44,6 +46,22 @@
     flushPlacement();
 }
 
+/** Plans once for the reports and answers that arrive within a short time: a plan looks at all copies of all engines. */
+void Coordinator::planPlacementSoon()
+{
+    if (m_placementTimed) {
+        return;
+    }
+    m_placementTimed = true;
+    m_placementTimer.expires_after(placementDelay);
+    m_placementTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            m_placementTimed = false;
+            planPlacement(Clock::now());
+        }
+    });
+}
+
 void Coordinator::sendOrder(const placement::ModelOrder &order)
 {
     ++m_counters.orders;
@@ -66,7 +84,7 @@
             return;
         }
         placement::orderAnswered(m_placement, order, outcome, now);
-        planPlacement(now);
+        planPlacementSoon();
     });
 }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/placement/placement.h"
 
+#include "internal.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,15 +9,6 @@
 
 namespace {
 
-void rememberRecent(const PlacementState &state, EngineState &engine, const AdapterKey &key)
-{
-    engine.recent.remove(key);
-    engine.recent.push_front(key);
-    if (engine.recent.size() > state.options.recentAdapters) {
-        engine.recent.pop_back();
-    }
-}
-
 void startOver(EngineState &engine, TimePoint now)
 {
     engine.isKnown = false;
@@ -54,7 +47,7 @@
         known.version = copy.version;
         known.readyAt = copy.isComing ? std::max(known.readyAt, now + state.options.adapterLoad / 2) : std::min(known.readyAt, now);
         adapters[key] = known;
-        rememberRecent(state, engine, key);
+        noteRecent(state, engine, key);
     }
     engine.adapters = std::move(adapters);
     engine.sequence = report.sequence;
@@ -63,6 +56,16 @@
 
 } // namespace
 
+void noteRecent(const PlacementState &state, EngineState &engine, const AdapterKey &key)
+{
+    engine.recent[key] = ++engine.lastRecent;
+    if (engine.recent.size() > state.options.recentAdapters) {
+        engine.recent.erase(std::min_element(engine.recent.begin(), engine.recent.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        }));
+    }
+}
+
 void begin(PlacementState &state, std::uint64_t term, TimePoint now)
 {
     const PlacementOptions options = state.options;
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -1,6 +1,8 @@
 #include "mimosahollow/catalog/catalogindex.h"
 #include "mimosahollow/placement/placement.h"
 
+#include "internal.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -21,7 +23,7 @@
     TimePoint now;
     std::vector<ModelOrder> orders;
     unsigned storeTransfers = 0;
-    std::map<std::string, double> expectedCalls; // calls per second by engine
+    std::map<AdapterKey, unsigned> usable; // copies that have the required version, loaded or on their way
 
     [[nodiscard]] const catalog::EngineSpec *specOf(const EngineState &engine) const
     {
@@ -60,7 +62,7 @@
 
     [[nodiscard]] bool heldRecently(const EngineState &engine, const AdapterKey &key) const
     {
-        return std::find(engine.recent.begin(), engine.recent.end(), key) != engine.recent.end();
+        return engine.recent.contains(key);
     }
 
     [[nodiscard]] bool hasRoom(const EngineState &engine, const catalog::EngineSpec &spec) const
@@ -116,11 +118,8 @@
         }
         const std::uint64_t version = requiredVersion(state, key);
         engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isRecent};
-        engine.recent.remove(key);
-        engine.recent.push_front(key);
-        if (engine.recent.size() > state.options.recentAdapters) {
-            engine.recent.pop_back();
-        }
+        noteRecent(state, engine, key);
+        ++usable[key];
         send(id, engine, OrderKind::Load, key, version);
     }
 
@@ -128,23 +127,21 @@
     [[nodiscard]] std::optional<double> cost(const std::string &id, const EngineState &engine, const AdapterKey &key, Duration minimumIdle) const
     {
         const catalog::EngineSpec *spec = specOf(engine);
-        if (spec == nullptr || !takesOrders(engine) || !engine.baseModels.contains(key.model) || transfersTo(engine) >= state.options.transfersPerServer) {
+        if (spec == nullptr || !takesOrders(engine) || !engine.baseModels.contains(key.model)) {
             return std::nullopt;
         }
         const bool isRecent = heldRecently(engine, key);
-        if (!isRecent && storeTransfers >= state.options.storeTransfers) {
+        if ((!isRecent && storeTransfers >= state.options.storeTransfers) || transfersTo(engine) >= state.options.transfersPerServer) {
             return std::nullopt;
         }
         const bool isFree = hasRoom(engine, *spec);
         if (!isFree && !victim(engine, minimumIdle)) {
             return std::nullopt;
         }
-        const auto expected = expectedCalls.find(id);
-        const double calls = expected == expectedCalls.end() ? 0 : expected->second;
         // The hash makes an adapter return to the engine that keeps it in host memory.
         const std::string name = key.model + "/" + key.adapter + "@" + id;
         const double spread = static_cast<double>(XXH3_64bits(name.data(), name.size()) % 1024) / 1024;
-        return calls / state.options.callsPerCopy + (isRecent ? 0 : 2) + (isFree ? 0 : 0.3) + spread;
+        return engine.expectedCalls / state.options.callsPerCopy + (isRecent ? 0 : 2) + (isFree ? 0 : 0.3) + spread;
     }
 
     bool place(const AdapterKey &key, const DemandState &demand, Duration minimumIdle)
@@ -180,37 +177,32 @@
         return true;
     }
 
-    /** Copies that have the required version, loaded or on their way. */
     [[nodiscard]] unsigned usableCopies(const AdapterKey &key) const
     {
-        unsigned count = 0;
-        const std::uint64_t required = requiredVersion(state, key);
+        const auto found = usable.find(key);
+        return found == usable.end() ? 0 : found->second;
+    }
+
+    void countCopies()
+    {
         for (const auto &[id, engine] : state.engines) {
-            const auto copy = engine.adapters.find(key);
-            if (engine.isReady && copy != engine.adapters.end() && copy->second.version >= required) {
-                ++count;
+            for (const auto &[key, copy] : engine.adapters) {
+                storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
+                usable[key] += engine.isReady && copy.version >= requiredVersion(state, key) ? 1 : 0;
             }
         }
-        return count;
     }
 
     void countLoad()
     {
-        for (const auto &[key, demand] : state.demand) {
-            const unsigned copies = usableCopies(key);
-            if (copies == 0) {
-                continue;
-            }
-            const double share = callsPerSecond(demand) / copies;
-            for (const auto &[id, engine] : state.engines) {
-                if (engine.adapters.contains(key)) {
-                    expectedCalls[id] += share;
-                }
-            }
-        }
-        for (const auto &[id, engine] : state.engines) {
+        for (auto &[id, engine] : state.engines) {
+            engine.expectedCalls = 0;
             for (const auto &[key, copy] : engine.adapters) {
-                storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
+                const auto demand = state.demand.find(key);
+                const unsigned copies = usableCopies(key);
+                if (demand != state.demand.end() && copies > 0) {
+                    engine.expectedCalls += callsPerSecond(demand->second) / copies;
+                }
             }
         }
     }
@@ -289,8 +281,8 @@
 
 void forgetIdleDemand(PlacementState &state, TimePoint now)
 {
-    std::erase_if(state.demand, [now](const auto &item) {
-        return now - item.second.measured > seconds(30);
+    std::erase_if(state.demand, [&state, now](const auto &item) {
+        return now - item.second.measured > state.options.demandMemory;
     });
 }
 
@@ -301,12 +293,16 @@
     if (now < state.activeFrom) {
         return {};
     }
-    forgetIdleDemand(state, now);
     Planner planner{state, catalog, now, {}, 0, {}};
-    planner.countLoad();
+    planner.countCopies();
     planner.loadBaseModels();
     planner.placeWaiting();
-    planner.replicate();
+    if (now >= state.nextBalance) {
+        state.nextBalance = now + state.options.balanceInterval;
+        forgetIdleDemand(state, now);
+        planner.countLoad();
+        planner.replicate();
+    }
     return std::move(planner.orders);
 }
 
