--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -26,7 +26,8 @@
     Duration connectFailurePause = milliseconds(600); /**< No calls to a backend server that refused a connection. */
     double coldOvershoot = 1.0; /**< Part of the cold rate that is used; the bound of the platform is 1.5 times the rate. */
     double objectiveShare = 0.9; /**< Part of the objective for which a call waits when nothing tells that it will be served. */
-    Duration adapterGrace = milliseconds(60); /**< A load that ends so late after the objective is still waited for. */
+    /** Part of the objective up to which a call waits for an adapter that will come: a late answer is worth something, a refusal costs a new call. */
+    double lateShare = 1.7;
 };
 
 struct AdapterView
@@ -58,6 +59,7 @@
     std::map<std::string, std::uint64_t> adapterVersions; /**< Oldest version allowed, by "model/adapter". */
     std::map<std::string, ServerView> servers;
     std::map<std::string, admission::RetryBudget> retryBudgets; /**< By service. */
+    Duration adapterLoad = milliseconds(300); /**< After which an adapter is loaded that nobody waits for yet, as the leader says. */
     unsigned entries = 1; /**< Entry instances of the fleet, which share the fleet-wide limits. */
     control::Term placementTerm = 0;
     std::minstd_rand random;
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -57,6 +57,7 @@
     std::string service;
     unsigned waiting = 0; /**< Calls that wait for the adapter now. */
     unsigned started = 0; /**< Calls that were sent to a backend server. */
+    unsigned inTime = 0; /**< Of the waiting calls, those that a load can still serve within their objective. */
 };
 
 /** Tokens that an entry instance has spent, or holds, of grants of an earlier leader. */
@@ -74,7 +75,8 @@
     std::vector<NamedNumber> tokenWishes; /**< By organisation. */
     std::vector<NamedNumber> running; /**< Calls by backend server, only those above 0. */
     std::vector<AdapterDemand> demand;
-    std::vector<SpentTokens> spent; /**< In the first report to a leader. */
+    std::vector<SpentTokens> spent;
+    bool hasHistory = false; /**< @c spent is complete. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
@@ -85,6 +87,8 @@
     unsigned entries = 0; /**< Entry instances that the leader hears. */
     std::vector<NamedNumber> tokens; /**< Granted, by organisation. */
     std::vector<NamedNumber> running; /**< Calls of all other entry instances, by backend server. */
+    bool wantsHistory = false; /**< The leader does not know what the entry instance has spent; it grants nothing before. */
+    unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
 };
 
 struct PlacedAdapter
--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -20,9 +20,18 @@
 /** Takes over an announced backend server. @p isUsable: nothing but its own state keeps calls from it. */
 void noteServer(PlacementState &state, const registry::ServerRecord &record, bool isUsable, TimePoint now);
 
-/** @p entry has @p waiting calls for an adapter and has started @p started since its last report. */
-void noteDemand(
-    PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, unsigned waiting, unsigned started, TimePoint now);
+/** Calls of one adapter at one entry instance. */
+struct EntryDemand
+{
+    unsigned waiting = 0;
+    unsigned inTime = 0; /**< Of the waiting ones, those that a load can still serve within their objective. */
+    unsigned started = 0; /**< Since the last report. */
+};
+
+void noteDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now);
+
+/** Time until an adapter is loaded that nobody waits for yet. */
+[[nodiscard]] Duration expectedLoad(const PlacementState &state, TimePoint now);
 
 /** Engines whose state is to be read now; marks them. */
 [[nodiscard]] std::vector<std::string> dueReports(PlacementState &state, TimePoint now);
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -81,7 +81,13 @@
 struct DemandState
 {
     std::string service;
-    std::map<std::string, std::pair<unsigned, TimePoint>> waiting; /**< Calls that wait, by entry instance, and when it said so. */
+    struct Wait
+    {
+        unsigned calls = 0;
+        unsigned inTime = 0; /**< Those that a load can still serve within their objective. */
+        TimePoint reported{};
+    };
+    std::map<std::string, Wait> waiting; /**< By entry instance. */
     double callsPerSecond = 0;
     TimePoint measured{};
     TimePoint firstWait{};
--- a/src/coordinator/coordinatorinternal.h
+++ b/src/coordinator/coordinatorinternal.h
@@ -37,6 +37,7 @@
 {
     fleetlink::PeerNumber peer = 0;
     TimePoint heard{};
+    bool hasHistory = false; /**< It has told what it spent of the grants of an earlier leader. */
     std::uint64_t stamp = 0; /**< Of its last report. */
     std::vector<fleetlink::NamedNumber> running;
     std::map<std::string, double> granted; /**< Tokens not sent to it yet, by organisation. */
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -186,11 +186,14 @@
     entry.heard = now;
     entry.stamp = report.stamp;
     entry.running = report.running;
-    for (const fleetlink::SpentTokens &spent : report.spent) {
-        allowance::notePast(m_bank, spent.organisation, spent.tokens, milliseconds(spent.ageMilliseconds), now);
+    if (report.hasHistory && !entry.hasHistory) {
+        entry.hasHistory = true;
+        for (const fleetlink::SpentTokens &spent : report.spent) {
+            allowance::notePast(m_bank, spent.organisation, spent.tokens, milliseconds(spent.ageMilliseconds), now);
+        }
     }
     for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
-        if (!m_bank.accounts.contains(wish.name)) {
+        if (!entry.hasHistory || !m_bank.accounts.contains(wish.name)) {
             continue; // the rate is gone; the entry instance has not heard of it yet
         }
         const double granted = allowance::grant(m_bank, wish.name, wish.value, now);
@@ -206,7 +209,8 @@
     }
     bool anyWaits = false;
     for (const fleetlink::AdapterDemand &demand : report.demand) {
-        placement::noteDemand(m_placement, peer.hello.name, {demand.model, demand.adapter}, demand.service, demand.waiting, demand.started, now);
+        const placement::EntryDemand counts{demand.waiting, demand.inTime, demand.started};
+        placement::noteDemand(m_placement, peer.hello.name, {demand.model, demand.adapter}, demand.service, counts, now);
         anyWaits = anyWaits || demand.waiting > 0;
     }
     if (anyWaits) {
@@ -245,13 +249,14 @@
         const auto found = running.find(id);
         engine.running = found == running.end() ? 0 : static_cast<unsigned>(found->second);
     }
+    const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoad(m_placement, now)).count());
     for (const std::string &name : m_confirming) {
         const auto found = m_entries.find(name);
         if (found == m_entries.end()) {
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}};
+        fleetlink::LeaderReply reply{entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}, !entry.hasHistory, loadMilliseconds};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -10,7 +10,8 @@
 constexpr double failureSmoothing = 0.15; // weight of the newest call: about seven calls decide
 constexpr Duration coldWindow = seconds(1); // the cold rate is per second
 constexpr Duration recheck = milliseconds(100); // bounds a wait when no event ends it
-constexpr Duration shortRetry = milliseconds(250); // an adapter from the store takes as long
+constexpr Duration shortRetry = milliseconds(250); // a few answers of a plain service
+constexpr Duration adapterRetry = milliseconds(800); // three loads from the store
 constexpr Duration longRetry = milliseconds(1000); // without a server, an announcement or a restart is needed
 
 /** Whether @p server may get calls at all. */
@@ -80,13 +81,40 @@
     return load + distance + noise + server.failureShare * state.options.failureCost;
 }
 
+/** @p share of the objective of @p call after its arrival, at most its deadline. */
+TimePoint partOfObjective(const Call &call, double share)
+{
+    const auto part = std::chrono::duration_cast<Duration>((call.objectiveEnd - call.arrived) * share);
+    return std::min(call.arrived + part, call.deadline);
+}
+
+/**
+ * Load pattern: calls of rare adapters, more than the store delivers. A call waits when its adapter is due before the end of
+ * its patience, and is refused at once otherwise, with the time after which the adapter can be there.
+ */
+Decision waitForAdapter(const DispatchState &state, const Call &call, TimePoint readyAt, TimePoint now)
+{
+    const TimePoint limit = partOfObjective(call, state.options.lateShare);
+    if (readyAt > now) {
+        if (readyAt <= limit) {
+            return Wait{RefusalCause::AdapterNotLoaded, readyAt};
+        }
+        return Refuse{RefusalCause::AdapterNotLoaded, readyAt - now};
+    }
+    // The estimate holds for a call that has just arrived; one that waits already is nearer to its turn.
+    const bool isNew = now - call.arrived < recheck;
+    if (now >= limit || (isNew && now + state.adapterLoad > limit)) {
+        return Refuse{RefusalCause::AdapterNotLoaded, std::max(adapterRetry, state.adapterLoad)};
+    }
+    return Wait{RefusalCause::AdapterNotLoaded, std::min(limit, now + recheck)};
+}
+
 Decision waitOrRefuse(const DispatchState &state, const Call &call, RefusalCause cause, TimePoint readyAt, TimePoint now)
 {
-    const auto patience = std::chrono::duration_cast<Duration>((call.objectiveEnd - call.arrived) * state.options.objectiveShare);
-    const TimePoint limit = std::min(call.arrived + patience, call.deadline);
-    if (readyAt > now && readyAt <= std::min(call.objectiveEnd + state.options.adapterGrace, call.deadline)) {
-        return Wait{cause, readyAt};
+    if (cause == RefusalCause::AdapterNotLoaded) {
+        return waitForAdapter(state, call, readyAt, now);
     }
+    const TimePoint limit = partOfObjective(call, state.options.objectiveShare);
     if (now >= limit) {
         return Refuse{cause, cause == RefusalCause::NoServer ? longRetry : shortRetry};
     }
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -83,12 +83,13 @@
     table->service = demand.service;
     table->waiting = demand.waiting;
     table->started = demand.started;
+    table->in_time = demand.inTime;
     return table;
 }
 
 AdapterDemand fromWire(const std::unique_ptr<wire::AdapterDemandT> &table)
 {
-    return {table->model, table->adapter, table->service, table->waiting, table->started};
+    return {table->model, table->adapter, table->service, table->waiting, table->started, table->in_time};
 }
 
 std::unique_ptr<wire::SpentTokensT> toWire(const SpentTokens &spent)
@@ -178,6 +179,7 @@
     table.token_wishes = converted<std::unique_ptr<wire::NamedNumberT>>(report.tokenWishes, itemToWire);
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
     table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
+    table.has_history = report.hasHistory;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     body.Set(std::move(table));
 }
@@ -190,6 +192,8 @@
     table.entries = reply.entries;
     table.tokens = converted<std::unique_ptr<wire::NamedNumberT>>(reply.tokens, itemToWire);
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(reply.running, itemToWire);
+    table.load_milliseconds = reply.loadMilliseconds;
+    table.wants_history = reply.wantsHistory;
     body.Set(std::move(table));
 }
 
@@ -276,14 +280,17 @@
                            converted<NamedNumber>(report->token_wishes, itemFromWire),
                            converted<NamedNumber>(report->running, itemFromWire),
                            converted<AdapterDemand>(report->demand, itemFromWire),
-                           converted<SpentTokens>(report->spent, itemFromWire)};
+                           converted<SpentTokens>(report->spent, itemFromWire),
+                           report->has_history};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
                            reply->index,
                            reply->entries,
                            converted<NamedNumber>(reply->tokens, itemFromWire),
-                           converted<NamedNumber>(reply->running, itemFromWire)};
+                           converted<NamedNumber>(reply->running, itemFromWire),
+                           reply->wants_history,
+                           reply->load_milliseconds};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
         return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire)};
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -267,7 +267,7 @@
             line.add("leader", known->leader).add("before", m_leader).add("source", peer.hello.name);
             observability::logDecision(line.text());
             m_leader = known->leader;
-            m_toldHistory = 0;
+            m_sendsHistory = true;
             m_hub->dial(m_leader);
             sendReport(now);
         }
@@ -327,6 +327,8 @@
     const TimePoint now = Clock::now();
     m_confirmedAt = std::max(m_confirmedAt, static_cast<std::int64_t>(reply.stamp));
     m_dispatch.entries = std::max(1U, reply.entries);
+    m_dispatch.adapterLoad = milliseconds(reply.loadMilliseconds);
+    m_sendsHistory = reply.wantsHistory;
     for (const fleetlink::NamedNumber &tokens : reply.tokens) {
         allowance::deposit(m_wallet, tokens.name, tokens.value, now);
     }
@@ -372,6 +374,7 @@
 /** Tells a new leader what was spent, so that its window starts where the earlier one ended. */
 void Entry::addHistory(fleetlink::EntryReport &report, TimePoint now) const
 {
+    report.hasHistory = true;
     for (const auto &[organisation, purse] : m_wallet.purses) {
         for (const allowance::Spending &spending : allowance::history(m_wallet, purse, now)) {
             const auto age = std::chrono::duration_cast<milliseconds>(now - spending.begin).count();
@@ -397,8 +400,7 @@
                 report.tokenWishes.push_back({organisation, wish});
             }
         }
-        if (m_toldHistory != leader->number) {
-            m_toldHistory = leader->number;
+        if (m_sendsHistory) {
             addHistory(report, now);
         }
         for (const auto &[id, server] : m_dispatch.servers) {
@@ -414,6 +416,7 @@
                 demand.adapter = waiter->call->adapter;
                 demand.service = waiter->call->service;
                 ++demand.waiting;
+                demand.inTime += now + m_settings.adapterLoad <= waiter->call->objectiveEnd ? 1 : 0;
             }
         }
         for (auto demand = m_demand.begin(); demand != m_demand.end();) {
@@ -423,6 +426,7 @@
                 demand = m_demand.erase(demand);
             } else {
                 demand->second.waiting = 0;
+                demand->second.inTime = 0;
                 demand->second.started = 0;
                 ++demand;
             }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -117,7 +117,7 @@
     dispatch::DispatchState m_dispatch;
     allowance::TokenWallet m_wallet;
     std::string m_leader; // link address
-    fleetlink::PeerNumber m_toldHistory = 0; // connection to a leader that knows what was spent before
+    bool m_sendsHistory = true; // until the leader has what was spent before its time
     std::int64_t m_confirmedAt = 0; // boot clock, milliseconds, when the newest confirmed report was sent; 0: never
     TimePoint m_reportAt{};
     TimePoint m_lastReport{};
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -22,6 +22,7 @@
     Duration reportInterval = milliseconds(150); /**< While calls run. */
     Duration idleReportInterval = milliseconds(500);
     Duration urgentReportDelay = milliseconds(3); /**< Collects the adapters that calls begin to wait for at the same moment. */
+    Duration adapterLoad = milliseconds(280); /**< From a report until an adapter from the store can be used. */
     Duration tokenWait = milliseconds(250); /**< Several round trips to the leader. */
     double retryRatio = 0.15; /**< Of the platform's budget, less what other instances' counts may be late by. */
     double retryReserve = 30; /**< Retries of the whole fleet above the ratio. */
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -98,24 +98,40 @@
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
 }
 
-void noteDemand(
-    PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, unsigned waiting, unsigned started, TimePoint now)
+Duration expectedLoad(const PlacementState &state, TimePoint now)
+{
+    const Duration start = std::max(Duration{}, state.activeFrom - now);
+    std::size_t queued = 0;
+    for (const auto &[key, demand] : state.demand) {
+        const bool isCopied = std::any_of(state.engines.begin(), state.engines.end(), [&key = key](const auto &item) {
+            return item.second.adapters.contains(key);
+        });
+        const bool isWaitedFor = std::any_of(demand.waiting.begin(), demand.waiting.end(), [&state, now](const auto &item) {
+            return now - item.second.reported <= state.options.waitMemory;
+        });
+        queued += isWaitedFor && !isCopied ? 1 : 0;
+    }
+    const auto rounds = static_cast<Duration::rep>(queued / std::max(1U, state.options.storeTransfers) + 1);
+    return start + rounds * state.options.adapterLoad;
+}
+
+void noteDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now)
 {
     DemandState &demand = state.demand[key];
     demand.service = service;
     const double age = std::max(0.0, toSeconds(now - demand.measured));
     const double window = toSeconds(state.options.smoothing);
-    demand.callsPerSecond = demand.callsPerSecond * std::exp(-age / window) + started / window;
+    demand.callsPerSecond = demand.callsPerSecond * std::exp(-age / window) + counts.started / window;
     demand.measured = now;
-    if (waiting == 0) {
+    if (counts.waiting == 0) {
         demand.waiting.erase(std::string(entry));
     } else {
         if (demand.waiting.empty()) {
             demand.firstWait = now;
         }
-        demand.waiting[std::string(entry)] = {waiting, now};
+        demand.waiting[std::string(entry)] = {counts.waiting, counts.inTime, now};
     }
-    if (started == 0) {
+    if (counts.started == 0) {
         return;
     }
     for (auto &[id, engine] : state.engines) {
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -46,8 +46,8 @@
     {
         unsigned count = 0;
         for (const auto &[entry, report] : demand.waiting) {
-            if (now - report.second <= state.options.waitMemory) {
-                count += report.first;
+            if (now - report.reported <= state.options.waitMemory) {
+                count += report.calls;
             }
         }
         return count;
@@ -251,18 +251,40 @@
         return *best;
     }
 
-    /** First copies for what calls wait for, in the order of their wait. */
+    [[nodiscard]] unsigned callsInTime(const DemandState &demand) const
+    {
+        unsigned count = 0;
+        for (const auto &[entry, report] : demand.waiting) {
+            // A report that is older than a load says nothing of the objective any more.
+            count += now - report.reported <= state.options.adapterLoad ? report.inTime : 0;
+        }
+        return count;
+    }
+
+    struct Wanted
+    {
+        unsigned inTime = 0;
+        TimePoint since{};
+        const AdapterKey *key = nullptr;
+    };
+
+    /**
+     * First copies for what calls wait for. Where more adapters are waited for than the store delivers, those go first that
+     * serve the most calls in time; in the order of their wait all of them would be late.
+     */
     void placeWaiting()
     {
-        std::vector<std::pair<TimePoint, const AdapterKey *>> waiting;
+        std::vector<Wanted> waiting;
         for (const auto &[key, demand] : state.demand) {
             if (!key.adapter.empty() && waitingCalls(demand) > 0 && usableCopies(key) == 0) {
-                waiting.emplace_back(demand.firstWait, &key);
+                waiting.push_back({callsInTime(demand), demand.firstWait, &key});
             }
         }
-        std::sort(waiting.begin(), waiting.end());
-        for (const auto &[since, key] : waiting) {
-            place(*key, state.demand[*key], state.options.minimumIdle);
+        std::sort(waiting.begin(), waiting.end(), [](const Wanted &left, const Wanted &right) {
+            return left.inTime != right.inTime ? left.inTime > right.inTime : left.since < right.since;
+        });
+        for (const Wanted &wanted : waiting) {
+            place(*wanted.key, state.demand[*wanted.key], state.options.minimumIdle);
         }
     }
 
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -79,7 +79,7 @@
 
     void demand(const std::string &adapter, unsigned waiting, unsigned started = 0)
     {
-        noteDemand(state, "entry-1", {"base", adapter}, "chat", waiting, started, now);
+        noteDemand(state, "entry-1", {"base", adapter}, "chat", {waiting, waiting, started}, now);
     }
 
     [[nodiscard]] unsigned copies(const std::string &adapter) const
@@ -133,6 +133,25 @@
     }
 }
 
+// Load pattern: more adapters are waited for than the store delivers within an objective.
+TEST_CASE("Adapters that serve calls in time go before those whose calls are late already")
+{
+    Fleet fleet(3);
+    for (int i = 0; i < 20; ++i) {
+        noteDemand(fleet.state, "entry-1", {"base", "late" + std::to_string(i)}, "chat", {1, 0, 0}, fleet.now);
+    }
+    fleet.now += milliseconds(50);
+    for (int i = 0; i < 8; ++i) {
+        noteDemand(fleet.state, "entry-1", {"base", "early" + std::to_string(i)}, "chat", {1, 1, 0}, fleet.now);
+    }
+    // 28 adapters are waited for, and 8 arrive together: a new one has its place in the fourth round.
+    CHECK(expectedLoad(fleet.state, fleet.now) == 4 * fleet.state.options.adapterLoad);
+    fleet.settle();
+    for (int i = 0; i < 8; ++i) {
+        CHECK(fleet.copies("early" + std::to_string(i)) == 1);
+    }
+}
+
 // Load pattern: one adapter takes most of the calls.
 TEST_CASE("A popular adapter gets more copies, an idle one gives its place")
 {
