--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -30,7 +30,7 @@
 
 void noteDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now);
 
-/** Time until an adapter is loaded that nobody waits for yet. */
+/** Time until an adapter is loaded that nobody waits for yet. Those that serve nobody in time come after it. */
 [[nodiscard]] Duration expectedLoad(const PlacementState &state, TimePoint now);
 
 /** Engines whose state is to be read now; marks them. */
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -371,6 +371,21 @@
     });
 }
 
+/** Load pattern: refused callers return after the time they were told; without this they would start the same wait again. */
+void Entry::addReturning(TimePoint now)
+{
+    std::erase_if(m_returning, [now](const auto &item) {
+        return now >= item.second.until;
+    });
+    for (const auto &[key, calls] : m_returning) {
+        fleetlink::AdapterDemand &demand = m_demand[key];
+        demand.model = key.first;
+        demand.adapter = key.second;
+        demand.service = calls.service;
+        demand.waiting = std::max(demand.waiting, 1U);
+    }
+}
+
 /** Tells a new leader what was spent, so that its window starts where the earlier one ended. */
 void Entry::addHistory(fleetlink::EntryReport &report, TimePoint now) const
 {
@@ -419,6 +434,7 @@
                 demand.inTime += now + m_settings.adapterLoad <= waiter->call->objectiveEnd ? 1 : 0;
             }
         }
+        addReturning(now);
         for (auto demand = m_demand.begin(); demand != m_demand.end();) {
             report.demand.push_back(demand->second);
             // One more report tells the leader that the wait is over.
@@ -523,6 +539,9 @@
         demand.service = call.service;
         ++demand.started;
     }
+    if (const auto *refuse = std::get_if<dispatch::Refuse>(&*waiter.choice); refuse != nullptr && refuse->cause == dispatch::RefusalCause::AdapterNotLoaded) {
+        m_returning[{call.model, call.adapter}] = {call.service, now + refuse->retryAfter + m_settings.returnMargin};
+    }
     co_return *waiter.choice;
 }
 
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -86,6 +86,11 @@
 
 private:
     struct Waiter;
+    struct ReturningCalls
+    {
+        std::string service;
+        TimePoint until{};
+    };
     struct TokenWaiter;
 
     boost::asio::awaitable<void> acceptCallers();
@@ -95,6 +100,7 @@
     void takeState(fleetstate::FleetState state);
     void takeReply(const fleetlink::LeaderReply &reply);
     void scheduleReport(TimePoint at);
+    void addReturning(TimePoint now);
     void addHistory(fleetlink::EntryReport &report, TimePoint now) const;
     void sendReport(TimePoint now);
     void postPump();
@@ -122,6 +128,8 @@
     TimePoint m_reportAt{};
     TimePoint m_lastReport{};
     std::map<std::pair<std::string, std::string>, fleetlink::AdapterDemand> m_demand; // since the last report
+    /** Adapters of refused calls that will come back, and until when; they are loaded meanwhile. */
+    std::map<std::pair<std::string, std::string>, ReturningCalls> m_returning;
     std::list<Waiter *> m_waiters; // most urgent first
     std::list<TokenWaiter *> m_tokenWaiters;
     bool m_pumpPosted = false;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -107,7 +107,7 @@
             return item.second.adapters.contains(key);
         });
         const bool isWaitedFor = std::any_of(demand.waiting.begin(), demand.waiting.end(), [&state, now](const auto &item) {
-            return now - item.second.reported <= state.options.waitMemory;
+            return item.second.inTime > 0 && now - item.second.reported <= state.options.adapterLoad;
         });
         queued += isWaitedFor && !isCopied ? 1 : 0;
     }
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -53,6 +53,16 @@
         return count;
     }
 
+    [[nodiscard]] unsigned callsInTime(const DemandState &demand) const
+    {
+        unsigned count = 0;
+        for (const auto &[entry, report] : demand.waiting) {
+            // A report that is older than a load says nothing of the objective any more.
+            count += now - report.reported <= state.options.adapterLoad ? report.inTime : 0;
+        }
+        return count;
+    }
+
     [[nodiscard]] unsigned transfersTo(const EngineState &engine) const
     {
         return static_cast<unsigned>(std::count_if(engine.adapters.begin(), engine.adapters.end(), [this](const auto &copy) {
@@ -91,7 +101,7 @@
                 continue;
             }
             const auto demand = state.demand.find(key);
-            if (demand != state.demand.end() && waitingCalls(demand->second) > 0) {
+            if (demand != state.demand.end() && callsInTime(demand->second) > 0) {
                 continue;
             }
             oldest = key;
@@ -251,16 +261,6 @@
         return *best;
     }
 
-    [[nodiscard]] unsigned callsInTime(const DemandState &demand) const
-    {
-        unsigned count = 0;
-        for (const auto &[entry, report] : demand.waiting) {
-            // A report that is older than a load says nothing of the objective any more.
-            count += now - report.reported <= state.options.adapterLoad ? report.inTime : 0;
-        }
-        return count;
-    }
-
     struct Wanted
     {
         unsigned inTime = 0;
