Shorten what callers lose when the leader changes

Now the holder of orders is part of the replicated state, a leader orders only while it hears a majority, and grants begin once all connected instances have told what they spent.

--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -88,6 +88,7 @@
     std::vector<NamedNumber> tokens; /**< Granted, by organisation. */
     std::vector<NamedNumber> running; /**< Calls of all other entry instances, by backend server. */
     bool wantsHistory = false; /**< The leader does not know what the entry instance has spent; it grants nothing before. */
+    bool grantsTokens = false; /**< False while a new leader collects what was spent; what it grants then says nothing of the rate. */
     unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
 };
 
--- a/include/mimosahollow/fleetstate/fleetcommand.h
+++ b/include/mimosahollow/fleetstate/fleetcommand.h
@@ -9,6 +9,7 @@
     PutCatalog, /**< Replaces the catalog when its version is higher. */
     EvacuateDomain, /**< Nothing more is sent to the backend servers of a failure domain. */
     ReturnDomain, /**< Takes an evacuation back. */
+    TakeOrders, /**< From now on only the coordinator that is the subject orders engines. */
     NameAdapterVersion, /**< Calls of an adapter run on this version or a newer one. */
 };
 
--- a/include/mimosahollow/fleetstate/fleetstate.h
+++ b/include/mimosahollow/fleetstate/fleetstate.h
@@ -22,6 +22,7 @@
     std::uint64_t catalogVersion = 0;
     std::shared_ptr<const std::string> catalogText; /**< As the operator wrote it; null before the first one. */
     std::set<std::string> evacuatedDomains;
+    std::string holder; /**< Coordinator that orders engines, or did so last. */
     std::map<std::string, std::uint64_t> adapterVersions; /**< By "model/adapter"; an adapter without an entry is at any version. */
 };
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -24,7 +24,7 @@
     unsigned recentAdapters = 140; /**< Adapters that an engine keeps in host memory, a little below the 144 of the sheet. */
     Duration reportInterval = seconds(4); /**< Of reading the state of each engine, to find what the orders do not tell. */
     Duration reportLag = milliseconds(350); /**< A report shows the state of some hundred milliseconds earlier. */
-    Duration holderSilence = milliseconds(3500); /**< A new holder waits until an earlier one has been silent for its lease of 3 s. */
+    Duration holderSilence = milliseconds(3100); /**< A new holder waits until an earlier one has been silent for its lease of 3 s. */
     double callsPerCopy = 7; /**< Calls per second of one adapter above which one more copy is made: 7 x 2.5 s fill a quarter of a batch. */
     Duration minimumIdle = milliseconds(1200); /**< An adapter used later than this is not evicted for a first copy of another. */
     Duration replicaIdle = seconds(4); /**< The same for a further copy. */
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -6,6 +6,8 @@
 #include "mimosahollow/observability/log.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -53,6 +55,23 @@
     return identity;
 }
 
+/** Who ordered engines last, as far as the disk tells. Entries behind the snapshot may not be committed; this is only a hint. */
+std::string findHolder(const fleetstate::FleetState &state, std::span<const control::LogEntry> entries)
+{
+    std::string holder = state.holder;
+    for (const control::LogEntry &entry : entries) {
+        if (entry.kind != control::EntryKind::Command || !entry.payload) {
+            continue;
+        }
+        const auto decoded = fleetstate::decodeCommand(*entry.payload);
+        const auto *command = std::get_if<fleetstate::FleetCommand>(&decoded);
+        if (command != nullptr && command->kind == fleetstate::CommandKind::TakeOrders) {
+            holder = command->subject;
+        }
+    }
+    return holder;
+}
+
 } // namespace
 
 Coordinator::Coordinator(asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EnginePort engines)
@@ -134,9 +153,13 @@
     line.add("voter", static_cast<std::uint64_t>(m_self)).add("founder", self.firstMembers.empty() ? "no" : "yes");
     line.add("log-entries", log.entries.size()).add("snapshot", log.snapshot.index).add("term", log.term);
     observability::logDecision(line.text());
+    const std::string lastHolder = findHolder(m_state, log.entries);
     std::random_device random;
     m_consensus = std::make_unique<control::ConsensusState>(
         control::makeConsensus(m_self, m_settings.consensus, std::move(log), self.firstMembers, random(), Clock::now()));
+    if (lastHolder == m_settings.name) {
+        m_consensus->electionDeadline = Clock::now() + m_settings.holderElection;
+    }
     membershipChanged();
     setSeeds(m_settings.seeds);
     scheduleTick();
@@ -446,11 +469,71 @@
     m_confirming.clear();
     m_reportRead.reset();
     m_sentCatalogs.clear();
-    placement::begin(m_placement, term, now);
+    m_leadsSince = now;
+    const bool isSame = m_state.holder.empty() || m_state.holder == m_settings.name;
+    placement::begin(m_placement, term, isSame ? placement::EarlierHolder::Same : placement::EarlierHolder::Another, now);
+    if (m_state.holder != m_settings.name) {
+        // Committed before the first order, so that a later leader knows who gave orders last.
+        m_placement.activeFrom = std::max(m_placement.activeFrom, now + m_settings.changeTimeout);
+        asio::co_spawn(m_context, takeOrders(term), asio::detached);
+    }
     stateChanged();
     broadcastCoordinators();
 }
 
+asio::awaitable<void> Coordinator::takeOrders(control::Term term)
+{
+    const TimePoint begun = Clock::now();
+    fleetstate::FleetCommand command{fleetstate::CommandKind::TakeOrders, 0, m_settings.name, {}};
+    const bool isFirst = m_state.holder.empty();
+    const ChangeResult result = co_await change(std::move(command));
+    if (!leads() || m_placement.fencingNumber != term) {
+        co_return;
+    }
+    if (!std::holds_alternative<Committed>(result)) {
+        // Without a commit nobody else can lead either; the change is tried again until one of both is decided.
+        m_placement.activeFrom = Clock::now() + m_settings.changeTimeout + m_placement.options.holderSilence;
+        asio::co_spawn(m_context, takeOrders(term), asio::detached);
+        co_return;
+    }
+    if (isFirst) {
+        m_placement.activeFrom = Clock::now();
+    } else {
+        m_placement.activeFrom = std::max(Clock::now(), begun + m_placement.options.holderSilence);
+    }
+}
+
+bool Coordinator::hearsMajority(TimePoint now) const
+{
+    std::size_t voters = 0;
+    std::size_t heard = 0;
+    for (const control::Member &member : m_consensus->members) {
+        if (member.learner) {
+            continue;
+        }
+        ++voters;
+        const auto progress = m_consensus->progress.find(member.id);
+        const bool isHeard = member.id == m_self || (progress != m_consensus->progress.end() && now - progress->second.heard <= m_settings.holderContact);
+        heard += isHeard ? 1 : 0;
+    }
+    return heard > voters / 2;
+}
+
+/** Grants begin as soon as all connected entry instances have told what they spent. */
+void Coordinator::openBank(TimePoint now)
+{
+    if (now >= m_bank.opensAt || now - m_leadsSince < m_settings.handoverMinimum) {
+        return;
+    }
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        const auto entry = m_entries.find(peer.hello.name);
+        if (peer.hello.address.empty() && (entry == m_entries.end() || !entry->second.hasHistory)) {
+            return;
+        }
+    }
+    m_bank.opensAt = now;
+}
+
 void Coordinator::loseLeadership()
 {
     observability::logDecision("leadership-lost");
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -106,11 +106,14 @@
     void finishChange(control::LogIndex index, control::Term term, bool changed);
     void finishRead(std::uint64_t read, bool confirmed);
     void becomeLeader(control::Term term);
+    boost::asio::awaitable<void> takeOrders(control::Term term);
     void loseLeadership();
 
     void scheduleTick();
     void tick(TimePoint now);
     void planVoters(TimePoint now);
+    [[nodiscard]] bool hearsMajority(TimePoint now) const;
+    void openBank(TimePoint now);
 
     void linkOpened(const fleetlink::Peer &peer);
     void linkClosed(const fleetlink::Peer &peer);
@@ -153,6 +156,7 @@
     std::map<std::string, EntryView> m_entries; // of the leader, by name
 
     bool m_isLeading = false; // the first entry of this leader's term is applied
+    TimePoint m_leadsSince{};
     allowance::TokenBank m_bank;
     placement::PlacementState m_placement;
     bool m_placementFlushPosted = false;
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -192,13 +192,14 @@
             allowance::notePast(m_bank, spent.organisation, spent.tokens, milliseconds(spent.ageMilliseconds), now);
         }
     }
+    openBank(now);
     for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
         if (!entry.hasHistory || !m_bank.accounts.contains(wish.name)) {
             continue; // the rate is gone; the entry instance has not heard of it yet
         }
         const double granted = allowance::grant(m_bank, wish.name, wish.value, now);
         entry.granted[wish.name] += granted;
-        if (granted < wish.value) {
+        if (granted < wish.value && now >= m_bank.opensAt) {
             const allowance::BankAccount &account = m_bank.accounts[wish.name];
             observability::DecisionLine line("tokens-short");
             line.add("entry", peer.hello.name).add("organisation", wish.name).add("wish", static_cast<std::uint64_t>(wish.value));
@@ -256,7 +257,8 @@
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}, !entry.hasHistory, loadMilliseconds};
+        fleetlink::LeaderReply reply{
+            entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}, !entry.hasHistory, now >= m_bank.opensAt, loadMilliseconds};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
--- a/src/coordinator/coordinatorplacement.cpp
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -37,7 +37,7 @@
 void Coordinator::planPlacement(TimePoint now)
 {
     m_nextPlacement = now + placementInterval;
-    if (!leads() || !m_catalog) {
+    if (!leads() || !m_catalog || !hearsMajority(now)) {
         return;
     }
     for (const placement::ModelOrder &order : placement::planOrders(m_placement, *m_catalog, now)) {
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -34,6 +34,13 @@
     std::set<std::string> domains; /**< All failure domains; others cannot be evacuated. */
     Duration changeTimeout = milliseconds(1500); /**< For one change to be committed; callers resend after less than 4 s. */
     Duration readTimeout = milliseconds(700); /**< For a confirmed read; callers give up after 1 s. */
+    /**
+     * A leader orders engines only while a majority has answered it within this time. Followers elect another one after
+     * 500 ms of silence at the earliest, so its last order lies before the next leader's first moment.
+     */
+    Duration holderContact = milliseconds(350);
+    Duration holderElection = milliseconds(150); /**< The last holder stands for election first after a restart: it need not wait for a lease. */
+    Duration handoverMinimum = milliseconds(150); /**< Entry instances connect to a new leader within this time. */
     Duration tick = milliseconds(25); /**< A quarter of a heartbeat. */
     control::ConsensusOptions consensus = consensusDefaults();
     registry::RegistryOptions registry;
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -194,6 +194,7 @@
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(reply.running, itemToWire);
     table.load_milliseconds = reply.loadMilliseconds;
     table.wants_history = reply.wantsHistory;
+    table.grants_tokens = reply.grantsTokens;
     body.Set(std::move(table));
 }
 
@@ -290,6 +291,7 @@
                            converted<NamedNumber>(reply->tokens, itemFromWire),
                            converted<NamedNumber>(reply->running, itemFromWire),
                            reply->wants_history,
+                           reply->grants_tokens,
                            reply->load_milliseconds};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
--- a/src/fleetstate/fleetcodec.cpp
+++ b/src/fleetstate/fleetcodec.cpp
@@ -59,7 +59,8 @@
         evacuated.push_back(builder.CreateString(domain));
     }
     const char *text = state.catalogText ? state.catalogText->c_str() : nullptr;
-    builder.Finish(wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions));
+    builder.Finish(
+        wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions, state.holder.c_str()));
     return finished(builder);
 }
 
@@ -72,6 +73,7 @@
     FleetState state;
     state.index = table->index();
     state.catalogVersion = table->catalog_version();
+    state.holder = textOf(table->holder());
     if (table->has_catalog()) {
         state.catalogText = std::make_shared<const std::string>(textOf(table->catalog_text()));
     }
--- a/src/fleetstate/fleetstate.cpp
+++ b/src/fleetstate/fleetstate.cpp
@@ -2,6 +2,8 @@
 
 #include "mimosahollow/fleetstate/fleetcommand.h"
 
+#include <utility>
+
 namespace mimosahollow::fleetstate {
 
 namespace {
@@ -39,6 +41,8 @@
         return state.evacuatedDomains.insert(command.subject).second;
     case CommandKind::ReturnDomain:
         return state.evacuatedDomains.erase(command.subject) != 0;
+    case CommandKind::TakeOrders:
+        return std::exchange(state.holder, command.subject) != command.subject;
     case CommandKind::NameAdapterVersion:
         return nameAdapterVersion(state, command);
     }
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -163,13 +163,18 @@
 asio::awaitable<bool> Relay::run()
 {
     m_entry.metrics().callStarted();
-    m_catalog = m_entry.catalog();
     if (m_entry.isLameDuckOver()) {
         m_caller.keepAlive = false;
         const OwnAnswer answer{RefusalReason::ShuttingDown, "the instance is stopping", notRunRetry, 503};
         co_return co_await refuse(answer);
     }
-    if (!m_catalog || !m_entry.isCurrent()) {
+    const bool hasState = co_await m_entry.waitForState(*m_caller.watch);
+    if (m_caller.watch->callerLeft()) {
+        logEnd("caller-left", 0, "while waiting for a confirmed configuration");
+        co_return false;
+    }
+    m_catalog = m_entry.catalog();
+    if (!hasState) {
         // Keys may have been withdrawn, and routes added, since the leader confirmed the state.
         const OwnAnswer answer{RefusalReason::ConfigurationStale, "no confirmed configuration", staleRetry, std::nullopt};
         co_return co_await refuse(answer);
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -329,6 +329,9 @@
     m_dispatch.entries = std::max(1U, reply.entries);
     m_dispatch.adapterLoad = milliseconds(reply.loadMilliseconds);
     m_sendsHistory = reply.wantsHistory;
+    for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
+        waiter->cancel();
+    }
     for (const fleetlink::NamedNumber &tokens : reply.tokens) {
         allowance::deposit(m_wallet, tokens.name, tokens.value, now);
     }
@@ -344,7 +347,7 @@
         if (waiter->granted) {
             continue;
         }
-        ++waiter->replies;
+        waiter->replies += reply.grantsTokens ? 1 : 0;
         if (allowance::spend(m_wallet, waiter->organisation, waiter->tokens, now)) {
             waiter->granted = true;
             waiter->timer.cancel();
@@ -452,6 +455,24 @@
     scheduleReport(now + (isBusy ? m_settings.reportInterval : m_settings.idleReportInterval));
 }
 
+asio::awaitable<bool> Entry::waitForState(gateway::CallerWatch &watch)
+{
+    if (m_dispatch.catalog && isCurrent()) {
+        co_return true;
+    }
+    asio::steady_timer timer(m_context, m_settings.stateWait);
+    m_stateWaiters.push_back(&timer);
+    watch.setInterrupt([&timer] {
+        timer.cancel();
+    });
+    if (!watch.callerLeft()) {
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    watch.clearInterrupt();
+    std::erase(m_stateWaiters, &timer);
+    co_return m_dispatch.catalog &&isCurrent();
+}
+
 // Tokens
 
 asio::awaitable<bool> Entry::takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch)
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mimosahollow::gateway {
 class CallerWatch;
@@ -65,6 +66,8 @@
     /** Whether the leader has confirmed the state lately enough to trust keys. */
     [[nodiscard]] bool isCurrent() const;
     [[nodiscard]] Duration stateAge() const;
+    /** Waits a moment for a confirmed state, as after a start or an election. Returns whether there is one. */
+    [[nodiscard]] boost::asio::awaitable<bool> waitForState(gateway::CallerWatch &watch);
     [[nodiscard]] bool isStopping() const noexcept;
     [[nodiscard]] bool isLameDuckOver() const;
     /** Takes the tokens of a call, waiting for the leader when needed. Returns false when the organisation is over its rate. */
@@ -132,6 +135,7 @@
     std::map<std::pair<std::string, std::string>, ReturningCalls> m_returning;
     std::list<Waiter *> m_waiters; // most urgent first
     std::list<TokenWaiter *> m_tokenWaiters;
+    std::vector<boost::asio::steady_timer *> m_stateWaiters;
     bool m_pumpPosted = false;
     std::list<boost::beast::tcp_stream *> m_idle;
     std::size_t m_sessions = 0;
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -24,7 +24,8 @@
     Duration urgentReportDelay = milliseconds(3); /**< Collects the adapters that calls begin to wait for at the same moment. */
     Duration adapterLoad = milliseconds(280); /**< From a report until an adapter from the store can be used. */
     Duration returnMargin = milliseconds(700); /**< A refused call is expected so long after the time it was told; it is spread by 30% of that. */
-    Duration tokenWait = milliseconds(250); /**< Several round trips to the leader. */
+    Duration tokenWait = milliseconds(400); /**< Several round trips to the leader, and the start of a new one. */
+    Duration stateWait = milliseconds(350); /**< For a confirmed state; leaves a part of the shortest objective of a model call. */
     double retryRatio = 0.15; /**< Of the platform's budget, less what other instances' counts may be late by. */
     double retryReserve = 30; /**< Retries of the whole fleet above the ratio. */
     Duration lossTimeout = milliseconds(1200); /**< A backend server that confirms nothing for so long is lost; above one lost packet. */
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -66,13 +66,13 @@
     }
 }
 
-void begin(PlacementState &state, std::uint64_t term, TimePoint now)
+void begin(PlacementState &state, std::uint64_t term, EarlierHolder earlier, TimePoint now)
 {
     const PlacementOptions options = state.options;
     state = {};
     state.options = options;
     state.fencingNumber = term;
-    state.activeFrom = now + options.holderSilence;
+    state.activeFrom = earlier == EarlierHolder::Another ? now + options.holderSilence : now;
 }
 
 void noteServer(PlacementState &state, const registry::ServerRecord &record, bool isUsable, TimePoint now)
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -43,7 +43,7 @@
     CHECK(report.spent[0].ageMilliseconds == 250);
     CHECK(report.hasHistory);
 
-    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, {{"s1", 2}}, true, 400});
+    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, {{"s1", 2}}, true, false, 400});
     CHECK(reply.entries == 6);
     CHECK(reply.wantsHistory);
     CHECK(reply.loadMilliseconds == 400);
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -29,7 +29,7 @@
 {
     explicit Fleet(unsigned engines) : catalog(makeCatalog())
     {
-        begin(state, 1, now);
+        begin(state, 1, EarlierHolder::Another, now);
         for (unsigned i = 1; i <= engines; ++i) {
             const std::string id = "s" + std::to_string(i);
             registry::ServerRecord record;
@@ -105,8 +105,22 @@
 TEST_CASE("A new leader gives no orders before the earlier one has been silent for its lease")
 {
     Fleet fleet(2);
-    begin(fleet.state, 2, fleet.now);
+    const auto earlier = GENERATE(EarlierHolder::Another, EarlierHolder::Same);
+    begin(fleet.state, 2, earlier, fleet.now);
+    for (const char *id : {"s1", "s2"}) {
+        registry::ServerRecord record;
+        record.id = id;
+        record.service = "chat";
+        record.address = std::string(id) + ":80";
+        record.born = 1;
+        noteServer(fleet.state, record, true, fleet.now);
+    }
+    fleet.readReports();
     fleet.demand("a1", 1);
+    if (earlier == EarlierHolder::Same) {
+        CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).size() == 1);
+        return;
+    }
     CHECK(planOrders(fleet.state, fleet.catalog, fleet.now + fleet.state.options.holderSilence - milliseconds(1)).empty());
 }
 
