Load an adapter elsewhere when its engine cannot be reached

Load pattern: an engine lost with the only copy. Entry instances now name the servers they cannot connect to.

--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -77,6 +77,7 @@
     std::vector<AdapterDemand> demand;
     std::vector<SpentTokens> spent;
     bool hasHistory = false; /**< @c spent is complete. */
+    std::vector<std::string> unreachable; /**< Backend servers to which no connection can be opened. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -36,6 +36,9 @@
 
 void noteDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now);
 
+/** An entry instance cannot open connections to @p server. */
+void noteUnreachable(PlacementState &state, const std::string &server, TimePoint now);
+
 /** Time until an adapter is loaded that nobody waits for yet. Those that serve nobody in time come after it. */
 [[nodiscard]] Duration expectedLoad(const PlacementState &state, TimePoint now);
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -29,6 +29,7 @@
     Duration minimumIdle = milliseconds(1200); /**< An adapter used later than this is not evicted for a first copy of another. */
     Duration replicaIdle = seconds(4); /**< The same for a further copy. */
     Duration waitMemory = milliseconds(1500); /**< For how long a reported wait counts; entry instances report more often while calls wait. */
+    Duration suspicion = milliseconds(1000); /**< After the report of an entry instance that cannot reach an engine; reports come more often. */
     Duration smoothing = seconds(3); /**< Averaging time of the demand. */
     Duration demandMemory = seconds(12); /**< Demand is forgotten after this; four averaging times leave 2% of it. */
     Duration balanceInterval = milliseconds(250); /**< Load of the engines and further copies are worked out so often. */
@@ -40,7 +41,12 @@
     std::string model;
     std::string adapter;
 
-    friend auto operator<=>(const AdapterKey &, const AdapterKey &) = default;
+    friend bool operator==(const AdapterKey &, const AdapterKey &) = default;
+    friend bool operator<(const AdapterKey &left, const AdapterKey &right) noexcept
+    {
+        const int models = left.model.compare(right.model);
+        return models != 0 ? models < 0 : left.adapter < right.adapter;
+    }
 };
 
 /** One adapter at one engine. */
@@ -75,6 +81,7 @@
     TimePoint lastOrder{};
     TimePoint reportDue{};
     TimePoint pausedUntil{}; /**< No orders before, after a conflict. */
+    TimePoint suspectUntil{}; /**< An entry instance cannot reach it: its copies do not count before. */
 };
 
 /** Demand for one adapter over all entry instances. */
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -208,6 +208,9 @@
             observability::logDecision(line.text());
         }
     }
+    for (const std::string &server : report.unreachable) {
+        placement::noteUnreachable(m_placement, server, now);
+    }
     bool anyWaits = false;
     for (const fleetlink::AdapterDemand &demand : report.demand) {
         const placement::EntryDemand counts{demand.waiting, demand.inTime, demand.started};
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -153,7 +153,7 @@
     wire::PingT table;
     table.stamp = ping.stamp;
     table.is_reply = ping.isReply;
-    body.Set(std::move(table));
+    body.Set(wire::PingT(table));
 }
 
 void setBody(wire::BodyUnion &body, const Coordinators &coordinators)
@@ -180,6 +180,7 @@
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
     table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
     table.has_history = report.hasHistory;
+    table.unreachable = report.unreachable;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     body.Set(std::move(table));
 }
@@ -282,7 +283,8 @@
                            converted<NamedNumber>(report->running, itemFromWire),
                            converted<AdapterDemand>(report->demand, itemFromWire),
                            converted<SpentTokens>(report->spent, itemFromWire),
-                           report->has_history};
+                           report->has_history,
+                           report->unreachable};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
--- a/src/httpio/httplistener.cpp
+++ b/src/httpio/httplistener.cpp
@@ -76,7 +76,8 @@
 asio::awaitable<void> acceptConnections(std::shared_ptr<Impl> impl)
 {
     for (;;) {
-        auto [error, socket] = co_await impl->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        tcp::socket socket(impl->context);
+        const auto [error] = co_await impl->acceptor.async_accept(socket, asio::as_tuple(asio::use_awaitable));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -289,6 +289,12 @@
             break;
         }
         m_entry.metrics().attemptRetried();
+        if (last == AttemptEnd::Failed) {
+            // Load pattern: a backend server is lost with the only copy of an adapter. Its streams wait for another copy as long as
+            // a new call would; measured from their arrival they would be given up at once.
+            m_call.arrived = Clock::now();
+            m_call.objectiveEnd = m_call.arrived + m_route->objective;
+        }
     }
     if (m_headSent) {
         m_entry.metrics().callEnded(observability::CallEnd::Failed, Clock::now() - m_arrived);
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -115,7 +115,8 @@
 asio::awaitable<void> Entry::acceptCallers()
 {
     for (;;) {
-        auto [error, socket] = co_await m_acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        asio::ip::tcp::socket socket(m_context);
+        const auto [error] = co_await m_acceptor.async_accept(socket, asio::as_tuple(asio::use_awaitable));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -422,6 +423,9 @@
             addHistory(report, now);
         }
         for (const auto &[id, server] : m_dispatch.servers) {
+            if (now < server.avoidUntil) {
+                report.unreachable.push_back(id);
+            }
             if (server.running > 0) {
                 report.running.push_back({id, static_cast<double>(server.running)});
                 isBusy = true;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -98,6 +98,13 @@
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
 }
 
+void noteUnreachable(PlacementState &state, const std::string &server, TimePoint now)
+{
+    if (const auto found = state.engines.find(server); found != state.engines.end()) {
+        found->second.suspectUntil = now + state.options.suspicion;
+    }
+}
+
 Duration expectedLoad(const PlacementState &state, TimePoint now)
 {
     const Duration start = std::max(Duration{}, state.activeFrom - now);
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -33,7 +33,7 @@
 
     [[nodiscard]] bool takesOrders(const EngineState &engine) const
     {
-        return engine.isReady && engine.sequence && !engine.orderInFlight && !engine.unresolved && now >= engine.pausedUntil;
+        return engine.isReady && now >= engine.suspectUntil && engine.sequence && !engine.orderInFlight && !engine.unresolved && now >= engine.pausedUntil;
     }
 
     [[nodiscard]] double callsPerSecond(const DemandState &demand) const
@@ -198,7 +198,7 @@
         for (const auto &[id, engine] : state.engines) {
             for (const auto &[key, copy] : engine.adapters) {
                 storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
-                usable[key] += engine.isReady && copy.version >= requiredVersion(state, key) ? 1 : 0;
+                usable[key] += engine.isReady && now >= engine.suspectUntil && copy.version >= requiredVersion(state, key) ? 1 : 0;
             }
         }
     }
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -166,6 +166,23 @@
     }
 }
 
+// Load pattern: an engine crashes with the only copy of an adapter, and its calls and streams need another one at once.
+TEST_CASE("A copy on an engine that cannot be reached does not count")
+{
+    Fleet fleet(2);
+    fleet.demand("a1", 1);
+    fleet.settle();
+    REQUIRE(fleet.copies("a1") == 1);
+    const std::string holder = fleet.held["s1"].contains("a1") ? "s1" : "s2";
+    fleet.now += seconds(1);
+    fleet.demand("a1", 1);
+    REQUIRE(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    noteUnreachable(fleet.state, holder, fleet.now);
+    const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].server != holder);
+}
+
 // Load pattern: one adapter takes most of the calls.
 TEST_CASE("A popular adapter gets more copies, an idle one gives its place")
 {
