--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -72,6 +72,7 @@
     asio::awaitable<AttemptEnd> takeAnswer(ServerExchange &exchange);
     asio::awaitable<AttemptEnd> passWhole(ServerExchange &exchange);
     asio::awaitable<AttemptEnd> passEvents(ServerExchange &exchange);
+    asio::awaitable<bool> passHeld();
     [[nodiscard]] AttemptEnd endOf(ExchangeError error) const;
     [[nodiscard]] std::string answerHead(const ServerExchange &exchange, std::optional<std::size_t> length) const;
     [[nodiscard]] bool isRepeatable() const;
@@ -95,6 +96,7 @@
     bool m_headSent = false; // the caller has the head of a stream
     unsigned m_status = 0; // of the newest answer of a backend server
     EventRelay m_events;
+    std::string m_heldAnswer; // failure of a backend server, passed on when no other one gives a better answer
 };
 
 bool Relay::isRepeatable() const
@@ -206,8 +208,12 @@
     double tokens = 0;
     if (m_organisation != nullptr) {
         tokens = m_organisation->countsTokens ? m_head.tokens.value_or(m_organisation->plainTokens) : 1;
-        const bool hasTokens = co_await m_entry.takeTokens(*m_organisation, tokens, *m_caller.watch);
-        if (!hasTokens) {
+        const TokenOutcome outcome = co_await m_entry.takeTokens(*m_organisation, tokens, *m_caller.watch);
+        if (outcome == TokenOutcome::NoLeader && !m_caller.watch->callerLeft()) {
+            const OwnAnswer answer{RefusalReason::NoQuorum, "no leader grants tokens", staleRetry, 503};
+            co_return co_await refuse(answer);
+        }
+        if (outcome != TokenOutcome::Taken) {
             if (m_caller.watch->callerLeft()) {
                 logEnd("caller-left", 0, "while waiting for tokens");
                 co_return false;
@@ -249,6 +255,9 @@
             if (m_headSent) {
                 break;
             }
+            if (!m_heldAnswer.empty()) {
+                co_return co_await passHeld();
+            }
             if (m_mayHaveRun) {
                 const OwnAnswer answer = failure(last);
                 co_return co_await refuse(answer);
@@ -302,10 +311,20 @@
         m_caller.stream.close(); // without the end of the body, so that the answer does not look complete
         co_return false;
     }
+    if (!m_heldAnswer.empty()) {
+        co_return co_await passHeld();
+    }
     const OwnAnswer answer = failure(last);
     co_return co_await refuse(answer);
 }
 
+asio::awaitable<bool> Relay::passHeld()
+{
+    m_entry.metrics().callEnded(observability::CallEnd::Completed, Clock::now() - m_arrived);
+    logEnd("answered", m_status, "held");
+    co_return co_await writeBytes(m_caller, m_heldAnswer);
+}
+
 AttemptEnd Relay::endOf(ExchangeError error) const
 {
     if (m_caller.watch->callerLeft()) {
@@ -455,10 +474,11 @@
         const bool isServerFault = m_status >= 500 && isRepeatable() && m_sentTo.size() < m_route->maximumAttempts;
         std::string text = answerHead(exchange, body.size());
         exchange.finish();
+        text += body;
         if (isServerFault) {
+            m_heldAnswer = std::move(text);
             co_return AttemptEnd::Failed;
         }
-        text += body;
         const bool isWritten = co_await writeBytes(m_caller, text);
         co_return writeEnd(isWritten);
     }
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -479,10 +479,10 @@
 
 // Tokens
 
-asio::awaitable<bool> Entry::takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch)
+asio::awaitable<TokenOutcome> Entry::takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch)
 {
     if (organisation.ratePerSecond <= 0) {
-        co_return true;
+        co_return TokenOutcome::Taken;
     }
     const TimePoint now = Clock::now();
     allowance::noteDemand(m_wallet, organisation.name, tokens, now);
@@ -490,7 +490,7 @@
         return other->organisation == organisation.name && !other->granted;
     });
     if (!othersWait && allowance::spend(m_wallet, organisation.name, tokens, now)) {
-        co_return true;
+        co_return TokenOutcome::Taken;
     }
     TokenWaiter waiter(m_context);
     waiter.organisation = organisation.name;
@@ -507,7 +507,10 @@
     }
     watch.clearInterrupt();
     m_tokenWaiters.erase(place);
-    co_return waiter.granted.value_or(false);
+    if (!waiter.granted) {
+        co_return TokenOutcome::NoLeader;
+    }
+    co_return *waiter.granted ? TokenOutcome::Taken : TokenOutcome::OverRate;
 }
 
 void Entry::giveBackTokens(const std::string &organisation, double tokens)
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -34,6 +34,12 @@
 {
 };
 
+enum class TokenOutcome : std::uint8_t {
+    Taken,
+    OverRate, /**< The leader has granted less than the call needs. */
+    NoLeader, /**< No leader has answered in time. */
+};
+
 using ServerChoice = std::variant<dispatch::Send, dispatch::Refuse, CallerGone>;
 
 /** A process that callers connect to. Runs on one event loop. */
@@ -70,8 +76,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> waitForState(gateway::CallerWatch &watch);
     [[nodiscard]] bool isStopping() const noexcept;
     [[nodiscard]] bool isLameDuckOver() const;
-    /** Takes the tokens of a call, waiting for the leader when needed. Returns false when the organisation is over its rate. */
-    [[nodiscard]] boost::asio::awaitable<bool> takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch);
+    /** Takes the tokens of a call, waiting for the leader when needed. */
+    [[nodiscard]] boost::asio::awaitable<TokenOutcome> takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch);
     void giveBackTokens(const std::string &organisation, double tokens);
     /** Waits until a backend server can take @p call, and counts it there. */
     [[nodiscard]] boost::asio::awaitable<ServerChoice> chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch);
