--- a/src/app/exitcodes.h
+++ b/src/app/exitcodes.h
@@ -2,7 +2,7 @@
 
 namespace mimosahollow::app {
 
-/** Exit codes of the program; listed in docs/operations.md. */
+/** Exit codes of the program; listed in docs/OPERATIONS.md. */
 enum ExitCode : int {
     Success = 0,
     NotDone = 1, /**< An operator command was refused or could not be sent; it has no effect. */
