--- a/include/mimosahollow/allowance/tokenbank.h
+++ b/include/mimosahollow/allowance/tokenbank.h
@@ -53,6 +53,9 @@
 /** Takes over the rates of @p catalog. */
 void configure(TokenBank &bank, const catalog::Catalog &catalog);
 
+/** An entry instance returns tokens that it has not spent. */
+void takeBack(TokenBank &bank, std::string_view organisation, double tokens);
+
 /** An entry instance has spent @p tokens of a grant of an earlier leader, @p age ago, or holds them still. */
 void notePast(TokenBank &bank, std::string_view organisation, double tokens, Duration age, TimePoint now);
 
--- a/include/mimosahollow/allowance/tokenwallet.h
+++ b/include/mimosahollow/allowance/tokenwallet.h
@@ -35,6 +35,7 @@
     double demandPerSecond = 0; /**< Of all calls, also those that were refused. */
     TimePoint measured{};
     std::deque<Spending> spent; /**< Newest last. */
+    double expired = 0; /**< Unspent tokens for the leader to take back. */
     double missing = 0; /**< Tokens that waiting calls lack. */
 };
 
@@ -55,6 +56,9 @@
 
 void deposit(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now);
 
+/** Ends tokens that were held for too long. Returns what the leader is to take back. */
+[[nodiscard]] double takeExpired(const TokenWallet &wallet, Purse &purse, TimePoint now);
+
 /** What @p purse has spent within the history, and holds, for a leader that does not know it. */
 [[nodiscard]] std::vector<Spending> history(const TokenWallet &wallet, const Purse &purse, TimePoint now);
 
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -73,6 +73,7 @@
 {
     std::uint64_t stamp = 0; /**< Milliseconds of the entry instance's boot clock when it was sent. */
     std::vector<NamedNumber> tokenWishes; /**< By organisation. */
+    std::vector<NamedNumber> returned; /**< Tokens that were not spent, by organisation. */
     std::vector<NamedNumber> running; /**< Calls by backend server, only those above 0. */
     std::vector<AdapterDemand> demand;
     std::vector<SpentTokens> spent;
--- a/src/allowance/tokenbank.cpp
+++ b/src/allowance/tokenbank.cpp
@@ -45,6 +45,22 @@
     bank.accounts = std::move(accounts);
 }
 
+void takeBack(TokenBank &bank, std::string_view organisation, double tokens)
+{
+    const auto found = bank.accounts.find(organisation);
+    if (found == bank.accounts.end()) {
+        return;
+    }
+    BankAccount &account = found->second;
+    // From the newest grants: what was granted earlier may leave the window before this return is counted.
+    for (auto sum = account.grants.rbegin(); sum != account.grants.rend() && tokens > 0; ++sum) {
+        const double part = std::min(tokens, sum->tokens);
+        sum->tokens -= part;
+        account.granted -= part;
+        tokens -= part;
+    }
+}
+
 void notePast(TokenBank &bank, std::string_view organisation, double tokens, Duration age, TimePoint now)
 {
     const auto found = bank.accounts.find(organisation);
--- a/src/allowance/tokenwallet.cpp
+++ b/src/allowance/tokenwallet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mimosahollow::allowance {
 
@@ -22,12 +23,19 @@
 void expire(const TokenWallet &wallet, Purse &purse, TimePoint now)
 {
     if (now - purse.granted > wallet.options.lifetime) {
+        purse.expired += purse.tokens;
         purse.tokens = 0;
     }
 }
 
 } // namespace
 
+double takeExpired(const TokenWallet &wallet, Purse &purse, TimePoint now)
+{
+    expire(wallet, purse, now);
+    return std::exchange(purse.expired, 0);
+}
+
 void noteDemand(TokenWallet &wallet, std::string_view organisation, double tokens, TimePoint now)
 {
     Purse &purse = purseOf(wallet, organisation);
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -193,6 +193,9 @@
         }
     }
     openBank(now);
+    for (const fleetlink::NamedNumber &returned : report.returned) {
+        allowance::takeBack(m_bank, returned.name, returned.value);
+    }
     for (const fleetlink::NamedNumber &wish : report.tokenWishes) {
         if (!entry.hasHistory || !m_bank.accounts.contains(wish.name)) {
             continue; // the rate is gone; the entry instance has not heard of it yet
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -179,6 +179,7 @@
     table.token_wishes = converted<std::unique_ptr<wire::NamedNumberT>>(report.tokenWishes, itemToWire);
     table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
     table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
+    table.returned = converted<std::unique_ptr<wire::NamedNumberT>>(report.returned, itemToWire);
     table.has_history = report.hasHistory;
     table.unreachable = report.unreachable;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
@@ -280,6 +281,7 @@
     if (const auto *report = body.AsEntryReport()) {
         return EntryReport{report->stamp,
                            converted<NamedNumber>(report->token_wishes, itemFromWire),
+                           converted<NamedNumber>(report->returned, itemFromWire),
                            converted<NamedNumber>(report->running, itemFromWire),
                            converted<AdapterDemand>(report->demand, itemFromWire),
                            converted<SpentTokens>(report->spent, itemFromWire),
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -91,6 +91,7 @@
     const catalog::OrganisationSpec *m_organisation = nullptr;
     dispatch::Call m_call;
     std::set<std::string> m_sentTo;
+    double m_tokens = 0; // charged to the organisation
     unsigned m_sends = 0;
     bool m_mayHaveRun = false;
     bool m_headSent = false; // the caller has the head of a stream
@@ -113,6 +114,7 @@
     line.add("service", m_call.service)
         .add("model", m_head.model)
         .add("adapter", m_head.adapter)
+        .add("tokens", static_cast<std::uint64_t>(m_tokens))
         .add("sends", m_sends)
         .add("ms", millisecondsOf(now - m_arrived));
     line.add("catalog", m_catalog ? m_catalog->catalog().version : 0)
@@ -205,10 +207,9 @@
         m_call.model = m_head.model;
         m_call.adapter = m_head.adapter;
     }
-    double tokens = 0;
     if (m_organisation != nullptr) {
-        tokens = m_organisation->countsTokens ? m_head.tokens.value_or(m_organisation->plainTokens) : 1;
-        const TokenOutcome outcome = co_await m_entry.takeTokens(*m_organisation, tokens, *m_caller.watch);
+        m_tokens = m_organisation->countsTokens ? m_head.tokens.value_or(m_organisation->plainTokens) : 1;
+        const TokenOutcome outcome = co_await m_entry.takeTokens(*m_organisation, m_tokens, *m_caller.watch);
         if (outcome == TokenOutcome::NoLeader && !m_caller.watch->callerLeft()) {
             const OwnAnswer answer{RefusalReason::NoQuorum, "no leader grants tokens", staleRetry, 503};
             co_return co_await refuse(answer);
@@ -224,7 +225,7 @@
     }
     const bool isUsable = co_await attempts();
     if (m_organisation != nullptr && m_sends == 0) {
-        m_entry.giveBackTokens(m_organisation->name, tokens);
+        m_entry.giveBackTokens(m_organisation->name, m_tokens);
     }
     co_return isUsable;
 }
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -411,6 +411,10 @@
         fleetlink::EntryReport report;
         report.stamp = static_cast<std::uint64_t>(bootMilliseconds());
         for (auto &[organisation, purse] : m_wallet.purses) {
+            // A leader that does not know of a grant must not take it back.
+            if (const double expired = allowance::takeExpired(m_wallet, purse, now); expired > 0 && !m_sendsHistory) {
+                report.returned.push_back({organisation, expired});
+            }
             purse.missing = 0;
             for (const TokenWaiter *waiter : m_tokenWaiters) {
                 purse.missing += waiter->organisation == organisation && !waiter->granted ? waiter->tokens : 0;
--- a/tests/allowance/tokens.cpp
+++ b/tests/allowance/tokens.cpp
@@ -73,6 +73,27 @@
     CHECK(grant(bank, "one", 20'000, now) >= 9000);
 }
 
+// Load pattern: an organisation at its rate has calls at all entry instances, each left with fewer tokens than a call needs.
+TEST_CASE("Tokens that nobody spends go back to the leader")
+{
+    TimePoint now{seconds(100)};
+    TokenBank bank;
+    configure(bank, catalogOf(100, 200));
+    const double limit = 1000;
+    TokenWallet wallet;
+    deposit(wallet, "one", grant(bank, "one", limit, now), now);
+    REQUIRE(spend(wallet, "one", 400, now));
+    REQUIRE(grant(bank, "one", 1, now) == 0);
+
+    now += wallet.options.lifetime + milliseconds(1);
+    const double expired = takeExpired(wallet, wallet.purses.at("one"), now);
+    CHECK(expired == 600);
+    CHECK(takeExpired(wallet, wallet.purses.at("one"), now) == 0);
+    takeBack(bank, "one", expired);
+    CHECK(grant(bank, "one", limit, now) == 600);
+    CHECK_FALSE(spend(wallet, "one", 1, now));
+}
+
 // Guards against tokens that are spent long after their grant, or without one.
 TEST_CASE("A wallet spends what it was granted, for a time")
 {
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -23,6 +23,7 @@
     EntryReport report;
     report.stamp = 7;
     report.tokenWishes = {{"one", 12.5}};
+    report.returned = {{"two", 8}};
     report.running = {{"s1", 3}};
     report.demand = {{"base", "a1", "chat", 4, 5, 2}};
     report.spent = {{"one", 100, 250}};
@@ -42,6 +43,8 @@
     CHECK(report.demand[0].inTime == 2);
     CHECK(report.spent[0].ageMilliseconds == 250);
     CHECK(report.hasHistory);
+    CHECK(report.returned[0].value == 8);
+    CHECK(report.tokenWishes[0].name == "one");
 
     const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, {{"s1", 2}}, true, false, 400});
     CHECK(reply.entries == 6);
