--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -126,26 +126,20 @@
     fleetlink::LinkHubOptions options;
     options.self = {m_settings.name, m_settings.linkAddress, m_settings.domain, m_self};
     options.listenAddress = m_settings.linkAddress;
-    m_hub =
-        std::make_unique<fleetlink::LinkHub>(m_context,
-                                             options,
-                                             fleetlink::LinkHubEvents{[this](const fleetlink::Peer &peer) {
-                                                                          linkOpened(peer);
-                                                                      },
-                                                                      [this](const fleetlink::Peer &peer) {
-                                                                          linkClosed(peer);
-                                                                      },
-                                                                      [this](const fleetlink::Peer &peer, fleetlink::LinkMessage message) {
-                                                                          linkMessage(peer, std::move(message));
-                                                                      },
-                                                                      [this](const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes) {
-                                                                          auto decoded = link::decodeConsensusMessage(bytes);
-                                                                          if (const auto *message = std::get_if<control::ConsensusMessage>(&decoded)) {
-                                                                              control::ConsensusActions actions;
-                                                                              control::receive(*m_consensus, peer.hello.voter, *message, Clock::now(), actions);
-                                                                              run(std::move(actions));
-                                                                          }
-                                                                      }});
+    m_hub = std::make_unique<fleetlink::LinkHub>(m_context,
+                                                 options,
+                                                 fleetlink::LinkHubEvents{[this](const fleetlink::Peer &peer) {
+                                                                              linkOpened(peer);
+                                                                          },
+                                                                          [this](const fleetlink::Peer &peer) {
+                                                                              linkClosed(peer);
+                                                                          },
+                                                                          [this](const fleetlink::Peer &peer, fleetlink::LinkMessage message) {
+                                                                              linkMessage(peer, std::move(message));
+                                                                          },
+                                                                          [this](const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes) {
+                                                                              consensusMessage(peer, bytes);
+                                                                          }});
     if (auto problem = m_hub->start(); !problem.empty()) {
         return problem;
     }
@@ -166,6 +160,18 @@
     return {};
 }
 
+void Coordinator::consensusMessage(const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes)
+{
+    const auto decoded = link::decodeConsensusMessage(bytes);
+    if (const auto *error = std::get_if<link::CodecError>(&decoded)) {
+        observability::logWarning("message of the replicated log from " + peer.hello.name + ": " + error->message);
+        return;
+    }
+    control::ConsensusActions actions;
+    control::receive(*m_consensus, peer.hello.voter, std::get<control::ConsensusMessage>(decoded), Clock::now(), actions);
+    run(std::move(actions));
+}
+
 void Coordinator::setSeeds(const std::vector<std::string> &seeds)
 {
     m_settings.seeds = seeds;
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -117,6 +118,7 @@
 
     void linkOpened(const fleetlink::Peer &peer);
     void linkClosed(const fleetlink::Peer &peer);
+    void consensusMessage(const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes);
     void linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message);
     void takeReport(const fleetlink::Peer &peer, const fleetlink::EntryReport &report);
     void confirmReports();
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -7,7 +7,6 @@
 #include "mimosahollow/registry/serverregistry.h"
 #include "mimosahollow/voterplan/voterplan.h"
 
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,7 +30,6 @@
     std::vector<std::string> seeds; /**< Link addresses of coordinators; may be out of date. */
     bool foundsFleet = false; /**< The whole fleet starts for the first time: the seeds are its first voters. */
     std::string dataFolder;
-    std::set<std::string> domains; /**< All failure domains; others cannot be evacuated. */
     Duration changeTimeout = milliseconds(1500); /**< For one change to be committed; callers resend after less than 4 s. */
     Duration readTimeout = milliseconds(700); /**< For a confirmed read; callers give up after 1 s. */
     /**
--- a/src/coordinator/voteridentity.cpp
+++ b/src/coordinator/voteridentity.cpp
@@ -51,12 +51,10 @@
     return error == nullptr ? std::string() : error->message;
 }
 
+/** Stores @p text under a temporary name first: a file with the final name is complete. */
 std::string store(storage::FileSystem &files, const std::string &folder, const std::string &text)
 {
     const std::string temporary = folder + "/" + temporaryName;
-    if (const auto removed = files.remove(temporary); std::holds_alternative<std::monostate>(removed)) {
-        // An earlier attempt left it behind; there is nothing else to do about it.
-    }
     auto opened = files.openAppend(temporary);
     if (const auto *error = std::get_if<storage::FileError>(&opened)) {
         return error->message;
@@ -90,6 +88,11 @@
         return error->message;
     }
     const auto &list = std::get<std::vector<std::string>>(names);
+    if (std::find(list.begin(), list.end(), temporaryName) != list.end()) {
+        if (auto problem = failure(files.remove(folder + "/" + temporaryName)); !problem.empty()) {
+            return problem;
+        }
+    }
     if (std::find(list.begin(), list.end(), fileName) != list.end()) {
         const auto bytes = files.read(folder + "/" + fileName);
         if (const auto *error = std::get_if<storage::FileError>(&bytes)) {
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-UpstreamConnections::UpstreamConnections(asio::io_context &context, const UpstreamOptions &options) : m_context(context), m_options(options)
+UpstreamConnections::UpstreamConnections(asio::io_context &context, const UpstreamOptions &options)
+    : m_context(context), m_options(options), m_idleLimit(maximumIdlePerServer)
 {
 }
 
@@ -78,12 +79,17 @@
     co_return !optionError;
 }
 
+void UpstreamConnections::setIdleLimit(std::size_t connections) noexcept
+{
+    m_idleLimit = std::clamp<std::size_t>(connections, 1, maximumIdlePerServer);
+}
+
 void UpstreamConnections::release(const std::string &address, UpstreamPointer connection)
 {
     const TimePoint now = std::chrono::steady_clock::now();
     closeOld(now);
     auto &idle = m_idle[address];
-    if (idle.size() < maximumIdlePerServer && connection->buffer.size() == 0) {
+    if (idle.size() < m_idleLimit && connection->buffer.size() == 0) {
         connection->stream.expires_never();
         connection->idleSince = now;
         idle.push_back(std::move(connection));
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -49,6 +49,8 @@
     /** Opens @p connection. After false no byte of a call was sent. */
     [[nodiscard]] boost::asio::awaitable<bool> connect(UpstreamConnection &connection, const std::string &address, TimePoint deadline);
 
+    /** Idle connections kept for each backend server. */
+    void setIdleLimit(std::size_t connections) noexcept;
     /** Keeps a connection for reuse. Only for connections whose last answer was read to its end. */
     void release(const std::string &address, UpstreamPointer connection);
 
@@ -57,6 +59,7 @@
 
     boost::asio::io_context &m_context;
     UpstreamOptions m_options;
+    std::size_t m_idleLimit;
     std::unordered_map<std::string, std::vector<UpstreamPointer>> m_idle;
     TimePoint m_nextSweep{};
 };
--- a/src/httpio/httplistener.cpp
+++ b/src/httpio/httplistener.cpp
@@ -37,10 +37,9 @@
 namespace {
 
 template<typename Impl>
-asio::awaitable<void> serveConnection(std::shared_ptr<Impl> impl, tcp::socket socket)
+asio::awaitable<void> serveConnection(std::shared_ptr<Impl> impl, beast::tcp_stream stream)
 {
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     for (;;) {
         http::request_parser<http::string_body> parser;
@@ -76,8 +75,8 @@
 asio::awaitable<void> acceptConnections(std::shared_ptr<Impl> impl)
 {
     for (;;) {
-        tcp::socket socket(impl->context);
-        const auto [error] = co_await impl->acceptor.async_accept(socket, asio::as_tuple(asio::use_awaitable));
+        beast::tcp_stream stream(impl->context);
+        const auto [error] = co_await impl->acceptor.async_accept(stream.socket(), asio::as_tuple(asio::use_awaitable));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -85,7 +84,7 @@
             observability::logWarning("listener " + impl->options.address + ": " + error.message());
             continue;
         }
-        asio::co_spawn(impl->context, serveConnection(impl, std::move(socket)), asio::detached);
+        asio::co_spawn(impl->context, serveConnection(impl, std::move(stream)), asio::detached);
     }
 }
 
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <limits>
 
 namespace mimosahollow::ingress {
 
@@ -89,9 +90,7 @@
                                                  fleetlink::LinkHubEvents{[this](const fleetlink::Peer &peer) {
                                                                               linkOpened(peer);
                                                                           },
-                                                                          [this](const fleetlink::Peer &peer) {
-                                                                              linkClosed(peer);
-                                                                          },
+                                                                          [](const fleetlink::Peer &) {},
                                                                           [this](const fleetlink::Peer &peer, fleetlink::LinkMessage message) {
                                                                               linkMessage(peer, std::move(message));
                                                                           },
@@ -252,10 +251,6 @@
     }
 }
 
-void Entry::linkClosed(const fleetlink::Peer &)
-{
-}
-
 void Entry::linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message)
 {
     const TimePoint now = Clock::now();
@@ -328,6 +323,7 @@
     const TimePoint now = Clock::now();
     m_confirmedAt = std::max(m_confirmedAt, static_cast<std::int64_t>(reply.stamp));
     m_dispatch.entries = std::max(1U, reply.entries);
+    boundIdleConnections();
     m_dispatch.adapterLoad = milliseconds(reply.loadMilliseconds);
     m_sendsHistory = reply.wantsHistory;
     for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
@@ -361,6 +357,21 @@
     postPump();
 }
 
+/** All instances together keep at most half of the connections that a backend server accepts; the rest is for calls that open new ones. */
+void Entry::boundIdleConnections()
+{
+    if (!m_dispatch.catalog) {
+        return;
+    }
+    std::size_t limit = std::numeric_limits<std::size_t>::max();
+    for (const catalog::ServiceSpec &service : m_dispatch.catalog->catalog().services) {
+        if (service.maximumConnections > 0) {
+            limit = std::min<std::size_t>(limit, service.maximumConnections / (2 * m_dispatch.entries));
+        }
+    }
+    m_upstream.setIdleLimit(limit);
+}
+
 void Entry::scheduleReport(TimePoint at)
 {
     if (m_reportAt != TimePoint{} && m_reportAt <= at && m_reportAt > m_lastReport) {
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -104,10 +104,10 @@
 
     boost::asio::awaitable<void> acceptCallers();
     void linkOpened(const fleetlink::Peer &peer);
-    void linkClosed(const fleetlink::Peer &peer);
     void linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message);
     void takeState(fleetstate::FleetState state);
     void takeReply(const fleetlink::LeaderReply &reply);
+    void boundIdleConnections();
     void scheduleReport(TimePoint at);
     void addReturning(TimePoint now);
     void addHistory(fleetlink::EntryReport &report, TimePoint now) const;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -110,13 +110,13 @@
     const Duration start = std::max(Duration{}, state.activeFrom - now);
     std::size_t queued = 0;
     for (const auto &[key, demand] : state.demand) {
-        const bool isCopied = std::any_of(state.engines.begin(), state.engines.end(), [&key = key](const auto &item) {
-            return item.second.adapters.contains(key);
-        });
         const bool isWaitedFor = std::any_of(demand.waiting.begin(), demand.waiting.end(), [&state, now](const auto &item) {
             return item.second.inTime > 0 && now - item.second.reported <= state.options.adapterLoad;
         });
-        queued += isWaitedFor && !isCopied ? 1 : 0;
+        const bool isQueued = isWaitedFor && std::none_of(state.engines.begin(), state.engines.end(), [&key = key](const auto &item) {
+                                  return item.second.adapters.contains(key);
+                              });
+        queued += isQueued ? 1 : 0;
     }
     const auto rounds = static_cast<Duration::rep>(queued / std::max(1U, state.options.storeTransfers) + 1);
     return start + rounds * state.options.adapterLoad;
