--- a/tests/coordinator/fleet.cpp
+++ b/tests/coordinator/fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <map>
+#include <unistd.h>
 
 using namespace mimosahollow;
 using namespace mimosahollow::coordinator;
@@ -15,7 +16,7 @@
 
 namespace {
 
-constexpr unsigned firstPort = 42'180;
+constexpr unsigned linkPort = 42'180;
 
 std::variant<catalog::Catalog, catalog::CatalogProblem> decodeText(std::string_view text)
 {
@@ -40,9 +41,12 @@
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
 
+    /** Test processes run side by side: each has loopback addresses of its own. */
     static std::string address(unsigned number)
     {
-        return "127.0.0." + std::to_string(number) + ":" + std::to_string(firstPort);
+        const auto process = static_cast<unsigned>(::getpid());
+        return "127." + std::to_string(process / 256 % 256) + "." + std::to_string(process % 256) + "." + std::to_string(number) + ":"
+               + std::to_string(linkPort);
     }
 
     void start(unsigned number, bool founds)
