--- a/src/fleetlink/linkhub.cpp
+++ b/src/fleetlink/linkhub.cpp
@@ -297,24 +297,6 @@
     connect(address);
 }
 
-void LinkHub::forget(const std::string &address)
-{
-    const auto target = m_targets.find(address);
-    if (target == m_targets.end()) {
-        return;
-    }
-    const PeerNumber number = target->second->connection;
-    m_targets.erase(target);
-    if (const auto connection = m_connections.find(number); connection != m_connections.end()) {
-        gone(*connection->second, "no longer a coordinator");
-    }
-}
-
-bool LinkHub::isDialed(const std::string &address) const
-{
-    return m_targets.contains(address);
-}
-
 void LinkHub::connect(const std::string &address)
 {
     const auto found = m_targets.find(address);
--- a/src/fleetlink/linkhub.h
+++ b/src/fleetlink/linkhub.h
@@ -60,8 +60,6 @@
     [[nodiscard]] std::string start();
     /** Keeps a connection to the instance at @p address. */
     void dial(const std::string &address);
-    void forget(const std::string &address);
-    [[nodiscard]] bool isDialed(const std::string &address) const;
 
     /** Returns false when the connection is gone or its queue is full; the connection is closed then. */
     bool send(PeerNumber peer, const LinkMessage &message);
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -67,7 +67,6 @@
 {
     m_connection = m_entry.upstream().takeIdle(m_address);
     if (m_connection) {
-        m_reused = true;
         co_return ExchangeError::None;
     }
     m_connection = m_entry.upstream().create();
@@ -184,9 +183,4 @@
     return m_parser->get();
 }
 
-bool ServerExchange::wasReused() const noexcept
-{
-    return m_reused;
-}
-
 } // namespace mimosahollow::ingress
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -45,7 +45,6 @@
     [[nodiscard]] unsigned status() const;
     [[nodiscard]] std::string_view header(const std::string &name) const;
     [[nodiscard]] const boost::beast::http::fields &fields() const;
-    [[nodiscard]] bool wasReused() const noexcept;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -59,7 +58,6 @@
     std::shared_ptr<Outgoing> m_outgoing;
     std::optional<Parser> m_parser;
     std::vector<char> m_space;
-    bool m_reused = false;
     bool m_aborted = false;
 };
 
