--- a/include/mimosahollow/placement/orderslots.h
+++ b/include/mimosahollow/placement/orderslots.h
@@ -40,7 +40,7 @@
     TimePoint begun{}; /**< Of the leader's term. */
     std::vector<OrderSlot> slots = std::vector<OrderSlot>(orderSlotCount);
     std::map<std::string, TimePoint, std::less<>> heard; /**< When each coordinator was heard last, by name. */
-    TimePoint proposedUntil{}; /**< No further assignment before: one is under way. */
+    bool isAssigning = false; /**< A change of holders is under way; the next one waits for it. */
 };
 
 /** @p coordinator can send orders; its promise to drop old ones counts from now. */
--- a/src/coordinator/coordinatororders.cpp
+++ b/src/coordinator/coordinatororders.cpp
@@ -32,7 +32,7 @@
         const fleetstate::OrderHolder &holder = m_state.orderHolders[slot];
         if (slots[slot].fencingNumber != holder.fencingNumber) {
             slots[slot] = {holder.name, holder.fencingNumber, {}};
-            m_placement.slots.proposedUntil = {};
+            m_placement.slots.isAssigning = false;
         }
     }
 }
@@ -44,7 +44,7 @@
     if (!assignment) {
         return;
     }
-    m_placement.slots.proposedUntil = TimePoint::max();
+    m_placement.slots.isAssigning = true; // until the replicated state has it
     observability::DecisionLine line("order-holder");
     line.add("holder", assignment->holder).add("slots", assignment->slots.size()).add("term", m_placement.term);
     observability::logDecision(line.text());
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -21,7 +21,8 @@
 bool isUsable(const DispatchState &state, const ServerView &server, const Call &call, TimePoint now)
 {
     return server.record.state == registry::ServerState::Ready && server.record.service == call.service
-           && (call.onlyServer.empty() || call.onlyServer == server.record.id) && !state.evacuatedDomains.contains(server.record.domain) && now >= server.avoidUntil && !call.tried.contains(server.record.id);
+           && (call.onlyServer.empty() || call.onlyServer == server.record.id) && !state.evacuatedDomains.contains(server.record.domain)
+           && now >= server.avoidUntil && !call.tried.contains(server.record.id);
 }
 
 unsigned capacity(const DispatchState &state, const ServerView &server, bool isEngine)
--- a/src/placement/orderslots.cpp
+++ b/src/placement/orderslots.cpp
@@ -64,7 +64,7 @@
 std::optional<SlotAssignment> planAssignment(OrderSlots &slots, TimePoint now)
 {
     auto counts = shares(slots, now);
-    if (counts.empty() || now < slots.proposedUntil) {
+    if (counts.empty() || slots.isAssigning) {
         return std::nullopt;
     }
     const bool isFirst = std::all_of(slots.slots.begin(), slots.slots.end(), [](const OrderSlot &slot) {
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -97,7 +97,8 @@
 
 TEST_CASE("Reports and orders of engines keep their meaning")
 {
-    const auto report = decodeReport(R"({"models":[{"name":"base","version":1,"adapters":["a3@2"]}],"busy":false,"sequence":9,"coming":["base/a4@1"],"born":77})");
+    const auto report =
+        decodeReport(R"({"models":[{"name":"base","version":1,"adapters":["a3@2"]}],"busy":false,"sequence":9,"coming":["base/a4@1"],"born":77})");
     REQUIRE(report);
     CHECK(report->born == 77);
     CHECK(report->sequence == 9);
