Share the cold rate of a backend server in fleets with more entry instances than calls

A new leader that has heard few instances counts those connected to it; before, it told each of them a share that was too large. Load pattern: a backend server returns cold while all instances of a large fleet wait for one.

--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -276,6 +276,10 @@
         const auto found = running.find(id);
         engine.running = found == running.end() ? 0 : static_cast<unsigned>(found->second);
     }
+    // A new leader has heard few entry instances yet; all of them keep a connection.
+    const auto peers = m_hub->peers();
+    const auto entries =
+        static_cast<unsigned>(std::max<std::size_t>(m_entries.size(), static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isEntry))));
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoad(m_placement, now)).count());
     for (const std::string &name : m_confirming) {
         const auto found = m_entries.find(name);
@@ -283,8 +287,7 @@
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{
-            entry.stamp, index, static_cast<unsigned>(m_entries.size()), {}, {}, !entry.hasHistory, now >= m_bank.opensAt, loadMilliseconds};
+        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, {}, !entry.hasHistory, now >= m_bank.opensAt, loadMilliseconds};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -33,17 +33,32 @@
     return server.record.slots + state.options.plainQueue;
 }
 
-/** Share of this instance in the cold rate. */
-bool bearsCold(const DispatchState &state, ServerView &server, const catalog::ServiceSpec &service, TimePoint now)
+/** Calls per second that this instance may send to a cold backend server of @p service. */
+double coldShare(const DispatchState &state, const catalog::ServiceSpec &service)
+{
+    return service.coldCallsPerSecond * state.options.coldOvershoot / std::max(1U, state.entries);
+}
+
+/**
+ * Load pattern: a backend server returns cold while all instances wait for one. In a large fleet the share is below one call a second; each
+ * instance then takes its turn at a random time, since one call a second of each of 58 is three times what the backend server bears.
+ */
+bool bearsCold(DispatchState &state, ServerView &server, const catalog::ServiceSpec &service, TimePoint now)
 {
     if (now >= server.coldUntil || service.coldCallsPerSecond <= 0) {
         return true;
     }
+    const double share = coldShare(state, service);
+    if (share < 1) {
+        if (server.coldTurn == TimePoint{}) {
+            server.coldTurn = now + fromSeconds(std::uniform_real_distribution<double>(0, 1 / share)(state.random));
+        }
+        return now >= server.coldTurn;
+    }
     while (!server.coldSends.empty() && now - server.coldSends.front() >= coldWindow) {
         server.coldSends.pop_front();
     }
-    const double share = service.coldCallsPerSecond * state.options.coldOvershoot / std::max(1U, state.entries);
-    return static_cast<double>(server.coldSends.size()) + 1 <= std::max(1.0, share);
+    return static_cast<double>(server.coldSends.size()) + 1 <= share;
 }
 
 struct Candidate
@@ -194,8 +209,11 @@
 {
     if (const auto found = state.servers.find(server); found != state.servers.end()) {
         ++found->second.running;
-        if (now < found->second.coldUntil) {
-            found->second.coldSends.push_back(now);
+        ServerView &view = found->second;
+        const catalog::ServiceSpec *service = state.catalog ? state.catalog->findService(view.record.service) : nullptr;
+        if (now < view.coldUntil && service != nullptr && service->coldCallsPerSecond > 0) {
+            view.coldSends.push_back(now);
+            view.coldTurn = now + fromSeconds(1 / std::min(1.0, coldShare(state, *service)));
         }
     }
 }
@@ -243,6 +261,9 @@
         view.running = running; // calls on an earlier incarnation still end
     }
     view.record = record;
+    if (now >= view.coldUntil) {
+        view.coldTurn = {}; // the turns of an earlier cold time are over: all instances would send at once
+    }
     view.coldUntil = now + milliseconds(record.coldMilliseconds);
     if (!view.isPlaced || record.held.empty()) {
         view.adapters.clear();
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -243,3 +243,54 @@
         CHECK(std::holds_alternative<Refuse>(decide(state, call, expected)));
     }
 }
+
+// Load pattern: a backend server returns cold while the instances of a large fleet wait for one. With one call a second of each of 58
+// instances it got 58 (FAILBACK on scale-1 of vito-bench-grown, seed 45616695525); the platform allows 1.5 x 20 + 5.
+TEST_CASE("A large fleet sends a cold backend server no more than it bears")
+{
+    constexpr unsigned instances = 58;
+    constexpr std::size_t allowed = 35;
+    std::vector<DispatchState> fleet;
+    for (unsigned i = 0; i < instances; ++i) {
+        DispatchState state = makeState();
+        state.entries = instances;
+        state.random.seed(i + 1);
+        registry::ServerRecord gone = record("s1", "chat", 64, 2);
+        gone.state = registry::ServerState::Gone;
+        noteServer(state, gone, start);
+        fleet.push_back(std::move(state));
+    }
+    std::vector<TimePoint> sends;
+    std::uint64_t sequence = 2;
+    TimePoint now = start;
+    const auto coldTime = [&] {
+        ++sequence;
+        registry::ServerRecord cold = record("s2", "chat", 64, sequence);
+        cold.coldMilliseconds = 3000;
+        for (DispatchState &state : fleet) {
+            noteServer(state, cold, now);
+        }
+        for (const TimePoint end = now + milliseconds(2990); now < end; now += milliseconds(10)) {
+            for (DispatchState &state : fleet) {
+                Call call = modelCall({});
+                call.arrived = now;
+                call.objectiveEnd = now + milliseconds(600);
+                if (sentTo(decide(state, call, now)) == "s2") {
+                    started(state, "s2", now);
+                    ended(state, "s2", CallResult::Answered, now);
+                    sends.push_back(now);
+                }
+            }
+        }
+    };
+    coldTime();
+    const std::size_t first = sends.size();
+    CHECK(first >= 30); // half of what it bears in three seconds
+    now += seconds(5);
+    coldTime(); // it turns cold again
+    CHECK(sends.size() > first);
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+        const auto end = std::upper_bound(sends.begin(), sends.end(), sends[i] + milliseconds(999));
+        REQUIRE(static_cast<std::size_t>(end - sends.begin()) - i <= allowed);
+    }
+}
