Pace cold backend servers by one window; look up a call's adapter version once

The turns of large fleets stood beside the window of small ones as a second mechanism, with its own bookkeeping at each start of a call. The window now is as long as one call of the share takes, a second at least; only the first turn is drawn at random. The version that a call requires was looked up, with a new string, for each backend server of each decision; now once for each decision.

--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -45,8 +45,8 @@
     unsigned othersRunning = 0; /**< Calls of the other instances, some hundred milliseconds old. */
     double failureShare = 0; /**< Part of the recent calls that it failed. */
     TimePoint avoidUntil{};
-    std::deque<TimePoint> coldSends; /**< Calls sent within the last second while it was cold. */
-    TimePoint coldTurn{}; /**< No call before while it is cold, where the share of this instance is below one a second; unset: not drawn yet. */
+    std::deque<TimePoint> coldSends; /**< Calls sent lately while it was cold. */
+    TimePoint coldTurn{}; /**< First call while it is cold, where the share of this instance is below one a second; unset: not drawn yet. */
     bool isPlaced = false; /**< The leader has said which adapters it holds. */
     std::map<std::pair<std::string, std::string>, AdapterView> adapters; /**< By model and adapter. */
     std::set<std::string> baseModels;
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -33,32 +33,25 @@
     return server.record.slots + state.options.plainQueue;
 }
 
-/** Calls per second that this instance may send to a cold backend server of @p service. */
-double coldShare(const DispatchState &state, const catalog::ServiceSpec &service)
-{
-    return service.coldCallsPerSecond * state.options.coldOvershoot / std::max(1U, state.entries);
-}
-
 /**
- * Load pattern: a backend server returns cold while all instances wait for one. In a large fleet the share is below one call a second; each
- * instance then takes its turn at a random time, since one call a second of each of 58 is three times what the backend server bears.
+ * Share of this instance in the cold rate. Load pattern: a backend server returns cold while all instances wait for one. In a large fleet the
+ * share is below one call a second; each instance then takes its turn at a random time, since one call a second of each of 58 is three times
+ * what the backend server bears.
  */
 bool bearsCold(DispatchState &state, ServerView &server, const catalog::ServiceSpec &service, TimePoint now)
 {
     if (now >= server.coldUntil || service.coldCallsPerSecond <= 0) {
         return true;
     }
-    const double share = coldShare(state, service);
-    if (share < 1) {
-        if (server.coldTurn == TimePoint{}) {
-            server.coldTurn = now + fromSeconds(std::uniform_real_distribution<double>(0, 1 / share)(state.random));
-        }
-        return now >= server.coldTurn;
+    const double share = service.coldCallsPerSecond * state.options.coldOvershoot / std::max(1U, state.entries);
+    const Duration window = share < 1 ? fromSeconds(1 / share) : coldWindow;
+    if (share < 1 && server.coldTurn == TimePoint{}) {
+        server.coldTurn = now + fromSeconds(std::uniform_real_distribution<double>(0, toSeconds(window))(state.random));
     }
-    while (!server.coldSends.empty() && now - server.coldSends.front() >= coldWindow) {
+    while (!server.coldSends.empty() && now - server.coldSends.front() >= window) {
         server.coldSends.pop_front();
     }
-    return static_cast<double>(server.coldSends.size()) + 1 <= share;
+    return now >= server.coldTurn && static_cast<double>(server.coldSends.size()) + 1 <= std::max(1.0, share);
 }
 
 struct Candidate
@@ -69,7 +62,7 @@
 };
 
 /** The copy of the adapter, or of the base model, that @p call needs at @p server. */
-std::optional<Candidate> findCopy(const DispatchState &state, ServerView &server, const Call &call)
+std::optional<Candidate> findCopy(ServerView &server, const Call &call, std::uint64_t requiredVersion)
 {
     if (call.model.empty()) {
         return Candidate{&server, 0, {}};
@@ -81,14 +74,17 @@
     if (copy == server.adapters.end()) {
         return std::nullopt;
     }
-    const auto required = state.adapterVersions.find(call.model + "/" + call.adapter);
-    if (required == state.adapterVersions.end()) {
-        return Candidate{&server, 0, copy->second.readyAt};
-    }
-    if (copy->second.version < required->second) {
+    if (copy->second.version < requiredVersion) {
         return std::nullopt;
     }
-    return Candidate{&server, copy->second.version, copy->second.readyAt};
+    return Candidate{&server, requiredVersion == 0 ? 0 : copy->second.version, copy->second.readyAt};
+}
+
+/** Oldest version of its adapter on which @p call may run; 0 when any will do. */
+std::uint64_t requiredVersion(const DispatchState &state, const Call &call)
+{
+    const auto found = call.adapter.empty() ? state.adapterVersions.end() : state.adapterVersions.find(call.model + "/" + call.adapter);
+    return found == state.adapterVersions.end() ? 0 : found->second;
 }
 
 double cost(DispatchState &state, const ServerView &server)
@@ -164,6 +160,7 @@
         return Refuse{RefusalCause::NoServer, longRetry};
     }
     const bool isEngine = service->engine.has_value();
+    const std::uint64_t version = requiredVersion(state, call);
     std::optional<Candidate> best;
     double bestCost = 0;
     TimePoint nextReady{};
@@ -172,7 +169,7 @@
         if (!isUsable(state, server, call, now)) {
             continue;
         }
-        const auto copy = findCopy(state, server, call);
+        const auto copy = findCopy(server, call, version);
         if (!copy) {
             cause = std::max(cause, RefusalCause::AdapterNotLoaded);
             continue;
@@ -209,11 +206,8 @@
 {
     if (const auto found = state.servers.find(server); found != state.servers.end()) {
         ++found->second.running;
-        ServerView &view = found->second;
-        const catalog::ServiceSpec *service = state.catalog ? state.catalog->findService(view.record.service) : nullptr;
-        if (now < view.coldUntil && service != nullptr && service->coldCallsPerSecond > 0) {
-            view.coldSends.push_back(now);
-            view.coldTurn = now + fromSeconds(1 / std::min(1.0, coldShare(state, *service)));
+        if (now < found->second.coldUntil) {
+            found->second.coldSends.push_back(now);
         }
     }
 }
