Split the coordinator and the entry instance by duty

coordinatorlog.cpp has the replicated log, changes and reads; entrylinks.cpp the links and reports, entrycalls.cpp the waits of calls for state, tokens and backend servers.

--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -1,16 +1,11 @@
 #include "coordinator/coordinatorinternal.h"
 #include "coordinator/voteridentity.h"
 
-#include "mimosahollow/link/controlcodec.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <random>
@@ -24,10 +19,7 @@
 
 using Clock = std::chrono::steady_clock;
 
-// A configuration may be hundreds of kilobytes; these bound the log in memory and on a disk of 128 MB.
-constexpr control::LogIndex snapshotEntries = 64;
-constexpr std::size_t snapshotBytes = std::size_t{2} << 20;
-constexpr std::size_t keptEntries = 16;
+constexpr std::size_t keptEntries = 16; // behind a snapshot; bounds the log in memory, where an entry may be hundreds of kilobytes
 
 /** First voters have numbers that all of them work out alike: the IP address. */
 control::VoterId voterOf(const std::string &address)
@@ -140,18 +132,6 @@
     return {};
 }
 
-void Coordinator::consensusMessage(const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes)
-{
-    const auto decoded = link::decodeConsensusMessage(bytes);
-    if (const auto *error = std::get_if<link::CodecError>(&decoded)) {
-        observability::logWarning("message of the replicated log from " + peer.hello.name + ": " + error->message);
-        return;
-    }
-    control::ConsensusActions actions;
-    control::receive(*m_consensus, peer.hello.voter, std::get<control::ConsensusMessage>(decoded), Clock::now(), actions);
-    run(std::move(actions));
-}
-
 void Coordinator::setSeeds(const std::vector<std::string> &seeds)
 {
     m_settings.seeds = seeds;
@@ -178,82 +158,6 @@
     return {};
 }
 
-void Coordinator::run(control::ConsensusActions actions)
-{
-    for (control::ConsensusAction &action : actions) {
-        carryOut(action);
-    }
-}
-
-void Coordinator::carryOut(control::ConsensusAction &action)
-{
-    if (const auto *message = std::get_if<control::SendToVoter>(&action)) {
-        send(*message);
-    } else if (auto *vote = std::get_if<control::SaveVote>(&action)) {
-        m_storage->write(*vote);
-    } else if (auto *append = std::get_if<control::AppendLog>(&action)) {
-        membershipChanged();
-        m_storage->write(std::move(*append));
-    } else if (auto *truncate = std::get_if<control::TruncateLog>(&action)) {
-        m_storage->write(*truncate);
-    } else if (auto *compact = std::get_if<control::CompactLog>(&action)) {
-        m_storage->write(*compact);
-    } else if (const auto *snapshot = std::get_if<control::InstallSnapshot>(&action)) {
-        install(*snapshot);
-    } else if (const auto *apply = std::get_if<control::ApplyEntries>(&action)) {
-        applyEntries(apply->entries);
-    } else if (std::holds_alternative<control::LostLeadership>(action)) {
-        loseLeadership();
-    } else if (const auto *confirmed = std::get_if<control::ReadConfirmed>(&action)) {
-        finishRead(confirmed->read, true);
-    } else if (const auto *rejected = std::get_if<control::ReadRejected>(&action)) {
-        finishRead(rejected->read, false);
-    }
-}
-
-void Coordinator::send(const control::SendToVoter &message)
-{
-    // A voter that joins knows no members yet and has to answer the leader all the same. A lost message is sent again by the
-    // log itself.
-    for (const fleetlink::Peer &peer : m_hub->peers()) {
-        if (peer.hello.voter == message.to && !peer.dialedAddress.empty()) {
-            m_hub->sendEncoded(peer.number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
-            return;
-        }
-    }
-}
-
-void Coordinator::applyEntries(const std::vector<control::LogEntry> &entries)
-{
-    bool changedAny = false;
-    for (const control::LogEntry &entry : entries) {
-        bool changed = false;
-        m_state.index = entry.index;
-        if (entry.kind == control::EntryKind::Command && entry.payload) {
-            m_bytesSinceSnapshot += entry.payload->size();
-            const auto decoded = fleetstate::decodeCommand(*entry.payload);
-            if (const auto *command = std::get_if<fleetstate::FleetCommand>(&decoded)) {
-                changed = fleetstate::apply(m_state, entry.index, *command);
-                observability::DecisionLine line("change-applied");
-                line.add("index", entry.index).add("term", entry.term).add("kind", static_cast<std::uint64_t>(command->kind));
-                line.add("subject", command->subject).add("version", command->version).add("changed", changed ? "yes" : "no");
-                observability::logDecision(line.text());
-            } else {
-                observability::logError("log entry " + std::to_string(entry.index) + " is not a command of this version and changes nothing");
-            }
-        }
-        changedAny = changedAny || changed;
-        if (m_consensus->role == control::VoterRole::Leader && entry.term == m_consensus->term && !m_isLeading) {
-            becomeLeader(entry.term);
-        }
-        finishChange(entry.index, entry.term, changed);
-    }
-    if (changedAny) {
-        stateChanged();
-    }
-    takeSnapshot();
-}
-
 void Coordinator::stateChanged()
 {
     if (m_state.catalogText && (!m_catalog || m_catalog->catalog().version != m_state.catalogVersion)) {
@@ -297,150 +201,6 @@
     }
 }
 
-void Coordinator::install(const control::InstallSnapshot &snapshot)
-{
-    auto decoded = fleetstate::decodeSnapshot(*snapshot.data);
-    if (const auto *error = std::get_if<fleetstate::FleetStateError>(&decoded)) {
-        observability::logError("snapshot of the leader is damaged: " + error->message);
-        control::snapshotRefused(*m_consensus);
-        return;
-    }
-    m_state = std::get<fleetstate::FleetState>(std::move(decoded));
-    m_snapshotIndex = snapshot.point.index;
-    m_bytesSinceSnapshot = 0;
-    stateChanged();
-    m_storage->write(control::StoreSnapshot{snapshot.write, snapshot.point, snapshot.data, true});
-}
-
-void Coordinator::takeSnapshot()
-{
-    const bool isDue = m_state.index >= m_snapshotIndex + snapshotEntries || (m_bytesSinceSnapshot >= snapshotBytes && m_state.index > m_snapshotIndex);
-    if (!isDue) {
-        return;
-    }
-    m_snapshotIndex = m_state.index;
-    m_bytesSinceSnapshot = 0;
-    auto data = std::make_shared<const control::Bytes>(fleetstate::encodeSnapshot(m_state));
-    m_storage->write(control::StoreSnapshot{0, control::snapshotPoint(*m_consensus, m_state.index), std::move(data), false});
-}
-
-void Coordinator::storageReported(storage::StorageEvent event)
-{
-    control::ConsensusActions actions;
-    const TimePoint now = Clock::now();
-    if (const auto *synced = std::get_if<storage::StorageSynced>(&event)) {
-        control::logSynced(*m_consensus, synced->write, now, actions);
-    } else if (auto *stored = std::get_if<storage::SnapshotStored>(&event)) {
-        if (stored->replacesLog) {
-            control::snapshotInstalled(*m_consensus, stored->index, now, actions);
-        } else {
-            control::snapshotTaken(*m_consensus, stored->index, std::move(stored->data), actions);
-        }
-    } else if (const auto *failed = std::get_if<storage::StorageFailed>(&event)) {
-        observability::logError("storage failed: " + failed->error.message);
-        if (storageFailed) {
-            storageFailed(failed->error.message);
-        }
-    }
-    m_storage->flush();
-    run(std::move(actions));
-}
-
-asio::awaitable<ChangeResult> Coordinator::change(fleetstate::FleetCommand command)
-{
-    control::ConsensusActions actions;
-    const auto payload = std::make_shared<const control::Bytes>(fleetstate::encodeCommand(command));
-    const TimePoint now = Clock::now();
-    const auto proposed = control::propose(*m_consensus, std::span(&payload, 1), now, actions);
-    if (const auto *rejected = std::get_if<control::ProposalRejected>(&proposed)) {
-        ++m_counters.changesFailed;
-        if (rejected->error == control::ProposalError::NotLeader) {
-            co_return NotLeader{leaderLink()};
-        }
-        co_return Unavailable{std::string(control::toString(rejected->error))};
-    }
-    const auto accepted = std::get<control::ProposalAccepted>(proposed);
-    auto pending = std::make_shared<PendingChange>(m_context);
-    pending->term = accepted.term;
-    pending->timer.expires_after(m_settings.changeTimeout);
-    m_changes[accepted.index] = pending;
-    run(std::move(actions));
-    if (!pending->changed && !pending->isLost) {
-        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
-            // The change may still be committed; the caller has no clear answer and sends it again.
-            if (const auto found = m_changes.find(accepted.index); found != m_changes.end() && found->second == pending) {
-                m_changes.erase(found);
-            }
-        }
-    }
-    if (pending->changed) {
-        ++m_counters.changes;
-        co_return Committed{*pending->changed};
-    }
-    ++m_counters.changesFailed;
-    co_return Unavailable{pending->isLost ? "the leadership was lost" : "no majority has confirmed the change in time"};
-}
-
-void Coordinator::finishChange(control::LogIndex index, control::Term term, bool changed)
-{
-    const auto found = m_changes.find(index);
-    if (found == m_changes.end()) {
-        return;
-    }
-    if (found->second->term == term) {
-        found->second->changed = changed;
-    } else {
-        found->second->isLost = true;
-    }
-    found->second->timer.cancel();
-    m_changes.erase(found);
-}
-
-asio::awaitable<ReadResult> Coordinator::read()
-{
-    if (!leads()) {
-        if (m_consensus->role == control::VoterRole::Leader) {
-            co_return Unavailable{"the leader does not know yet what is committed"};
-        }
-        co_return NotLeader{leaderLink()};
-    }
-    control::ConsensusActions actions;
-    const std::uint64_t number = control::requestRead(*m_consensus, actions);
-    auto pending = std::make_shared<PendingRead>(m_context);
-    pending->timer.expires_after(m_settings.readTimeout);
-    m_reads[number] = pending;
-    control::tick(*m_consensus, Clock::now(), actions);
-    run(std::move(actions));
-    if (!pending->confirmed) {
-        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
-            m_reads.erase(number);
-        }
-    }
-    if (pending->confirmed.value_or(false)) {
-        co_return m_state;
-    }
-    co_return Unavailable{"no majority confirms that this coordinator leads"};
-}
-
-void Coordinator::finishRead(std::uint64_t read, bool confirmed)
-{
-    if (m_reportRead == read) {
-        m_reportRead.reset();
-        if (confirmed) {
-            replyToReports(m_state.index);
-        }
-        m_confirming.clear();
-        confirmReports();
-        return;
-    }
-    const auto found = m_reads.find(read);
-    if (found != m_reads.end()) {
-        found->second->confirmed = confirmed;
-        found->second->timer.cancel();
-        m_reads.erase(found);
-    }
-}
-
 void Coordinator::becomeLeader(control::Term term)
 {
     m_isLeading = true;
--- /dev/null
+++ b/src/ingress/entrycalls.cpp
@@ -0,0 +1,210 @@
+#include "ingress/entryinternal.h"
+
+#include "gateway/callerwatch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace mimosahollow::ingress {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+} // namespace
+
+asio::awaitable<bool> Entry::waitForState(gateway::CallerWatch &watch)
+{
+    if (m_dispatch.catalog && isCurrent()) {
+        co_return true;
+    }
+    asio::steady_timer timer(m_context, m_settings.stateWait);
+    m_stateWaiters.push_back(&timer);
+    watch.setInterrupt([&timer] {
+        timer.cancel();
+    });
+    if (!watch.callerLeft()) {
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    watch.clearInterrupt();
+    std::erase(m_stateWaiters, &timer);
+    co_return m_dispatch.catalog &&isCurrent();
+}
+
+asio::awaitable<TokenOutcome> Entry::takeTokens(const catalog::OrganisationSpec &organisation, double tokens, gateway::CallerWatch &watch)
+{
+    if (organisation.ratePerSecond <= 0) {
+        co_return TokenOutcome::Taken;
+    }
+    const TimePoint now = Clock::now();
+    allowance::noteDemand(m_wallet, organisation.name, tokens, now);
+    const bool othersWait = std::any_of(m_tokenWaiters.begin(), m_tokenWaiters.end(), [&organisation](const TokenWaiter *other) {
+        return other->organisation == organisation.name && !other->granted;
+    });
+    if (!othersWait && allowance::spend(m_wallet, organisation.name, tokens, now)) {
+        co_return TokenOutcome::Taken;
+    }
+    TokenWaiter waiter(m_context);
+    waiter.organisation = organisation.name;
+    waiter.tokens = tokens;
+    waiter.timer.expires_after(m_settings.tokenWait);
+    const auto place = m_tokenWaiters.insert(m_tokenWaiters.end(), &waiter);
+    watch.setInterrupt([&waiter] {
+        waiter.isAbandoned = true;
+        waiter.timer.cancel();
+    });
+    scheduleReport(now + m_settings.urgentReportDelay);
+    if (!waiter.isAbandoned) {
+        co_await waiter.timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    watch.clearInterrupt();
+    m_tokenWaiters.erase(place);
+    if (!waiter.granted) {
+        co_return TokenOutcome::NoLeader;
+    }
+    co_return *waiter.granted ? TokenOutcome::Taken : TokenOutcome::OverRate;
+}
+
+void Entry::giveBackTokens(const std::string &organisation, double tokens)
+{
+    allowance::giveBack(m_wallet, organisation, tokens);
+}
+
+asio::awaitable<ServerChoice> Entry::chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch)
+{
+    const TimePoint now = Clock::now();
+    dispatch::Decision decision = dispatch::decide(m_dispatch, call, now);
+    Waiter waiter(m_context);
+    if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
+        dispatch::started(m_dispatch, send->server, now);
+        waiter.choice = *send;
+    } else if (const auto *refuse = std::get_if<dispatch::Refuse>(&decision)) {
+        waiter.choice = *refuse;
+    } else {
+        const auto &wait = std::get<dispatch::Wait>(decision);
+        waiter.call = &call;
+        waiter.until = wait.until;
+        waiter.timer.expires_at(TimePoint::max());
+        const auto isLessUrgent = [&call](const Waiter *other) {
+            return std::tie(other->call->priority, other->call->arrived) > std::tie(call.priority, call.arrived);
+        };
+        const auto place = m_waiters.insert(std::find_if(m_waiters.begin(), m_waiters.end(), isLessUrgent), &waiter);
+        metrics().setWaitingCalls(m_waiters.size());
+        watch.setInterrupt([&waiter] {
+            if (!waiter.choice) {
+                waiter.choice = CallerGone{};
+                waiter.timer.cancel();
+            }
+        });
+        if (wait.cause == dispatch::RefusalCause::AdapterNotLoaded) {
+            scheduleReport(now + m_settings.urgentReportDelay);
+        }
+        postPump();
+        if (!waiter.choice) {
+            co_await waiter.timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        watch.clearInterrupt();
+        m_waiters.erase(place);
+        metrics().setWaitingCalls(m_waiters.size());
+    }
+    if (!waiter.choice) {
+        waiter.choice = dispatch::Refuse{dispatch::RefusalCause::NoCapacity, seconds(1)};
+    }
+    if (std::holds_alternative<dispatch::Send>(*waiter.choice) && !call.model.empty()) {
+        ++demandOf(call.model, call.adapter, call.service).started;
+        auto &running = m_running[{call.model, call.adapter}];
+        running.service = call.service;
+        ++running.calls;
+    }
+    if (const auto *refuse = std::get_if<dispatch::Refuse>(&*waiter.choice); refuse != nullptr && refuse->cause == dispatch::RefusalCause::AdapterNotLoaded) {
+        m_returning[{call.model, call.adapter}] = {call.service, now + refuse->retryAfter + m_settings.returnMargin};
+    }
+    co_return *waiter.choice;
+}
+
+void Entry::callEnded(const std::string &server, const dispatch::Call &call, dispatch::CallResult result)
+{
+    if (const auto running = m_running.find({call.model, call.adapter}); running != m_running.end()) {
+        // The leader hears of it with the next report.
+        demandOf(call.model, call.adapter, call.service);
+        if (--running->second.calls == 0) {
+            m_running.erase(running);
+        }
+    }
+    dispatch::ended(m_dispatch, server, result, Clock::now());
+    if (!m_waiters.empty()) {
+        postPump();
+    }
+}
+
+void Entry::noteMissing(const std::string &server, const dispatch::Call &call)
+{
+    dispatch::noteMissing(m_dispatch, server, call, Clock::now());
+}
+
+void Entry::postPump()
+{
+    if (m_pumpPosted) {
+        return;
+    }
+    m_pumpPosted = true;
+    asio::post(m_context, [this] {
+        m_pumpPosted = false;
+        pump();
+    });
+}
+
+/** Decides anew on all waiting calls, the most urgent first. */
+void Entry::pump()
+{
+    const TimePoint now = Clock::now();
+    TimePoint next = TimePoint::max();
+    for (Waiter *waiter : m_waiters) {
+        if (waiter->choice) {
+            continue;
+        }
+        const dispatch::Decision decision = dispatch::decide(m_dispatch, *waiter->call, now);
+        if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
+            dispatch::started(m_dispatch, send->server, now);
+            waiter->choice = *send;
+            waiter->timer.cancel();
+        } else if (const auto *refuse = std::get_if<dispatch::Refuse>(&decision)) {
+            waiter->choice = *refuse;
+            waiter->timer.cancel();
+        } else {
+            next = std::min(next, std::get<dispatch::Wait>(decision).until);
+        }
+    }
+    if (next != TimePoint::max()) {
+        m_pumpTimer.expires_at(next);
+        m_pumpTimer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                pump();
+            }
+        });
+    }
+}
+
+void Entry::countRequest(const std::string &service)
+{
+    admission::RetryBudget &budget = m_dispatch.retryBudgets[service];
+    budget.ratio = m_settings.retryRatio;
+    const double reserve = std::max(1.0, m_settings.retryReserve / m_dispatch.entries);
+    if (budget.reserve != reserve) {
+        budget.reserve = reserve;
+        budget.balance = std::min(budget.balance, reserve);
+    }
+    admission::countRequest(budget);
+}
+
+bool Entry::takeRetry(const std::string &service)
+{
+    return admission::takeRetry(m_dispatch.retryBudgets[service]);
+}
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/entryinternal.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "ingress/entry.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+#include <string>
+
+namespace mimosahollow::ingress {
+
+/** A call that waits for a backend server. */
+struct Entry::Waiter
+{
+    explicit Waiter(boost::asio::io_context &context) : timer(context)
+    {
+    }
+    const dispatch::Call *call = nullptr;
+    boost::asio::steady_timer timer;
+    std::optional<ServerChoice> choice;
+    TimePoint until{};
+};
+
+/** A call that waits for tokens of its organisation. */
+struct Entry::TokenWaiter
+{
+    explicit TokenWaiter(boost::asio::io_context &context) : timer(context)
+    {
+    }
+    boost::asio::steady_timer timer;
+    std::string organisation;
+    double tokens = 0;
+    unsigned replies = 0; // of the leader since the wait began
+    std::optional<bool> granted;
+    bool isAbandoned = false;
+};
+
+} // namespace mimosahollow::ingress
--- /dev/null
+++ b/src/ingress/entrylinks.cpp
@@ -0,0 +1,256 @@
+#include "ingress/entryinternal.h"
+
+#include "fleetlink/bootclock.h"
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mimosahollow::ingress {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+} // namespace
+
+void Entry::linkOpened(const fleetlink::Peer &peer)
+{
+    if (peer.dialedAddress == m_leader) {
+        sendReport(Clock::now());
+    }
+}
+
+void Entry::linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message)
+{
+    const TimePoint now = Clock::now();
+    if (const auto *known = std::get_if<fleetlink::Coordinators>(&message)) {
+        for (const std::string &address : known->addresses) {
+            m_hub->dial(address);
+        }
+        if (!known->leader.empty() && known->leader != m_leader) {
+            observability::DecisionLine line("leader-known");
+            line.add("leader", known->leader).add("before", m_leader).add("source", peer.hello.name);
+            observability::logDecision(line.text());
+            m_leader = known->leader;
+            m_sendsHistory = true;
+            m_hub->dial(m_leader);
+            sendReport(now);
+        }
+    } else if (const auto *update = std::get_if<fleetlink::ServerUpdate>(&message)) {
+        for (const registry::ServerRecord &record : update->servers) {
+            if (dispatch::noteServer(m_dispatch, record, now)) {
+                observability::DecisionLine line("server");
+                line.add("id", record.id).add("state", static_cast<std::uint64_t>(record.state)).add("address", record.address);
+                line.add("sequence", record.sequence).add("source", peer.hello.name);
+                observability::logDecision(line.text());
+            }
+        }
+        postPump();
+    } else if (auto *state = std::get_if<fleetstate::FleetState>(&message)) {
+        takeState(std::move(*state));
+    } else if (const auto *reply = std::get_if<fleetlink::LeaderReply>(&message)) {
+        takeReply(*reply);
+    } else if (const auto *placement = std::get_if<fleetlink::PlacementUpdate>(&message)) {
+        dispatch::notePlacement(m_dispatch, *placement, now);
+        postPump();
+    }
+}
+
+void Entry::takeState(fleetstate::FleetState state)
+{
+    if (state.index < m_state.index) {
+        return;
+    }
+    if (!state.catalogText) {
+        if (state.catalogVersion != m_state.catalogVersion) {
+            observability::logError("state without its catalog: version " + std::to_string(state.catalogVersion));
+            return;
+        }
+        state.catalogText = m_state.catalogText;
+    }
+    const bool isNewCatalog = !m_dispatch.catalog || state.catalogVersion != m_state.catalogVersion;
+    m_state = std::move(state);
+    if (isNewCatalog && m_state.catalogText) {
+        auto decoded = m_decodeCatalog(*m_state.catalogText);
+        if (auto *catalog = std::get_if<catalog::Catalog>(&decoded)) {
+            m_dispatch.catalog = std::make_shared<const catalog::CatalogIndex>(std::make_shared<const catalog::Catalog>(std::move(*catalog)));
+        } else {
+            observability::logError("the catalog of the leader cannot be read: " + std::get<catalog::CatalogProblem>(decoded).message);
+        }
+    }
+    m_state.catalogText.reset(); // the index holds what is needed
+    m_dispatch.evacuatedDomains = m_state.evacuatedDomains;
+    m_dispatch.adapterVersions = m_state.adapterVersions;
+    observability::DecisionLine line("state");
+    line.add("index", m_state.index).add("catalog", m_state.catalogVersion).add("evacuated", m_state.evacuatedDomains.size());
+    observability::logDecision(line.text());
+    postPump();
+}
+
+void Entry::takeReply(const fleetlink::LeaderReply &reply)
+{
+    const TimePoint now = Clock::now();
+    m_confirmedAt = std::max(m_confirmedAt, static_cast<std::int64_t>(reply.stamp));
+    m_dispatch.entries = std::max(1U, reply.entries);
+    boundIdleConnections();
+    m_dispatch.adapterLoad = milliseconds(reply.loadMilliseconds);
+    m_sendsHistory = reply.wantsHistory;
+    for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
+        waiter->cancel();
+    }
+    for (const fleetlink::NamedNumber &tokens : reply.tokens) {
+        allowance::deposit(m_wallet, tokens.name, tokens.value, now);
+    }
+    for (auto &[id, server] : m_dispatch.servers) {
+        server.othersRunning = 0;
+    }
+    for (const fleetlink::NamedNumber &running : reply.running) {
+        if (const auto server = m_dispatch.servers.find(running.name); server != m_dispatch.servers.end()) {
+            server->second.othersRunning = static_cast<unsigned>(running.value);
+        }
+    }
+    for (TokenWaiter *waiter : m_tokenWaiters) {
+        if (waiter->granted) {
+            continue;
+        }
+        waiter->replies += reply.grantsTokens ? 1 : 0;
+        if (allowance::spend(m_wallet, waiter->organisation, waiter->tokens, now)) {
+            waiter->granted = true;
+            waiter->timer.cancel();
+        } else if (waiter->replies >= 2) {
+            // The first reply may answer a report from before the wait.
+            waiter->granted = false;
+            waiter->timer.cancel();
+        }
+    }
+    postPump();
+}
+
+/** All instances together keep at most half of the connections that a backend server accepts; the rest is for calls that open new ones. */
+void Entry::boundIdleConnections()
+{
+    if (!m_dispatch.catalog) {
+        return;
+    }
+    std::size_t limit = std::numeric_limits<std::size_t>::max();
+    for (const catalog::ServiceSpec &service : m_dispatch.catalog->catalog().services) {
+        if (service.maximumConnections > 0) {
+            limit = std::min<std::size_t>(limit, service.maximumConnections / (2 * m_dispatch.entries));
+        }
+    }
+    m_upstream.setIdleLimit(limit);
+}
+
+void Entry::scheduleReport(TimePoint at)
+{
+    if (m_reportAt != TimePoint{} && m_reportAt <= at && m_reportAt > m_lastReport) {
+        return;
+    }
+    m_reportAt = at;
+    m_reportTimer.expires_at(at);
+    m_reportTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            sendReport(Clock::now());
+        }
+    });
+}
+
+fleetlink::AdapterDemand &Entry::demandOf(const std::string &model, const std::string &adapter, const std::string &service)
+{
+    fleetlink::AdapterDemand &demand = m_demand[{model, adapter}];
+    demand.model = model;
+    demand.adapter = adapter;
+    demand.service = service;
+    return demand;
+}
+
+/** Load pattern: refused callers return after the time they were told; without this they would start the same wait again. */
+void Entry::addReturning(TimePoint now)
+{
+    std::erase_if(m_returning, [now](const auto &item) {
+        return now >= item.second.until;
+    });
+    for (const auto &[key, calls] : m_returning) {
+        fleetlink::AdapterDemand &demand = demandOf(key.first, key.second, calls.service);
+        demand.waiting = std::max(demand.waiting, 1U);
+    }
+}
+
+/** Tells a new leader what was spent, so that its window starts where the earlier one ended. */
+void Entry::addHistory(fleetlink::EntryReport &report, TimePoint now) const
+{
+    report.hasHistory = true;
+    for (const auto &[organisation, purse] : m_wallet.purses) {
+        for (const allowance::Spending &spending : allowance::history(m_wallet, purse, now)) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - spending.begin).count();
+            report.spent.push_back({organisation, spending.tokens, static_cast<unsigned>(age)});
+        }
+    }
+}
+
+void Entry::sendReport(TimePoint now)
+{
+    m_lastReport = now;
+    m_reportAt = {};
+    bool isBusy = !m_waiters.empty() || !m_tokenWaiters.empty();
+    if (const fleetlink::Peer *leader = m_hub->findDialed(m_leader)) {
+        fleetlink::EntryReport report;
+        report.stamp = static_cast<std::uint64_t>(fleetlink::bootMilliseconds());
+        for (auto &[organisation, purse] : m_wallet.purses) {
+            // A leader that does not know of a grant must not take it back.
+            if (const double expired = allowance::takeExpired(m_wallet, purse, now); expired > 0 && !m_sendsHistory) {
+                report.returned.push_back({organisation, expired});
+            }
+            purse.missing = 0;
+            for (const TokenWaiter *waiter : m_tokenWaiters) {
+                purse.missing += waiter->organisation == organisation && !waiter->granted ? waiter->tokens : 0;
+            }
+            if (const double wish = allowance::wish(m_wallet, purse, now); wish >= 1) {
+                report.tokenWishes.push_back({organisation, wish});
+            }
+        }
+        if (m_sendsHistory) {
+            addHistory(report, now);
+            for (const auto &[key, calls] : m_running) {
+                demandOf(key.first, key.second, calls.service);
+            }
+        }
+        for (const auto &[id, server] : m_dispatch.servers) {
+            if (now < server.avoidUntil) {
+                report.unreachable.push_back(id);
+            }
+            if (server.running > 0) {
+                report.running.push_back({id, static_cast<double>(server.running)});
+                isBusy = true;
+            }
+        }
+        for (const Waiter *waiter : m_waiters) {
+            if (!waiter->call->model.empty() && !waiter->choice) {
+                fleetlink::AdapterDemand &demand = demandOf(waiter->call->model, waiter->call->adapter, waiter->call->service);
+                ++demand.waiting;
+                demand.inTime += now + m_settings.adapterLoad <= waiter->call->objectiveEnd ? 1 : 0;
+            }
+        }
+        addReturning(now);
+        for (auto demand = m_demand.begin(); demand != m_demand.end();) {
+            const auto running = m_running.find(demand->first);
+            demand->second.running = running == m_running.end() ? 0 : running->second.calls;
+            report.demand.push_back(demand->second);
+            // One more report tells the leader that the wait is over.
+            if (demand->second.waiting == 0) {
+                demand = m_demand.erase(demand);
+            } else {
+                demand->second.waiting = 0;
+                demand->second.inTime = 0;
+                demand->second.started = 0;
+                ++demand;
+            }
+        }
+        m_hub->send(leader->number, report);
+    }
+    scheduleReport(now + (isBusy ? m_settings.reportInterval : m_settings.idleReportInterval));
+}
+
+} // namespace mimosahollow::ingress
