Open listeners, look up peers and log durations in one place each

The same chain of open, option, bind and listen stood in the link engine, the admin server and httpio; openListener() serves all three, and the admin server now also reports an error of its first steps instead of that of bind. The leader copied all peers with their names for each message of the log and each round of replies: findVoter() and entryCount() look without a copy. EngineState::running and domain were written, the former in each round of replies, and never read.

--- a/include/mimosahollow/observability/decisionline.h
+++ b/include/mimosahollow/observability/decisionline.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mimosahollow/core/time.h"
+
 #include <cstdint>
 
 #include <string>
@@ -15,6 +17,8 @@
 
     DecisionLine &add(std::string_view key, std::string_view value);
     DecisionLine &add(std::string_view key, std::uint64_t value);
+    /** Whole milliseconds; 0 for a negative duration. */
+    DecisionLine &add(std::string_view key, Duration value);
 
     [[nodiscard]] const std::string &text() const noexcept;
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -72,12 +72,10 @@
 {
     std::string service;
     std::string address;
-    std::string domain;
     std::uint64_t born = 0;
     bool isKnown = false; /**< Its state was read. */
     bool isReady = false; /**< Announces itself as ready and is in a domain that may be used. */
     bool isReplaced = false; /**< Another backend server answers at its address. */
-    unsigned running = 0; /**< Calls of all entry instances. */
     std::optional<std::uint64_t> sequence; /**< Unknown before the first report and after an order without an answer. */
     std::set<std::string> baseModels;
     std::map<std::string, TimePoint> comingModels; /**< Base models in load, and when they are expected. */
--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -129,14 +129,7 @@
         if (!endpoint) {
             throw std::runtime_error("not an address: " + m_address);
         }
-        boost::system::error_code error;
-        m_acceptor.open(endpoint->protocol(), error);
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        m_acceptor.bind(*endpoint, error);
-        if (!error) {
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
+        if (const auto error = openListener(m_acceptor, *endpoint); error) {
             throw std::runtime_error("cannot listen on " + m_address + ": " + error.message());
         }
         asio::co_spawn(m_context, accept(), asio::detached);
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -272,14 +272,8 @@
             running[server.name] += server.value;
         }
     }
-    for (auto &[id, engine] : m_placement.engines) {
-        const auto found = running.find(id);
-        engine.running = found == running.end() ? 0 : static_cast<unsigned>(found->second);
-    }
     // A new leader has heard few entry instances yet; all of them keep a connection.
-    const auto peers = m_hub->peers();
-    const auto entries =
-        static_cast<unsigned>(std::max<std::size_t>(m_entries.size(), static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isEntry))));
+    const auto entries = static_cast<unsigned>(std::max(m_entries.size(), m_hub->entryCount()));
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoad(m_placement, now)).count());
     for (const std::string &name : m_confirming) {
         const auto found = m_entries.find(name);
--- a/src/coordinator/coordinatorlog.cpp
+++ b/src/coordinator/coordinatorlog.cpp
@@ -70,11 +70,8 @@
 {
     // A voter that joins knows no members yet and has to answer the leader all the same. A lost message is sent again by the
     // log itself.
-    for (const fleetlink::Peer &peer : m_hub->peers()) {
-        if (peer.hello.voter == message.to && !peer.dialedAddress.empty()) {
-            m_hub->sendEncoded(peer.number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
-            return;
-        }
+    if (const fleetlink::Peer *peer = m_hub->findVoter(message.to)) {
+        m_hub->sendEncoded(peer->number, link::MessageKind::Consensus, std::make_shared<const control::Bytes>(link::encode(message.message)));
     }
 }
 
--- a/src/coordinator/coordinatororders.cpp
+++ b/src/coordinator/coordinatororders.cpp
@@ -17,11 +17,6 @@
 
 constexpr std::array<std::string_view, 6> outcomeNames{"accepted", "already-done", "conflict", "rejected", "other-instance", "unknown"};
 
-std::uint64_t millisecondsOf(Duration duration)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(duration).count()));
-}
-
 } // namespace
 
 /** Takes over the holders of the replicated state; only those are new whose number differs. */
@@ -116,11 +111,11 @@
 {
     // A held-up order would arrive beside those of the next holder, which counts on the age of the credit.
     const std::int64_t age = fleetlink::bootMilliseconds() - static_cast<std::int64_t>(request.credit);
-    const bool isLate = age > static_cast<std::int64_t>(millisecondsOf(m_settings.orderSlots.creditAge));
+    const bool isLate = milliseconds(age) > m_settings.orderSlots.creditAge;
     if (isLate || request.term < m_orderTerm) {
         observability::DecisionLine line("order-dropped");
         line.add("server", request.order.server).add("leader", peer.hello.name).add("term", request.term);
-        line.add("credit-age-ms", static_cast<std::uint64_t>(std::max<std::int64_t>(0, age)));
+        line.add("credit-age-ms", Duration(milliseconds(age)));
         observability::logDecision(line.text());
         m_hub->send(peer.number, fleetlink::OrderReply{request.number, placement::OrderOutcome::Rejected});
         return;
@@ -161,7 +156,7 @@
     line.add("model", order.model).add("adapter", order.adapter).add("version", order.version);
     line.add("sequence", order.expectedSequence).add("fencing", order.fencingNumber);
     line.add("holder", m_placement.slots.slots[placement::orderSlotOf(order.server)].holder);
-    line.add("outcome", outcomeNames.at(static_cast<std::size_t>(outcome))).add("ms", millisecondsOf(now - sent));
+    line.add("outcome", outcomeNames.at(static_cast<std::size_t>(outcome))).add("ms", now - sent);
     observability::logDecision(line.text());
     if (outcome == placement::OrderOutcome::Unknown) {
         ++m_counters.ordersUnanswered;
--- a/src/fleetlink/linkhub.cpp
+++ b/src/fleetlink/linkhub.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <utility>
@@ -404,6 +405,22 @@
     return peers;
 }
 
+std::size_t LinkHub::entryCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &item) {
+        return item.second->isReady && item.second->peer.hello.address.empty();
+    }));
+}
+
+const Peer *LinkHub::findVoter(control::VoterId voter) const
+{
+    const auto found = std::find_if(m_connections.begin(), m_connections.end(), [voter](const auto &item) {
+        const Peer &peer = item.second->peer;
+        return item.second->isReady && peer.hello.voter == voter && !peer.dialedAddress.empty();
+    });
+    return found == m_connections.end() ? nullptr : &found->second->peer;
+}
+
 const Peer *LinkHub::findDialed(const std::string &address) const
 {
     const auto target = m_targets.find(address);
--- a/src/fleetlink/linkhub.h
+++ b/src/fleetlink/linkhub.h
@@ -64,7 +64,12 @@
     /** Returns false when the connection is gone or its queue is full; the connection is closed then. */
     bool send(PeerNumber peer, const LinkMessage &message);
     bool sendEncoded(PeerNumber peer, link::MessageKind kind, const control::SharedBytes &bytes);
+    /** A copy: sending may close a connection. */
     [[nodiscard]] std::vector<Peer> peers() const;
+    /** Connections to entry instances. */
+    [[nodiscard]] std::size_t entryCount() const;
+    /** The connection that this side opened to the coordinator @p voter; null when there is none. */
+    [[nodiscard]] const Peer *findVoter(control::VoterId voter) const;
     /** The connection that this side opened to @p address; null when there is none. */
     [[nodiscard]] const Peer *findDialed(const std::string &address) const;
 
--- a/src/gateway/addresses.cpp
+++ b/src/gateway/addresses.cpp
@@ -31,4 +31,20 @@
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+boost::system::error_code openListener(boost::asio::ip::tcp::acceptor &acceptor, const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    return error;
+}
+
 } // namespace mimosahollow
--- a/src/httpio/httplistener.cpp
+++ b/src/httpio/httplistener.cpp
@@ -96,17 +96,7 @@
     if (!endpoint) {
         return "invalid address " + address;
     }
-    boost::system::error_code error;
-    acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const boost::system::error_code error = openListener(acceptor, *endpoint);
     return error ? "cannot listen on " + address + ": " + error.message() : std::string();
 }
 
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -30,11 +30,6 @@
 constexpr Duration rateRetry = milliseconds(1000); // a bucket holds about one second of its rate
 constexpr Duration notRunRetry = milliseconds(300);
 
-std::uint64_t millisecondsOf(Duration duration)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(duration).count()));
-}
-
 enum class AttemptEnd : std::uint8_t {
     Answered, /**< The caller has the whole answer. */
     CallerLeft,
@@ -116,9 +111,8 @@
         .add("adapter", m_head.adapter)
         .add("tokens", static_cast<std::uint64_t>(m_tokens))
         .add("sends", m_sends)
-        .add("ms", millisecondsOf(now - m_arrived));
-    line.add("catalog", m_catalog ? m_catalog->catalog().version : 0)
-        .add("state-age-ms", millisecondsOf(std::min(m_entry.stateAge(), Duration(seconds(1000)))));
+        .add("ms", now - m_arrived);
+    line.add("catalog", m_catalog ? m_catalog->catalog().version : 0).add("state-age-ms", std::min(m_entry.stateAge(), Duration(seconds(1000))));
     observability::logDecision(line.text());
 }
 
@@ -128,7 +122,7 @@
     const auto server = servers.find(target.server);
     observability::DecisionLine line("attempt");
     line.add("id", m_head.id).add("server", target.server).add("end", endNames.at(static_cast<std::size_t>(end))).add("status", status);
-    line.add("waited-ms", millisecondsOf(begun - m_arrived)).add("ms", millisecondsOf(Clock::now() - begun)).add("events", m_events.events);
+    line.add("waited-ms", begun - m_arrived).add("ms", Clock::now() - begun).add("events", m_events.events);
     if (server != servers.end()) {
         line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
     }
--- a/src/link/engine.cpp
+++ b/src/link/engine.cpp
@@ -73,18 +73,7 @@
     if (!endpoint->address().is_loopback() && !tls()) {
         return "links off loopback need TLS: " + m_options.self.linkAddress;
     }
-    boost::system::error_code error;
-    m_acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
+    if (const auto error = mimosahollow::openListener(m_acceptor, *endpoint); error) {
         return "cannot listen on " + m_options.self.linkAddress + ": " + error.message();
     }
     m_port = m_acceptor.local_endpoint().port();
--- a/src/observability/decisionline.cpp
+++ b/src/observability/decisionline.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/observability/decisionline.h"
 
+#include <algorithm>
+
 namespace mimosahollow::observability {
 
 namespace {
@@ -56,6 +58,11 @@
     return add(key, std::to_string(value));
 }
 
+DecisionLine &DecisionLine::add(std::string_view key, Duration value)
+{
+    return add(key, static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(value).count())));
+}
+
 const std::string &DecisionLine::text() const noexcept
 {
     return m_text;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -106,7 +106,6 @@
     engine.born = record.born;
     engine.service = record.service;
     engine.address = record.address;
-    engine.domain = record.domain;
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
 }
 
