placement: unload an outdated copy before its new version is loaded; replicate by batch share

Cause: a new version was loaded over the old copy in place, on a full engine too. Excluded as causes: late orders and reports that lag, since the sequence number of an order protects against both. Change: the outdated copy is unloaded first. The host memory of an engine counts by version, and a report read during a load of weights no longer forgets that load.

Cause: adapters were replicated above 7 calls per second and copy, which suits engines with 64 slots. With 12 slots one copy was full, and calls waited beside idle engines. Change: an adapter is replicated once its calls fill more than a quarter of a batch on each copy; the mean time of a call follows from the reported running calls and their rate.

--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -30,7 +30,9 @@
     Duration reportInterval = seconds(4); /**< Between reads of an engine's state, which find changes that did not come from orders. */
     Duration unloadingReportInterval = milliseconds(500); /**< The same while an unload waits for running calls, which take seconds. */
     Duration reportLag = milliseconds(350); /**< A report may show the state of several hundred milliseconds before. */
-    double callRatePerCopy = 7; /**< Calls per second and copy above which an adapter is replicated: 7/s x 2.5 s per call fill a quarter of a batch. */
+    /** Part of an engine's batch that calls of one adapter may fill on average before it is replicated; the rest absorbs bursts and other adapters. */
+    double batchSharePerCopy = 0.25;
+    Duration initialCallTime = milliseconds(2500); /**< Assumed time that a call runs, until reports tell. */
     Duration minimumIdle = milliseconds(1200); /**< Minimum time since the last use of an adapter that is evicted for the first copy of another one. */
     Duration minimumIdleForReplica = seconds(4); /**< The same for a further copy. */
     Duration waitReportLifetime = milliseconds(1500); /**< Validity of reported waiting calls; entry instances report more often while calls wait. */
@@ -72,6 +74,7 @@
 {
     std::string service;
     std::string address;
+    unsigned slots = 1; /**< Calls that it runs at once. */
     std::uint64_t born = 0; /**< Start time of the incarnation. */
     bool hasReport = false; /**< Its state was read at least once. */
     bool isReady = false; /**< It announces itself as ready, and its failure domain is not evacuated. */
@@ -80,9 +83,14 @@
     std::set<std::string> baseModels;
     std::map<std::string, TimePoint> loadingModels; /**< Base models being loaded, with the expected end of the load. */
     std::map<AdapterKey, AdapterCopy> adapters;
-    std::map<AdapterKey, std::uint64_t> hostCache; /**< Adapters assumed to be in host memory, with a logical time of last use for LRU eviction. */
+    struct CachedAdapter
+    {
+        std::uint64_t lastUse = 0; /**< Logical time, for LRU eviction. */
+        std::uint64_t version = 0; /**< 0: unknown, older than any named version. */
+    };
+    std::map<AdapterKey, CachedAdapter> hostCache; /**< Adapters assumed to be in host memory. */
     std::uint64_t hostCacheClock = 0; /**< Last logical time in hostCache. */
-    double expectedCalls = 0; /**< Calls per second, from the demand for its adapters. */
+    double expectedRunning = 0; /**< Calls running at once, from the demand for its adapters. */
     bool orderInFlight = false;
     bool reportInFlight = false;
     std::optional<ModelOrder> unresolvedOrder; /**< Order without a reply, whose effect is unknown. */
@@ -117,6 +125,7 @@
     std::uint64_t term = 0; /**< Of the leader. */
     OrderSlots slots;
     TimePoint nextRebalance{};
+    Duration callTime{}; /**< Mean time that a call runs on an engine; 0: not known yet. */
     unsigned storeTransferLimit = PlacementOptions{}.minimumStoreTransfers; /**< Concurrent adapter transfers that the weight store serves at full speed. */
     std::map<std::string, EngineState> engines;
     std::map<AdapterKey, DemandState> demand;
--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -4,7 +4,7 @@
 
 namespace mimosahollow::placement {
 
-/** Records the use of adapter @p key on @p engine, which keeps it in host memory; evicts the least recently used one above the limit. */
-void touchHostCache(const PlacementState &state, EngineState &engine, const AdapterKey &key);
+/** Records the use of @p version of adapter @p key on @p engine, which keeps it in host memory; evicts the least recently used one above the limit. */
+void touchHostCache(const PlacementState &state, EngineState &engine, const AdapterKey &key, std::uint64_t version);
 
 } // namespace mimosahollow::placement
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -43,14 +43,14 @@
 {
     std::map<AdapterKey, AdapterCopy> adapters;
     engine.baseModels.clear();
-    engine.loadingModels.clear();
+    if (!report.isBusy) {
+        // A report names weights only once they are loaded. Without the entry, a second load would be ordered meanwhile.
+        engine.loadingModels.clear();
+    }
     for (const ModelReport::Copy &copy : report.copies) {
         if (copy.adapter.empty()) {
-            if (copy.isLoading) {
-                engine.loadingModels.emplace(copy.model, now + seconds(1));
-            } else {
-                engine.baseModels.insert(copy.model);
-            }
+            engine.baseModels.insert(copy.model);
+            engine.loadingModels.erase(copy.model);
             continue;
         }
         const AdapterKey key{copy.model, copy.adapter};
@@ -62,7 +62,7 @@
         known.isConfirmed = true;
         known.readyAt = copy.isLoading ? std::max(known.readyAt, now + state.options.adapterLoadTime / 2) : std::min(known.readyAt, now);
         adapters[key] = known;
-        touchHostCache(state, engine, key);
+        touchHostCache(state, engine, key, copy.version);
     }
     engine.adapters = std::move(adapters);
     engine.sequence = report.sequence;
@@ -71,12 +71,12 @@
 
 } // namespace
 
-void touchHostCache(const PlacementState &state, EngineState &engine, const AdapterKey &key)
+void touchHostCache(const PlacementState &state, EngineState &engine, const AdapterKey &key, std::uint64_t version)
 {
-    engine.hostCache[key] = ++engine.hostCacheClock;
+    engine.hostCache[key] = {++engine.hostCacheClock, version};
     if (engine.hostCache.size() > state.options.hostCacheAdapters) {
         engine.hostCache.erase(std::min_element(engine.hostCache.begin(), engine.hostCache.end(), [](const auto &left, const auto &right) {
-            return left.second < right.second;
+            return left.second.lastUse < right.second.lastUse;
         }));
     }
 }
@@ -109,6 +109,7 @@
     }
     engine.born = record.born;
     engine.service = record.service;
+    engine.slots = std::max(1U, record.slots);
     engine.address = record.address;
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
 }
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -20,6 +20,9 @@
  * when no other can.
  */
 constexpr double unansweredPenaltyCost = 20;
+// Limits of the mean call time. Right after the start of a term, running calls are reported before the rate that caused them.
+constexpr Duration shortestCallTime = milliseconds(100);
+constexpr Duration longestCallTime = seconds(10);
 
 bool hasUnresolvedOrder(const EngineState &engine, const AdapterKey &key)
 {
@@ -81,9 +84,11 @@
         }));
     }
 
+    /** Whether @p engine can load the required version of @p key from its host memory. */
     [[nodiscard]] bool isInHostCache(const EngineState &engine, const AdapterKey &key) const
     {
-        return engine.hostCache.contains(key);
+        const auto cached = engine.hostCache.find(key);
+        return cached != engine.hostCache.end() && cached->second.version >= requiredVersion(state, key);
     }
 
     [[nodiscard]] bool hasRoom(const EngineState &engine, const catalog::EngineSpec &spec) const
@@ -130,12 +135,11 @@
             {id, engine.address, engine.born, kind, key.model, key.adapter, version, *engine.sequence, state.slots.slots[orderSlotFor(id)].fencingNumber});
         engine.orderInFlight = true;
         engine.lastOrder = now;
-        state.changedEngines.insert(id);
     }
 
     void sendAdapterLoad(const std::string &id, EngineState &engine, const AdapterKey &key)
     {
-        const bool isCached = isInHostCache(engine, key) && !engine.adapters.contains(key);
+        const bool isCached = isInHostCache(engine, key);
         Duration time = state.options.cachedAdapterLoadTime;
         if (!isCached) {
             ++storeTransfers;
@@ -143,7 +147,7 @@
         }
         const std::uint64_t version = requiredVersion(state, key);
         engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isCached, false, false};
-        touchHostCache(state, engine, key);
+        touchHostCache(state, engine, key, version);
         ++usable[key];
         send(id, engine, OrderKind::Load, key, version);
     }
@@ -159,7 +163,7 @@
         if ((!isCached && storeTransfers >= state.storeTransferLimit) || transfersTo(engine) >= state.options.transfersPerServer) {
             return std::nullopt;
         }
-        const bool isFree = hasRoom(engine, *spec);
+        const bool isFree = hasRoom(engine, *spec) && !engine.adapters.contains(key);
         if (!isFree && !evictionCandidate(engine, minimumIdle)) {
             return std::nullopt;
         }
@@ -167,7 +171,8 @@
         const std::string name = key.model + "/" + key.adapter + "@" + id;
         const double affinityCost = static_cast<double>(XXH3_64bits(name.data(), name.size()) % 1024) / 1024;
         const double unansweredPenalty = now < engine.penalizedUntil ? unansweredPenaltyCost : 0;
-        return engine.expectedCalls / state.options.callRatePerCopy + (isCached ? 0 : 2) + (isFree ? 0 : 0.3) + affinityCost + unansweredPenalty;
+        return engine.expectedRunning / (engine.slots * state.options.batchSharePerCopy) + (isCached ? 0 : 2) + (isFree ? 0 : 0.3) + affinityCost
+               + unansweredPenalty;
     }
 
     /** Orders a load of @p key on the engine with the lowest cost, or an unload to make room. Returns false if no engine can take it. */
@@ -180,7 +185,7 @@
                 continue;
             }
             if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
-                // An engine that serves the previous version loads a new one only after the calls on it have ended, so another engine is faster.
+                // The unload of an outdated copy waits for the calls on it, so another engine is faster while there are some.
                 const bool isOutdated = copy->second.version < requiredVersion(state, key);
                 if (!isOutdated || copy->second.isUnloading || now - copy->second.lastUse < state.options.minimumIdle) {
                     continue;
@@ -196,7 +201,10 @@
             return false;
         }
         EngineState &engine = state.engines[*best];
-        if (engine.adapters.contains(key) || hasRoom(engine, *specOf(engine))) {
+        if (engine.adapters.contains(key)) {
+            // The new version takes a slot of its own while it loads, which a full engine does not have.
+            send(*best, engine, OrderKind::Unload, key, 0);
+        } else if (hasRoom(engine, *specOf(engine))) {
             sendAdapterLoad(*best, engine, key);
         } else {
             send(*best, engine, OrderKind::Unload, *evictionCandidate(engine, minimumIdle), 0);
@@ -222,15 +230,37 @@
         }
     }
 
-    void updateExpectedCalls()
+    /** Mean time of a call on an engine, by Little's law over all adapters. A single adapter has too few calls for a stable mean. */
+    void updateCallTime()
+    {
+        double rate = 0;
+        unsigned running = 0;
+        for (const auto &[key, demand] : state.demand) {
+            rate += callsPerSecond(demand);
+            for (const auto &[entry, calls] : demand.running) {
+                running += calls;
+            }
+        }
+        if (rate >= 1 && running > 0) {
+            state.callTime = std::clamp<Duration>(fromSeconds(running / rate), shortestCallTime, longestCallTime);
+        }
+    }
+
+    /** Calls of an adapter that run at once on average. */
+    [[nodiscard]] double expectedRunning(const DemandState &demand) const
+    {
+        return callsPerSecond(demand) * toSeconds(state.callTime == Duration{} ? state.options.initialCallTime : state.callTime);
+    }
+
+    void updateExpectedRunning()
     {
         for (auto &[id, engine] : state.engines) {
-            engine.expectedCalls = 0;
+            engine.expectedRunning = 0;
             for (const auto &[key, copy] : engine.adapters) {
                 const auto demand = state.demand.find(key);
                 const unsigned copies = usableCopies(key);
                 if (demand != state.demand.end() && copies > 0) {
-                    engine.expectedCalls += callsPerSecond(demand->second) / copies;
+                    engine.expectedRunning += expectedRunning(demand->second) / copies;
                 }
             }
         }
@@ -307,13 +337,27 @@
         }
     }
 
-    /** Loads further copies of adapters whose call rate per copy exceeds the limit. */
+    /** Slots of an engine of @p service; they are the same for all of them by configuration. */
+    [[nodiscard]] unsigned slotsOf(const std::string &service) const
+    {
+        const auto found = std::find_if(state.engines.begin(), state.engines.end(), [&service](const auto &item) {
+            return item.second.service == service;
+        });
+        return found == state.engines.end() ? 1 : found->second.slots;
+    }
+
+    /**
+     * Loads further copies of adapters whose calls fill more than their share of a batch on each copy. A fixed call rate in place of the
+     * share leaves one popular adapter more calls than an engine with 12 slots can run.
+     */
     void replicate()
     {
         for (const auto &[key, demand] : state.demand) {
             const unsigned copies = usableCopies(key);
-            if (!key.adapter.empty() && copies > 0 && callsPerSecond(demand) > state.options.callRatePerCopy * copies
-                && storeTransfers < state.storeTransferLimit / 2) {
+            if (key.adapter.empty() || copies == 0 || storeTransfers >= state.storeTransferLimit / 2) {
+                continue;
+            }
+            if (expectedRunning(demand) > state.options.batchSharePerCopy * slotsOf(demand.service) * copies) {
                 loadCopy(key, demand, state.options.minimumIdleForReplica);
             }
         }
@@ -352,7 +396,8 @@
     if (now >= state.nextRebalance) {
         state.nextRebalance = now + state.options.rebalanceInterval;
         dropIdleDemand(state, now);
-        planner.updateExpectedCalls();
+        planner.updateCallTime();
+        planner.updateExpectedRunning();
         planner.replicate();
     }
     return std::move(planner.orders);
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -40,6 +40,7 @@
             record.id = id;
             record.service = "chat";
             record.address = id + ":80";
+            record.slots = 64;
             record.born = 1;
             updateServer(state, record, true, now);
             held[id] = {};
@@ -191,6 +192,33 @@
     CHECK(fleet.copies("a1") == 3);
 }
 
+// Load pattern: an engine runs 12 calls at once, and one adapter receives 5 calls per second of two seconds each, 10 at once. Guards against a
+// limit in calls per second that fits larger engines only: the copy was full, and its calls waited or were refused beside idle engines.
+TEST_CASE("An adapter is replicated once its calls fill their share of a small engine")
+{
+    Fleet fleet(6);
+    for (unsigned i = 1; i <= 6; ++i) {
+        registry::ServerRecord record;
+        record.id = "s" + std::to_string(i);
+        record.service = "chat";
+        record.address = record.id + ":80";
+        record.slots = 12;
+        record.born = 1;
+        updateServer(fleet.state, record, true, fleet.now);
+    }
+    fleet.demand("a1", 1);
+    fleet.executeOrders();
+    for (int step = 0; step < 60; ++step) {
+        fleet.now += milliseconds(200);
+        recordCredit(fleet.state.slots, "core-1", fleet.now);
+        recordDemand(fleet.state, "entry-1", {"base", "a1"}, "chat", {0, 0, 1, 10}, fleet.now);
+        fleet.executeOrders();
+    }
+    const auto wanted = static_cast<unsigned>(10 / (12 * fleet.state.options.batchSharePerCopy));
+    CHECK(fleet.copies("a1") >= wanted);
+    CHECK(fleet.copies("a1") <= wanted + 1);
+}
+
 // Guards against more adapters than slots when an order without a reply is executed late.
 TEST_CASE("An order without a reply keeps its adapter slot until a report resolves it")
 {
