feed: send placements and load digests once to each failure domain

Change: a coordinator of each failure domain passes the feed on to the entry instances there. Running calls are sent as a digest of keys and counts every 100 ms. A receiver without the placements gets the whole table first, unchanged placements are not repeated, and updates carry numbers, so that two ways never bring back an older placement. An instance that its own domain does not serve asks the leader.

--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -43,11 +43,14 @@
     registry::ServerRecord record;
     TimePoint coldUntil{};
     unsigned running = 0; /**< Calls of this instance. */
+    std::uint32_t key = 0; /**< registry::serverKey() of its id. */
+    unsigned reportedRunning = 0; /**< Calls of this instance in its last report, which the load digest includes. */
     unsigned othersRunning = 0; /**< Calls of the other instances, delayed by several hundred milliseconds. */
     double failureRate = 0; /**< Exponential average of failed calls, from 0 to 1. */
     TimePoint avoidUntil{}; /**< Receives no calls before, after a failed connection. */
     std::deque<TimePoint> coldSends; /**< Send times of recent calls while it was cold. */
     TimePoint firstColdSend{}; /**< Random start of sending while cold, if the share of this instance is below one call per second; unset: not drawn. */
+    std::uint64_t placementNumber = 0; /**< Of the update with the newest placement in this leader term. */
     bool hasPlacement = false; /**< The leader has sent its placement, which overrides the adapters in its record. */
     std::map<std::pair<std::string, std::string>, AdapterView> adapters; /**< By model and adapter. */
     std::set<std::string> baseModels;
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -44,6 +44,13 @@
     bool heardDirectly = false; /**< The sender has it from the backend servers; other coordinators keep them alive by it. */
 };
 
+/** Calls running on a backend server. */
+struct ServerLoad
+{
+    std::uint32_t serverKey = 0; /**< registry::serverKey() of its id. */
+    unsigned running = 0;
+};
+
 struct NamedNumber
 {
     std::string name;
@@ -76,11 +83,12 @@
     std::uint64_t stamp = 0; /**< Milliseconds of the entry instance's boot clock when it was sent. */
     std::vector<NamedNumber> tokenWishes; /**< By organisation. */
     std::vector<NamedNumber> returned; /**< Tokens that were not spent, by organisation. */
-    std::vector<NamedNumber> running; /**< Calls by backend server, only those above 0. */
+    std::vector<ServerLoad> running; /**< Only counts above 0. */
     std::vector<AdapterDemand> demand;
     std::vector<SpentTokens> spent;
     bool hasHistory = false; /**< @c spent is complete. */
     std::vector<std::string> unreachable; /**< Backend servers to which no connection can be opened. */
+    bool wantsFeed = false; /**< It receives no placements and load digests from a coordinator of its failure domain. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
@@ -90,7 +98,6 @@
     control::LogIndex index = 0; /**< The entry instance is current once it holds the state at this index. */
     unsigned entries = 0; /**< Entry instances that the leader hears. */
     std::vector<NamedNumber> tokens; /**< Granted, by organisation. */
-    std::vector<NamedNumber> running; /**< Calls of all other entry instances, by backend server. */
     bool wantsHistory = false; /**< The leader does not know what the entry instance has spent; it grants nothing before. */
     bool grantsTokens = false; /**< False while a new leader collects what was spent; what it grants then says nothing of the rate. */
     unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
@@ -117,6 +124,14 @@
 {
     control::Term term = 0; /**< An update of an older term is dropped. */
     std::vector<ServerPlacement> servers;
+    std::uint64_t number = 0; /**< Increases with each update of a term; a placement replaces those of lower numbers. */
+};
+
+/** Calls on backend servers from all entry instances together, from the leader. */
+struct LoadDigest
+{
+    control::Term term = 0;
+    std::vector<ServerLoad> servers; /**< Only counts above 0. */
 };
 
 /** A coordinator tells the leader that it can send orders to engines. */
@@ -140,8 +155,18 @@
     placement::OrderOutcome outcome = placement::OrderOutcome::Unknown;
 };
 
-using LinkMessage = std::
-    variant<Hello, Ping, Coordinators, ServerUpdate, EntryReport, LeaderReply, PlacementUpdate, fleetstate::FleetState, OrderCredit, OrderRequest, OrderReply>;
+using LinkMessage = std::variant<Hello,
+                                 Ping,
+                                 Coordinators,
+                                 ServerUpdate,
+                                 EntryReport,
+                                 LeaderReply,
+                                 PlacementUpdate,
+                                 fleetstate::FleetState,
+                                 OrderCredit,
+                                 OrderRequest,
+                                 OrderReply,
+                                 LoadDigest>;
 
 struct LinkCodecError
 {
--- a/include/mimosahollow/registry/serverrecord.h
+++ b/include/mimosahollow/registry/serverrecord.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosahollow::registry {
@@ -43,4 +44,7 @@
     friend bool operator==(const ServerRecord &, const ServerRecord &) = default;
 };
 
+/** Short form of a server id for messages that name many servers. Two servers of a fleet may share one, very rarely. */
+[[nodiscard]] std::uint32_t serverKey(std::string_view id) noexcept;
+
 } // namespace mimosahollow::registry
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -221,6 +221,8 @@
     placement::beginTerm(m_placement, term, now);
     m_holderCandidates.clear();
     m_remoteOrders.clear();
+    m_feed = {term, 0, {}};
+    m_feedReceivers.clear();
     stateChanged();
     broadcastCoordinators();
 }
@@ -310,6 +312,7 @@
         if (!refreshed.empty()) {
             broadcastServers(refreshed, true, false);
         }
+        forgetGoneServers();
         if (leads()) {
             const auto expired = registry::expire(m_registry, now);
             if (!expired.empty()) {
@@ -329,6 +332,9 @@
         planVoters(now);
     }
     requestEngineReports(now);
+    if (now >= m_nextLoadDigest) {
+        publishLoad(now);
+    }
     if (now >= m_nextPlacement) {
         planPlacement(now);
     }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -8,6 +8,7 @@
 #include "mimosahollow/catalog/catalogdecoder.h"
 #include "mimosahollow/catalog/catalogindex.h"
 #include "mimosahollow/control/consensus.h"
+#include "mimosahollow/feed/feed.h"
 #include "mimosahollow/fleetstate/fleetcommand.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
 #include "mimosahollow/placement/placement.h"
@@ -146,6 +147,11 @@
     void requestEngineReports(TimePoint now);
     void flushPlacement();
     [[nodiscard]] fleetlink::ServerPlacement placementOf(const std::string &server, TimePoint now) const;
+    void handleFeed(const fleetlink::PlacementUpdate &update);
+    void handleFeed(const fleetlink::LoadDigest &digest);
+    void publish(const fleetlink::LinkMessage &message);
+    void publishLoad(TimePoint now);
+    void forgetGoneServers();
 
     boost::asio::io_context &m_context;
     CoordinatorSettings m_settings;
@@ -189,6 +195,9 @@
     control::Term m_orderTerm = 0; // newest term in which this coordinator executed an order of a leader
     TimePoint m_nextCredit{};
     bool m_placementFlushPosted = false;
+    feed::FeedTable m_feed; // placements that the leader has published
+    std::vector<fleetlink::PeerNumber> m_feedReceivers; // connections that have received the whole table; ascending
+    TimePoint m_nextLoadDigest{};
     std::optional<std::uint64_t> m_reportRead; // leadership confirmation for m_confirmingReports
     std::vector<std::string> m_confirmingReports; // entry instances that are answered by the confirmation in progress
     std::vector<std::string> m_unconfirmedReports; // entry instances that are answered by the next one
--- /dev/null
+++ b/src/coordinator/coordinatorfeed.cpp
@@ -0,0 +1,96 @@
+#include "coordinator/coordinatorinternal.h"
+
+#include "mimosahollow/observability/decisionline.h"
+#include "mimosahollow/observability/log.h"
+
+#include <algorithm>
+#include <map>
+
+namespace mimosahollow::coordinator {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+} // namespace
+
+/** Passes placements of the leader on to the entry instances of the own failure domain. */
+void Coordinator::handleFeed(const fleetlink::PlacementUpdate &update)
+{
+    if (leads()) {
+        return;
+    }
+    const bool isNewTerm = update.term > m_feed.term;
+    if (!feed::store(m_feed, update, Clock::now())) {
+        return;
+    }
+    if (isNewTerm) {
+        m_feedReceivers.clear();
+    }
+    publish(update);
+}
+
+void Coordinator::handleFeed(const fleetlink::LoadDigest &digest)
+{
+    if (!leads() && digest.term >= m_feed.term) {
+        publish(digest);
+    }
+}
+
+/** Sends a message of the feed. A receiver without the placements published so far gets all of them first. */
+void Coordinator::publish(const fleetlink::LinkMessage &message)
+{
+    std::vector<feed::Subscriber> subscribers;
+    for (const fleetlink::Peer &peer : m_hub->peers()) {
+        const bool isEntry = peer.hello.address.empty();
+        if (!isEntry && peer.dialedAddress.empty()) {
+            continue; // the other of the two connections to this coordinator is used
+        }
+        const auto entry = m_entries.find(peer.hello.name);
+        const bool wantsDirect = entry != m_entries.end() && entry->second.wantsFeed;
+        subscribers.push_back({peer.number, peer.hello.name, peer.hello.domain, isEntry, wantsDirect});
+    }
+    auto receivers = leads() ? feed::leaderReceivers(subscribers, m_settings.domain) : feed::relayReceivers(subscribers, m_settings.domain);
+    std::vector<fleetlink::PeerNumber> added;
+    std::set_difference(receivers.begin(), receivers.end(), m_feedReceivers.begin(), m_feedReceivers.end(), std::back_inserter(added));
+    if (!added.empty()) {
+        observability::DecisionLine line("feed-receivers");
+        line.add("added", added.size()).add("total", receivers.size()).add("term", m_feed.term).add("number", m_feed.number);
+        observability::logDecision(line.text());
+        const auto table = std::make_shared<const control::Bytes>(fleetlink::encode(feed::contentOf(m_feed, Clock::now())));
+        for (const fleetlink::PeerNumber peer : added) {
+            m_hub->sendEncoded(peer, link::MessageKind::Relay, table);
+        }
+    }
+    m_feedReceivers = std::move(receivers);
+    const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(message));
+    for (const fleetlink::PeerNumber peer : m_feedReceivers) {
+        m_hub->sendEncoded(peer, link::MessageKind::Relay, bytes);
+    }
+}
+
+/** Publishes how many calls run on each backend server. Sent without calls too, since receivers take its absence for a lost feed. */
+void Coordinator::publishLoad(TimePoint now)
+{
+    m_nextLoadDigest = now + m_settings.loadDigestInterval;
+    std::map<std::uint32_t, unsigned> running;
+    for (const auto &[name, entry] : m_entries) {
+        for (const fleetlink::ServerLoad &load : entry.running) {
+            running[load.serverKey] += load.running;
+        }
+    }
+    fleetlink::LoadDigest digest{m_placement.term, {}};
+    for (const auto &[key, count] : running) {
+        digest.servers.push_back({key, count});
+    }
+    publish(digest);
+}
+
+void Coordinator::forgetGoneServers()
+{
+    std::erase_if(m_feed.rows, [this](const auto &row) {
+        return !m_registry.entries.contains(row.first);
+    });
+}
+
+} // namespace mimosahollow::coordinator
--- a/src/coordinator/coordinatorinternal.h
+++ b/src/coordinator/coordinatorinternal.h
@@ -39,7 +39,8 @@
     TimePoint lastReportAt{};
     bool hasHistory = false; /**< It has reported the tokens that it spent from the grants of an earlier leader. */
     std::uint64_t stamp = 0; /**< Of its last report. */
-    std::vector<fleetlink::NamedNumber> running; /**< Its running calls, by backend server. */
+    std::vector<fleetlink::ServerLoad> running; /**< Its running calls. */
+    bool wantsFeed = false; /**< It receives no feed from a coordinator of its failure domain. */
     std::map<std::string, double> granted; /**< Granted tokens not yet sent to it, by organisation. */
 };
 
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -114,16 +114,6 @@
     }
     if (isEntry(peer)) {
         sendState(peer);
-        if (leads()) {
-            fleetlink::PlacementUpdate update{m_placement.term, {}};
-            const TimePoint now = Clock::now();
-            for (const auto &[id, engine] : m_placement.engines) {
-                if (engine.hasReport) {
-                    update.servers.push_back(placementOf(id, now));
-                }
-            }
-            m_hub->send(peer.number, update);
-        }
     } else if (!peer.dialedAddress.empty()) {
         broadcastCoordinators();
     }
@@ -183,6 +173,10 @@
         }
     } else if (const auto *report = std::get_if<fleetlink::EntryReport>(&message)) {
         handleReport(peer, *report);
+    } else if (const auto *placements = std::get_if<fleetlink::PlacementUpdate>(&message)) {
+        handleFeed(*placements);
+    } else if (const auto *digest = std::get_if<fleetlink::LoadDigest>(&message)) {
+        handleFeed(*digest);
     } else if (const auto *credit = std::get_if<fleetlink::OrderCredit>(&message)) {
         handleCredit(peer, *credit);
     } else if (const auto *request = std::get_if<fleetlink::OrderRequest>(&message)) {
@@ -204,6 +198,7 @@
     entry.lastReportAt = now;
     entry.stamp = report.stamp;
     entry.running = report.running;
+    entry.wantsFeed = report.wantsFeed;
     if (report.hasHistory && !entry.hasHistory) {
         entry.hasHistory = true;
         for (const fleetlink::SpentTokens &spent : report.spent) {
@@ -269,12 +264,6 @@
         }
         return isGone;
     });
-    std::map<std::string, double> running;
-    for (const auto &[name, entry] : m_entries) {
-        for (const fleetlink::NamedNumber &server : entry.running) {
-            running[server.name] += server.value;
-        }
-    }
     // A new leader has received few reports yet, but every entry instance has a connection.
     const auto entries = static_cast<unsigned>(std::max(m_entries.size(), m_hub->entryCount()));
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoadTime(m_placement, now)).count());
@@ -284,20 +273,11 @@
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds};
+        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
         entry.granted.clear();
-        std::map<std::string, double> others = running;
-        for (const fleetlink::NamedNumber &own : entry.running) {
-            others[own.name] -= own.value;
-        }
-        for (const auto &[server, count] : others) {
-            if (count > 0) {
-                reply.running.push_back({server, count});
-            }
-        }
         m_hub->send(entry.peer, reply);
     }
 }
--- a/src/coordinator/coordinatorplacement.cpp
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -80,7 +80,7 @@
     }
 }
 
-/** Sends all changed placements in one message after the pending events are handled. */
+/** Publishes all changed placements in one message after the pending events are handled. */
 void Coordinator::flushPlacement()
 {
     if (m_placement.changedEngines.empty() || m_placementFlushPosted) {
@@ -96,22 +96,20 @@
             return;
         }
         const TimePoint now = Clock::now();
-        fleetlink::PlacementUpdate update{m_placement.term, {}};
+        fleetlink::PlacementUpdate update{m_placement.term, {}, m_feed.number + 1};
         for (const std::string &server : m_placement.changedEngines) {
             const auto engine = m_placement.engines.find(server);
-            if (engine != m_placement.engines.end() && engine->second.hasReport) {
-                update.servers.push_back(placementOf(server, now));
+            if (engine == m_placement.engines.end() || !engine->second.hasReport) {
+                continue;
+            }
+            if (fleetlink::ServerPlacement placement = placementOf(server, now); feed::isNews(m_feed, placement, now)) {
+                update.servers.push_back(std::move(placement));
             }
         }
         m_placement.changedEngines.clear();
-        if (update.servers.empty()) {
-            return;
-        }
-        const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(update));
-        for (const fleetlink::Peer &peer : m_hub->peers()) {
-            if (peer.hello.address.empty()) {
-                m_hub->sendEncoded(peer.number, link::MessageKind::Relay, bytes);
-            }
+        if (!update.servers.empty()) {
+            feed::store(m_feed, update, now);
+            publish(update);
         }
     });
 }
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <unordered_map>
 
 namespace mimosahollow::dispatch {
 
@@ -262,6 +263,7 @@
         view.running = running; // calls sent to the previous incarnation have not ended yet
     }
     view.record = record;
+    view.key = registry::serverKey(record.id);
     if (now >= view.coldUntil) {
         view.firstColdSend = {}; // drawn anew: those of the previous cold period have passed, so all instances would send at once
     }
@@ -285,6 +287,11 @@
     if (update.term < state.placementTerm) {
         return;
     }
+    if (update.term > state.placementTerm) {
+        for (auto &[id, server] : state.servers) {
+            server.placementNumber = 0;
+        }
+    }
     state.placementTerm = update.term;
     for (const fleetlink::ServerPlacement &placement : update.servers) {
         const auto found = state.servers.find(placement.server);
@@ -292,6 +299,10 @@
             continue;
         }
         ServerView &view = found->second;
+        if (update.number < view.placementNumber) {
+            continue; // came another way than the newer one, through a relay or from the leader
+        }
+        view.placementNumber = update.number;
         view.hasPlacement = true;
         view.adapters.clear();
         for (const fleetlink::PlacedAdapter &adapter : placement.adapters) {
@@ -300,6 +311,23 @@
     }
 }
 
+void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest)
+{
+    if (digest.term < state.placementTerm) {
+        return;
+    }
+    std::unordered_map<std::uint32_t, unsigned> running;
+    running.reserve(digest.servers.size());
+    for (const fleetlink::ServerLoad &load : digest.servers) {
+        running[load.serverKey] = load.running;
+    }
+    for (auto &[id, server] : state.servers) {
+        const auto found = running.find(server.key);
+        const unsigned total = found == running.end() ? 0 : found->second;
+        server.othersRunning = total - std::min(total, server.reportedRunning);
+    }
+}
+
 void handleMissingModel(DispatchState &state, const std::string &server, const Call &call, TimePoint now)
 {
     const auto found = state.servers.find(server);
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -2,6 +2,9 @@
 
 #include "relay_generated.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace mimosahollow::fleetlink {
 
 namespace {
@@ -132,6 +135,27 @@
     return placement;
 }
 
+/** Writes @p loads into the columns of @p table. */
+template<typename Table>
+void setLoads(Table &table, const std::vector<ServerLoad> &loads)
+{
+    for (const ServerLoad &load : loads) {
+        table.server_keys.push_back(load.serverKey);
+        table.running.push_back(static_cast<std::uint16_t>(std::min<unsigned>(load.running, std::numeric_limits<std::uint16_t>::max())));
+    }
+}
+
+/** Rows of the columns of @p table; a key without a count is dropped. */
+template<typename Table>
+std::vector<ServerLoad> loadsOf(const Table &table)
+{
+    std::vector<ServerLoad> loads;
+    for (std::size_t row = 0; row < std::min(table.server_keys.size(), table.running.size()); ++row) {
+        loads.push_back({table.server_keys[row], table.running[row]});
+    }
+    return loads;
+}
+
 constexpr auto itemToWire = [](const auto &item) {
     return toWire(item);
 };
@@ -178,11 +202,12 @@
     wire::EntryReportT table;
     table.stamp = report.stamp;
     table.token_wishes = converted<std::unique_ptr<wire::NamedNumberT>>(report.tokenWishes, itemToWire);
-    table.running = converted<std::unique_ptr<wire::NamedNumberT>>(report.running, itemToWire);
+    setLoads(table, report.running);
     table.demand = converted<std::unique_ptr<wire::AdapterDemandT>>(report.demand, itemToWire);
     table.returned = converted<std::unique_ptr<wire::NamedNumberT>>(report.returned, itemToWire);
     table.has_history = report.hasHistory;
     table.unreachable = report.unreachable;
+    table.wants_feed = report.wantsFeed;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     body.Set(std::move(table));
 }
@@ -194,7 +219,6 @@
     table.index = reply.index;
     table.entries = reply.entries;
     table.tokens = converted<std::unique_ptr<wire::NamedNumberT>>(reply.tokens, itemToWire);
-    table.running = converted<std::unique_ptr<wire::NamedNumberT>>(reply.running, itemToWire);
     table.load_milliseconds = reply.loadMilliseconds;
     table.wants_history = reply.wantsHistory;
     table.grants_tokens = reply.grantsTokens;
@@ -205,6 +229,7 @@
 {
     wire::PlacementUpdateT table;
     table.term = update.term;
+    table.number = update.number;
     table.servers = converted<std::unique_ptr<wire::ServerPlacementT>>(update.servers, itemToWire);
     body.Set(std::move(table));
 }
@@ -235,6 +260,14 @@
     body.Set(wire::OrderCreditT(table));
 }
 
+void setBody(wire::BodyUnion &body, const LoadDigest &digest)
+{
+    wire::LoadDigestT table;
+    table.term = digest.term;
+    setLoads(table, digest.servers);
+    body.Set(std::move(table));
+}
+
 void setBody(wire::BodyUnion &body, const OrderRequest &request)
 {
     wire::OrderRequestT table;
@@ -335,24 +368,24 @@
         return EntryReport{report->stamp,
                            converted<NamedNumber>(report->token_wishes, itemFromWire),
                            converted<NamedNumber>(report->returned, itemFromWire),
-                           converted<NamedNumber>(report->running, itemFromWire),
+                           loadsOf(*report),
                            converted<AdapterDemand>(report->demand, itemFromWire),
                            converted<SpentTokens>(report->spent, itemFromWire),
                            report->has_history,
-                           report->unreachable};
+                           report->unreachable,
+                           report->wants_feed};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
                            reply->index,
                            reply->entries,
                            converted<NamedNumber>(reply->tokens, itemFromWire),
-                           converted<NamedNumber>(reply->running, itemFromWire),
                            reply->wants_history,
                            reply->grants_tokens,
                            reply->load_milliseconds};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
-        return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire)};
+        return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire), placement->number};
     }
     if (const auto *state = body.AsFleetSnapshot()) {
         return stateFromWire(*state);
@@ -360,6 +393,9 @@
     if (const auto *credit = body.AsOrderCredit()) {
         return OrderCredit{credit->stamp};
     }
+    if (const auto *digest = body.AsLoadDigest()) {
+        return LoadDigest{digest->term, loadsOf(*digest)};
+    }
     if (const auto *request = body.AsOrderRequest()) {
         return orderFromWire(*request);
     }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -141,6 +141,7 @@
     std::string m_leader; // link address; empty if unknown
     bool m_sendsHistory = true; // until the leader knows what was spent before its election
     std::int64_t m_confirmedAt = 0; // send time of the newest confirmed report, boot clock in milliseconds; 0: none
+    TimePoint m_feedHeard{}; // last load digest through a coordinator of the own failure domain, or begin of the leader's term
     TimePoint m_reportAt{};
     TimePoint m_lastReport{};
     std::map<std::pair<std::string, std::string>, fleetlink::AdapterDemand> m_demand; // since the last report
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -35,6 +35,7 @@
             observability::logDecision(line.text());
             m_leader = coordinators->leader;
             m_sendsHistory = true;
+            m_feedHeard = now;
             m_hub->dial(m_leader);
             sendReport(now);
         }
@@ -52,6 +53,12 @@
         applyState(std::move(*state));
     } else if (const auto *reply = std::get_if<fleetlink::LeaderReply>(&message)) {
         handleLeaderReply(*reply);
+    } else if (const auto *digest = std::get_if<fleetlink::LoadDigest>(&message)) {
+        if (peer.hello.domain == m_settings.domain) {
+            m_feedHeard = now;
+        }
+        dispatch::applyLoad(m_dispatch, *digest);
+        postDispatchWaitingCalls();
     } else if (const auto *placement = std::get_if<fleetlink::PlacementUpdate>(&message)) {
         dispatch::applyPlacement(m_dispatch, *placement, now);
         postDispatchWaitingCalls();
@@ -103,14 +110,6 @@
     for (const fleetlink::NamedNumber &tokens : reply.tokens) {
         allowance::addGrant(m_quotaCache, tokens.name, tokens.value, now);
     }
-    for (auto &[id, server] : m_dispatch.servers) {
-        server.othersRunning = 0;
-    }
-    for (const fleetlink::NamedNumber &running : reply.running) {
-        if (const auto server = m_dispatch.servers.find(running.name); server != m_dispatch.servers.end()) {
-            server->second.othersRunning = static_cast<unsigned>(running.value);
-        }
-    }
     for (TokenWaiter *waiter : m_tokenWaiters) {
         if (waiter->granted) {
             continue;
@@ -217,14 +216,16 @@
                 demandOf(key.first, key.second, calls.service);
             }
         }
-        for (const auto &[id, server] : m_dispatch.servers) {
+        report.wantsFeed = now - m_feedHeard > m_settings.feedTimeout;
+        for (auto &[id, server] : m_dispatch.servers) {
             if (now < server.avoidUntil) {
                 report.unreachable.push_back(id);
             }
             if (server.running > 0) {
-                report.running.push_back({id, static_cast<double>(server.running)});
+                report.running.push_back({server.key, server.running});
                 isBusy = true;
             }
+            server.reportedRunning = server.running;
         }
         for (const WaitingCall *waiter : m_waitingCalls) {
             if (!waiter->call->model.empty() && !waiter->choice) {
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -24,6 +24,8 @@
     Duration urgentReportDelay = milliseconds(3); /**< Batches adapters that calls start to wait for at the same time into one report. */
     Duration adapterLoadTime = milliseconds(280); /**< From a report until an adapter loaded from the store is usable. */
     Duration retryMargin = milliseconds(700); /**< A refused call is expected back up to this long after its Retry-After, which is randomised by 30%. */
+    /** Without a load digest from its own failure domain for this long, an instance asks the leader for it; ten intervals of the digest. */
+    Duration feedTimeout = milliseconds(1000);
     Duration tokenTimeout = milliseconds(400); /**< Limit of the wait for granted tokens: several round trips to the leader and the start of a new one. */
     Duration stateTimeout = milliseconds(350); /**< Limit of the wait for a confirmed state; shorter than the shortest latency objective of a model call. */
     double retryRatio = 0.15; /**< Retries per request. Below the platform's budget by as much as the counts of other instances may lag. */
--- a/src/registry/serverregistry.cpp
+++ b/src/registry/serverregistry.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/registry/serverregistry.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
 namespace mimosahollow::registry {
@@ -32,6 +34,11 @@
 
 } // namespace
 
+std::uint32_t serverKey(std::string_view id) noexcept
+{
+    return XXH32(id.data(), id.size(), 0);
+}
+
 MergeOutcome merge(ServerRegistry &registry, ServerRecord record, TimePoint now)
 {
     // An address belongs to its youngest holder: a late announcement of an earlier one must not come back.
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -24,7 +24,8 @@
     report.stamp = 7;
     report.tokenWishes = {{"one", 12.5}};
     report.returned = {{"two", 8}};
-    report.running = {{"s1", 3}};
+    report.running = {{17, 3}};
+    report.wantsFeed = true;
     report.demand = {{"base", "a1", "chat", 4, 5, 2, 6}};
     report.spent = {{"one", 100, 250}};
     report.hasHistory = true;
@@ -68,18 +69,28 @@
     CHECK(report.demand[0].running == 6);
     CHECK(report.spent[0].ageMilliseconds == 250);
     CHECK(report.hasHistory);
+    CHECK(report.running[0].serverKey == 17);
+    CHECK(report.running[0].running == 3);
+    CHECK(report.wantsFeed);
     CHECK(report.returned[0].value == 8);
     CHECK(report.tokenWishes[0].name == "one");
 
-    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, {{"s1", 2}}, true, false, 400});
+    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400});
     CHECK(reply.entries == 6);
     CHECK(reply.wantsHistory);
     CHECK(reply.loadMilliseconds == 400);
 
-    const PlacementUpdate update = roundTrip(PlacementUpdate{3, {{"s1", 77, {{"base", "a1", 2, 120}}}}});
+    const PlacementUpdate update = roundTrip(PlacementUpdate{3, {{"s1", 77, {{"base", "a1", 2, 120}}}}, 12});
+    CHECK(update.number == 12);
     CHECK(update.servers[0].born == 77);
     CHECK(update.servers[0].adapters[0].readyMilliseconds == 120);
 
+    const LoadDigest digest = roundTrip(LoadDigest{3, {{17, 4}, {18, 70'000}}});
+    CHECK(digest.term == 3);
+    CHECK(digest.servers[0].serverKey == 17);
+    CHECK(digest.servers[0].running == 4);
+    CHECK(digest.servers[1].running == 65'535); // the largest count of the message
+
     registry::ServerRecord record{"s1", "chat", "10.0.0.1:80", "north", 64, registry::ServerState::Draining, 5, 6, 700, {{"base", "", 1}}};
     const ServerUpdate servers = roundTrip(ServerUpdate{{record}, true});
     CHECK(servers.servers[0] == record);
