ingress: bound bytes that are no answer, tell late copies apart, answer requests that arrive at the end of a stop

Found by tests with scripted backend servers, each of which failed first: - A response without a call id was taken for the answer on a connection in use again, so a late copy of an earlier answer reached the next caller. It ends the connection now, and the call is answered 502 since it may have run. A call without an id gets a new connection. - Interim responses, chunk extensions, trailers, events and discarded bodies were read until the time limit of the call; extensions, trailers and events also grew in memory without limit. All are bounded in bytes; the connection is closed and the call answered. - At the end of the lame-duck period connections were closed although a request had arrived in part, or could be in transit on a new connection.

--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -14,6 +14,9 @@
 
 namespace mimosahollow::gateway {
 
+/** Bytes that are read ahead. A head, a chunk extension or a trailer above it ends the connection; the parser itself limits heads only. */
+constexpr std::size_t maximumBufferedBytes = 65'536;
+
 /** A connection to a backend server that carries one call at a time. */
 struct UpstreamConnection
 {
@@ -21,7 +24,7 @@
     {
     }
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{maximumBufferedBytes};
     bool reused = false; /**< The server may have closed it while it was idle. */
     TimePoint idleSince{};
     Duration idleLimit = seconds(30); /**< Servers that left keep theirs open this long; a server may announce a shorter time. */
--- a/src/ingress/callersession.cpp
+++ b/src/ingress/callersession.cpp
@@ -54,9 +54,9 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
     caller.stream.expires_after(limits.idleTimeout);
-    const auto idle = caller.entry.addIdleStream(caller.stream);
+    const auto idle = caller.entry.addIdleCaller(caller.stream, caller.buffer);
     auto [error, count] = co_await http::async_read_header(caller.stream, caller.buffer, parser, completionToken);
-    caller.entry.removeIdleStream(idle);
+    caller.entry.removeIdleCaller(idle);
     if (!error) {
         caller.stream.expires_after(bodyTimeout);
         error = std::get<0>(co_await http::async_read(caller.stream, caller.buffer, parser, completionToken));
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -102,22 +102,43 @@
     });
     m_lameDuckTimer.expires_after(m_settings.lameDuck);
     m_lameDuckTimer.async_wait([this](boost::system::error_code error) {
-        if (error) {
-            return;
-        }
-        for (boost::beast::tcp_stream *stream : m_idle) {
-            stream->close();
+        if (!error) {
+            closeIdleCallers();
         }
-        checkStopped();
     });
 }
 
-std::list<boost::beast::tcp_stream *>::iterator Entry::addIdleStream(boost::beast::tcp_stream &stream)
+/**
+ * Closes the connections on which no request is on its way. A caller sends its request right after it has opened a connection or has got an
+ * answer, so that bytes may be in transit; such a connection stays open a little longer, and its request is answered.
+ */
+void Entry::closeIdleCallers()
+{
+    const TimePoint now = Clock::now();
+    for (const IdleCaller &caller : m_idle) {
+        boost::system::error_code error;
+        const bool hasBytes = caller.buffer->size() > 0 || caller.stream->socket().available(error) > 0;
+        if (!hasBytes && now - caller.since >= m_settings.requestTransit) {
+            caller.stream->close();
+        }
+    }
+    checkStopped();
+    if (m_stopped) {
+        m_lameDuckTimer.expires_after(m_settings.requestTransit / 4);
+        m_lameDuckTimer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                closeIdleCallers();
+            }
+        });
+    }
+}
+
+Entry::IdleCallers::iterator Entry::addIdleCaller(boost::beast::tcp_stream &stream, const boost::beast::flat_buffer &buffer)
 {
-    return m_idle.insert(m_idle.end(), &stream);
+    return m_idle.insert(m_idle.end(), {&stream, &buffer, Clock::now()});
 }
 
-void Entry::removeIdleStream(std::list<boost::beast::tcp_stream *>::iterator position)
+void Entry::removeIdleCaller(IdleCallers::iterator position)
 {
     m_idle.erase(position);
 }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
@@ -90,9 +91,18 @@
 
     void sessionOpened();
     void sessionClosed();
-    /** Registers @p stream as waiting for a request; it is closed at the end of the lame-duck period unless removeIdleStream() was called. */
-    std::list<boost::beast::tcp_stream *>::iterator addIdleStream(boost::beast::tcp_stream &stream);
-    void removeIdleStream(std::list<boost::beast::tcp_stream *>::iterator position);
+    /** A connection that waits for a request. */
+    struct IdleCaller
+    {
+        boost::beast::tcp_stream *stream = nullptr;
+        const boost::beast::flat_buffer *buffer = nullptr; /**< Bytes of a request that has arrived in part. */
+        TimePoint since{};
+    };
+    using IdleCallers = std::list<IdleCaller>;
+
+    /** Registers a connection as waiting for a request. After the lame-duck period it is closed unless removeIdleCaller() was called. */
+    IdleCallers::iterator addIdleCaller(boost::beast::tcp_stream &stream, const boost::beast::flat_buffer &buffer);
+    void removeIdleCaller(IdleCallers::iterator position);
 
 private:
     struct WaitingCall;
@@ -121,6 +131,7 @@
     void sendReport(TimePoint now);
     void postDispatchWaitingCalls();
     void dispatchWaitingCalls();
+    void closeIdleCallers();
     void checkStopped();
 
     boost::asio::io_context &m_context;
@@ -152,7 +163,7 @@
     std::list<TokenWaiter *> m_tokenWaiters;
     std::vector<boost::asio::steady_timer *> m_stateWaiters;
     bool m_dispatchPosted = false;
-    std::list<boost::beast::tcp_stream *> m_idle;
+    IdleCallers m_idle;
     std::size_t m_sessions = 0;
     bool m_stopping = false;
     TimePoint m_stopSince{};
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -38,6 +38,8 @@
      * Calls accepted later could not finish in time.
      */
     Duration lameDuck = milliseconds(2800);
+    /** A request arrives within this time after its connection was opened; several round trips, so that one lost packet is tolerated. */
+    Duration requestTransit = milliseconds(400);
     std::size_t bufferedResponseBytes = 65'536; /**< Larger responses are forwarded before they are complete. */
     dispatch::DispatchOptions dispatch;
     allowance::QuotaCacheOptions quotaCache;
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t headBytes = 16'384;
 // Responses to earlier calls on the same connection that are skipped; after more than these the connection is considered out of sync.
 constexpr unsigned maximumStaleResponses = 2;
+constexpr unsigned maximumInterimResponses = 8; // 1xx before a response; a backend server sends one at most
+constexpr std::size_t maximumDiscardedBytes = 65'536; // of a body that nobody needs; a new connection costs less than reading more
 constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 
 ExchangeError toExchangeError(const boost::system::error_code &error)
@@ -63,9 +65,11 @@
     abort();
 }
 
-asio::awaitable<ExchangeError> ServerExchange::open(TimePoint deadline)
+asio::awaitable<ExchangeError> ServerExchange::open(const std::string &callId, TimePoint deadline)
 {
-    m_connection = m_entry.upstream().takeIdle(m_address);
+    if (!callId.empty()) {
+        m_connection = m_entry.upstream().takeIdle(m_address);
+    }
     if (m_connection) {
         co_return ExchangeError::None;
     }
@@ -96,24 +100,23 @@
             co_return error;
         }
         const std::string_view echoed = header(m_entry.settings().headers.callId);
-        if (echoed.empty() || echoed == callId) {
+        if (echoed == callId) {
             co_return ExchangeError::None;
         }
-        std::string discarded;
-        do {
-            discarded.clear();
-            const ExchangeError error = co_await readBody(discarded, deadline);
-            if (error != ExchangeError::None) {
-                co_return error;
-            }
-        } while (!discarded.empty());
+        if (echoed.empty()) {
+            // On a connection in use again, a response without an id may be a late copy of an earlier one.
+            co_return m_connection->reused ? ExchangeError::Broken : ExchangeError::None;
+        }
+        if (const ExchangeError discardError = co_await discardBody(deadline); discardError != ExchangeError::None) {
+            co_return discardError;
+        }
     }
     co_return ExchangeError::Broken;
 }
 
 asio::awaitable<ExchangeError> ServerExchange::readHead(TimePoint deadline)
 {
-    do {
+    for (unsigned interimResponses = 0; interimResponses <= maximumInterimResponses; ++interimResponses) {
         m_parser.emplace();
         m_parser->header_limit(headBytes);
         m_parser->body_limit(boost::none);
@@ -121,7 +124,27 @@
         if (const auto [error, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, completionToken); error) {
             co_return toExchangeError(error);
         }
-    } while (m_parser->get().result_int() < 200);
+        if (m_parser->get().result_int() >= 200) {
+            co_return ExchangeError::None;
+        }
+    }
+    co_return ExchangeError::Broken;
+}
+
+asio::awaitable<ExchangeError> ServerExchange::discardBody(TimePoint deadline)
+{
+    std::size_t total = 0;
+    std::string discarded;
+    do {
+        discarded.clear();
+        if (const ExchangeError error = co_await readBody(discarded, deadline); error != ExchangeError::None) {
+            co_return error;
+        }
+        total += discarded.size();
+        if (total > maximumDiscardedBytes) {
+            co_return ExchangeError::Broken;
+        }
+    } while (!discarded.empty());
     co_return ExchangeError::None;
 }
 
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -31,12 +31,14 @@
     ServerExchange(const ServerExchange &) = delete;
     ServerExchange &operator=(const ServerExchange &) = delete;
 
-    /** Takes an idle connection or opens a new one. */
-    [[nodiscard]] boost::asio::awaitable<ExchangeError> open(TimePoint deadline);
+    /** Takes an idle connection or opens a new one. A call without an id needs a new one: a late answer to an earlier call would pass for its own. */
+    [[nodiscard]] boost::asio::awaitable<ExchangeError> open(const std::string &callId, TimePoint deadline);
     /** Sends the request and reads the head of the response to the call @p callId. */
     [[nodiscard]] boost::asio::awaitable<ExchangeError> begin(std::string head, const std::string &body, const std::string &callId, TimePoint deadline);
     /** Appends more of the body to @p out. Appending nothing without an error means that the body is complete. */
     [[nodiscard]] boost::asio::awaitable<ExchangeError> readBody(std::string &out, TimePoint deadline);
+    /** Reads the rest of a body that nobody needs, so that the connection can be used again. Fails if it is long. */
+    [[nodiscard]] boost::asio::awaitable<ExchangeError> discardBody(TimePoint deadline);
     /** To be called when the response was read completely. Returns the connection to the pool if it can be reused. */
     void finish();
     /** Closes the connection, which makes the backend server cancel the call. */
