dispatch, placement: drop copies that calls do not find, and read the state of their engine at once

Cause: a copy reported missing was to be dropped a second after the expected end of its load, but each report moved that time. Change: the limit counts from the time that the leader expects. The entry instance names the engine to the leader, which reads its state; when that fails, copies there do not count for a second. Result: the new tests fail before the change.

--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -34,7 +34,8 @@
 struct AdapterView
 {
     std::uint64_t version = 0;
-    TimePoint readyAt{}; /**< Expected end of the load. */
+    TimePoint readyAt{}; /**< Calls may use it from then on. */
+    TimePoint expectedAt{}; /**< End of the load as the leader expects it. */
 };
 
 /** State of a backend server as known to this entry instance. */
@@ -51,6 +52,7 @@
     std::deque<TimePoint> coldSends; /**< Send times of recent calls while it was cold. */
     TimePoint firstColdSend{}; /**< Random start of sending while cold, if the share of this instance is below one call per second; unset: not drawn. */
     std::uint64_t placementNumber = 0; /**< Of the update with the newest placement in this leader term. */
+    TimePoint suspectUntil{}; /**< A call has not found its copy; the leader is asked to read the state of the server. */
     bool hasPlacement = false; /**< The leader has sent its placement, which overrides the adapters in its record. */
     std::map<std::pair<std::string, std::string>, AdapterView> adapters; /**< By model and adapter. */
     std::set<std::string> baseModels;
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -88,6 +88,7 @@
     std::vector<SpentTokens> spent;
     bool hasHistory = false; /**< @c spent is complete. */
     std::vector<std::string> unreachable; /**< Backend servers to which no connection can be opened. */
+    std::vector<std::string> suspected; /**< Backend servers that lacked a copy which the leader has placed there. */
     bool wantsFeed = false; /**< It receives no placements and load digests from a coordinator of its failure domain. */
 };
 
--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -37,6 +37,9 @@
 /** Records that an entry instance cannot connect to @p server. */
 void markUnreachable(PlacementState &state, const std::string &server, TimePoint now);
 
+/** Has the state of @p server read soon, because a call did not find a copy there. */
+void suspect(PlacementState &state, const std::string &server, TimePoint now);
+
 /** Expected time until an adapter without waiting calls would be loaded. Only adapters that still serve calls in time are loaded before it. */
 [[nodiscard]] Duration expectedLoadTime(const PlacementState &state, TimePoint now);
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -29,6 +29,7 @@
     unsigned hostCacheAdapters = 140; /**< Adapters that an engine is assumed to cache in host memory, slightly below the specified 144. */
     Duration reportInterval = seconds(4); /**< Between reads of an engine's state, which find changes that did not come from orders. */
     Duration unloadingReportInterval = milliseconds(500); /**< The same while an unload waits for running calls, which take seconds. */
+    Duration failedReportInterval = milliseconds(500); /**< Until the next read after a failed one; below unreachablePeriod. */
     Duration reportLag = milliseconds(350); /**< A report may show the state of several hundred milliseconds before. */
     /** Part of an engine's batch that calls of one adapter may fill on average before it is replicated; the rest absorbs bursts and other adapters. */
     double batchSharePerCopy = 0.25;
@@ -96,6 +97,7 @@
     std::optional<ModelOrder> unresolvedOrder; /**< Order without a reply, whose effect is unknown. */
     TimePoint lastOrder{};
     TimePoint reportDue{};
+    TimePoint lastReport{}; /**< Time of the last report read, or of the last failure to read one. */
     TimePoint pausedUntil{}; /**< No orders are sent before, after a conflict or a rejection. */
     TimePoint penalizedUntil{}; /**< Other engines are preferred until then, after an order without a reply. */
     TimePoint unreachableUntil{}; /**< Its copies do not count until then, because an entry instance cannot connect to it. */
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -227,6 +227,9 @@
     for (const std::string &server : report.unreachable) {
         placement::markUnreachable(m_placement, server, now);
     }
+    for (const std::string &server : report.suspected) {
+        placement::suspect(m_placement, server, now);
+    }
     bool anyWaits = false;
     for (const fleetlink::AdapterDemand &demand : report.demand) {
         const placement::EntryDemand counts{demand.waiting, demand.inTime, demand.started, demand.running};
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -18,6 +18,7 @@
  * are late when more adapters are in transit than the leader counts.
  */
 constexpr Duration lateLoadExtension = milliseconds(60);
+constexpr Duration suspicionPeriod = milliseconds(600); // several reports to the leader
 constexpr Duration lateLoadLimit = milliseconds(1000); // a copy reported missing this long after its expected time is removed
 constexpr Duration longRetry = milliseconds(1000); // no usable backend server; capacity returns only by an announcement or a restart
 
@@ -276,7 +277,7 @@
         if (held.adapter.empty()) {
             view.baseModels.insert(held.model);
         } else if (!view.hasPlacement) {
-            view.adapters[{held.model, held.adapter}] = {held.version, now};
+            view.adapters[{held.model, held.adapter}] = {held.version, now, now};
         }
     }
     return true;
@@ -306,7 +307,8 @@
         view.hasPlacement = true;
         view.adapters.clear();
         for (const fleetlink::PlacedAdapter &adapter : placement.adapters) {
-            view.adapters[{adapter.model, adapter.adapter}] = {adapter.version, now + milliseconds(adapter.readyMilliseconds)};
+            const TimePoint readyAt = now + milliseconds(adapter.readyMilliseconds);
+            view.adapters[{adapter.model, adapter.adapter}] = {adapter.version, readyAt, readyAt};
         }
     }
 }
@@ -340,10 +342,11 @@
     } else if (call.adapter.empty()) {
         found->second.baseModels.erase(call.model);
     } else if (const auto copy = found->second.adapters.find({call.model, call.adapter}); copy != found->second.adapters.end()) {
-        if (now - copy->second.readyAt < lateLoadLimit) {
+        if (now - copy->second.expectedAt < lateLoadLimit) {
             copy->second.readyAt = now + lateLoadExtension;
         } else {
             found->second.adapters.erase(copy);
+            found->second.suspectUntil = now + suspicionPeriod;
         }
     }
 }
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -207,6 +207,7 @@
     table.returned = converted<std::unique_ptr<wire::NamedNumberT>>(report.returned, itemToWire);
     table.has_history = report.hasHistory;
     table.unreachable = report.unreachable;
+    table.suspected = report.suspected;
     table.wants_feed = report.wantsFeed;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     body.Set(std::move(table));
@@ -373,6 +374,7 @@
                            converted<SpentTokens>(report->spent, itemFromWire),
                            report->has_history,
                            report->unreachable,
+                           report->suspected,
                            report->wants_feed};
     }
     if (const auto *reply = body.AsLeaderReply()) {
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -221,6 +221,9 @@
             if (now < server.avoidUntil) {
                 report.unreachable.push_back(id);
             }
+            if (now < server.suspectUntil) {
+                report.suspected.push_back(id);
+            }
             if (server.running > 0) {
                 report.running.push_back({server.key, server.running});
                 isBusy = true;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -121,6 +121,14 @@
     }
 }
 
+void suspect(PlacementState &state, const std::string &server, TimePoint now)
+{
+    const auto found = state.engines.find(server);
+    if (found != state.engines.end() && now - found->second.lastReport > state.options.reportLag) {
+        found->second.reportDue = std::min(found->second.reportDue, now);
+    }
+}
+
 Duration expectedLoadTime(const PlacementState &state, TimePoint now)
 {
     std::size_t queued = 0;
@@ -196,6 +204,7 @@
     }
     EngineState &engine = found->second;
     engine.reportInFlight = false;
+    engine.lastReport = now;
     if (report.born != 0 && report.born != born) {
         markReplaced(engine);
         state.changedEngines.insert(server);
@@ -233,8 +242,13 @@
 void handleReportFailure(PlacementState &state, const std::string &server, TimePoint now)
 {
     if (const auto found = state.engines.find(server); found != state.engines.end()) {
-        found->second.reportInFlight = false;
-        found->second.reportDue = now + milliseconds(500);
+        EngineState &engine = found->second;
+        engine.reportInFlight = false;
+        engine.lastReport = now;
+        engine.reportDue = now + state.options.failedReportInterval;
+        // Load pattern: engines crash under load, and their announcements are missed seconds later only. Until then, calls would wait for
+        // copies there while no other engine loads them.
+        engine.unreachableUntil = std::max(engine.unreachableUntil, now + state.options.unreachablePeriod);
     }
 }
 
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -244,6 +244,35 @@
     }
 }
 
+// Load pattern: an engine crashes and its announcements are missed seconds later only. Guards against a copy that is tried again and again: each
+// report moved the time from which its limit was measured, and one such engine received 165 calls in two seconds.
+TEST_CASE("A copy that calls do not find is dropped a second after its load should have ended")
+{
+    DispatchState state = makeState();
+    applyPlacement(state, {1, {{"s2", 1, {{"base", "a2", 1, 0}}}}, 1}, start);
+    const Call call = modelCall("a2");
+    TimePoint now = start;
+    unsigned misses = 0;
+    for (; now < start + seconds(3); now += milliseconds(20)) {
+        if (std::holds_alternative<Send>(decide(state, call, now))) {
+            handleMissingModel(state, "s2", call, now);
+            ++misses;
+        }
+    }
+    CHECK(misses > 1);
+    CHECK(misses <= 20);
+    CHECK_FALSE(state.servers.at("s2").adapters.contains({"base", "a2"}));
+    SECTION("the leader is asked to read the state of the engine")
+    {
+        CHECK(state.servers.at("s2").suspectUntil > start + seconds(1));
+    }
+    SECTION("a newer placement brings the copy back")
+    {
+        applyPlacement(state, {1, {{"s2", 1, {{"base", "a2", 1, 0}}}}, 2}, now);
+        CHECK(sentTo(decide(state, call, now)) == "s2");
+    }
+}
+
 // Guards against overload of a backend server that returns cold while all instances of a large fleet have waiting calls. With one call per
 // second from each of 58 instances it received 58 (scenario FAILBACK on scale-1, seed 45616695525); the platform allows 1.5 x 20 + 5.
 TEST_CASE("A large fleet stays within the permitted call rate of a cold backend server")
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -178,6 +178,44 @@
     CHECK(orders[0].server != holder);
 }
 
+// Load pattern: engines crash under load. Guards against calls that wait for copies there until the missing announcements are noticed, seconds later.
+TEST_CASE("A copy does not count on an engine whose state cannot be read")
+{
+    Fleet fleet(2);
+    fleet.demand("a1", 1);
+    fleet.executeOrders();
+    const std::string holder = fleet.held["s1"].contains("a1") ? "s1" : "s2";
+    fleet.now += seconds(1);
+    SECTION("it is read at once when a call has not found its copy")
+    {
+        REQUIRE(takeDueReports(fleet.state, fleet.now).empty());
+        suspect(fleet.state, holder, fleet.now);
+        CHECK(takeDueReports(fleet.state, fleet.now) == std::vector<std::string>{holder});
+        handleReportFailure(fleet.state, holder, fleet.now);
+        fleet.demand("a1", 1);
+        const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+        REQUIRE(orders.size() == 1);
+        CHECK(orders[0].server != holder);
+    }
+    SECTION("many suspicions cause one read")
+    {
+        suspect(fleet.state, holder, fleet.now);
+        REQUIRE(takeDueReports(fleet.state, fleet.now).size() == 1);
+        fleet.readReports();
+        handleReportFailure(fleet.state, holder, fleet.now);
+        suspect(fleet.state, holder, fleet.now + milliseconds(10));
+        CHECK(takeDueReports(fleet.state, fleet.now + milliseconds(20)).empty());
+    }
+    SECTION("it counts again once it can be read")
+    {
+        handleReportFailure(fleet.state, holder, fleet.now);
+        fleet.now += fleet.state.options.unreachablePeriod + milliseconds(1);
+        fleet.readReports();
+        fleet.demand("a1", 1);
+        CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    }
+}
+
 // Guards against an overloaded engine when one adapter receives most of the calls.
 TEST_CASE("A popular adapter is replicated, and an idle one is evicted")
 {
