coordinator: test that all founding coordinators can be replaced

Planned and abrupt replacements, one after the other, by coordinators with an empty disk at new addresses, with seeds of which one is gone, then the loss of a successor and a restart of all with seeds that are all gone.

--- a/tests/coordinator/fleet.cpp
+++ b/tests/coordinator/fleet.cpp
@@ -50,12 +50,19 @@
     }
 
     void start(unsigned number, bool bootstraps)
+    {
+        start(number, bootstraps, {1, 2, 3});
+    }
+
+    void start(unsigned number, bool bootstraps, const std::vector<unsigned> &seeds)
     {
         CoordinatorSettings settings;
         settings.name = "core-" + std::to_string(number);
         settings.domain = "domain-" + std::to_string(number);
         settings.linkAddress = address(number);
-        settings.seeds = {address(1), address(2), address(3)};
+        for (const unsigned seed : seeds) {
+            settings.seeds.push_back(address(seed));
+        }
         settings.bootstrapsFleet = bootstraps;
         settings.dataFolder = (folder / settings.name).string();
         EngineOperations engines;
@@ -212,3 +219,58 @@
     }
     CHECK(fleet.readVersion() == 7);
 }
+
+// Guards against a fleet that depends on its founders. Coordinators leave for good, one after the other, and others come with an empty disk at a
+// new address, whose seeds name machines of which some are gone.
+TEST_CASE("All founding coordinators are replaced one after the other, and nothing acknowledged is lost")
+{
+    const bool isPlanned = GENERATE(true, false);
+    INFO((isPlanned ? "the successor starts first" : "the successor starts after the loss"));
+    Fleet fleet;
+    for (unsigned number : {1U, 2U, 3U}) {
+        fleet.start(number, true);
+    }
+    REQUIRE(fleet.commit(catalogOf(5)));
+    std::uint64_t version = 5;
+    for (unsigned lost : {1U, 2U, 3U}) {
+        const unsigned successor = lost + 3;
+        // The list that a new machine gets lags, so one of its seeds is the machine that leaves.
+        const std::vector<unsigned> seeds{lost, lost % 3 + 1, lost + 2};
+        if (isPlanned) {
+            fleet.start(successor, false, seeds);
+            fleet.runUntil(
+                [] {
+                    return false;
+                },
+                milliseconds(300));
+            fleet.stop(lost, true);
+        } else {
+            fleet.stop(lost, true);
+            REQUIRE(fleet.commit(catalogOf(++version)));
+            fleet.start(successor, false, seeds);
+        }
+        REQUIRE(fleet.commit(catalogOf(++version)));
+        REQUIRE(fleet.runUntil([&fleet, successor, lost] {
+            const unsigned other = lost == 3 ? 4 : lost + 1;
+            return fleet.hasVoters(successor, 3) && fleet.hasVoters(other, 3) && fleet.hasIndexOf(successor, other);
+        }));
+    }
+    CHECK(fleet.readVersion() == version);
+    REQUIRE(fleet.commit(catalogOf(++version)));
+    SECTION("the successors bear the loss of one of them")
+    {
+        fleet.stop(5, true);
+        CHECK(fleet.readVersion() == version);
+        CHECK(fleet.commit(catalogOf(version + 1)));
+    }
+    SECTION("the successors find each other after a restart of all, by seeds that are gone")
+    {
+        for (unsigned number : {4U, 5U, 6U}) {
+            fleet.stop(number, false);
+        }
+        for (unsigned number : {4U, 5U, 6U}) {
+            fleet.start(number, false, {1, 2, 3});
+        }
+        CHECK(fleet.readVersion() == version);
+    }
+}
