--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -23,7 +23,9 @@
     unsigned plainQueueLimit = 3; /**< Calls queued beyond the slots of a plain backend server; each adds a service time of 15 ms to an objective of 100 ms. */
     double otherDomainCost = 0.05; /**< Load difference, as part of a batch, above which a call goes to another failure domain. */
     double failureCost = 1.5; /**< Cost of a backend server that fails every call, in batches. */
-    Duration connectFailurePause = milliseconds(600); /**< For which no calls go to a backend server after a failed connection. */
+    Duration connectFailurePause =
+        milliseconds(600); /**< For which no calls go to a backend server after a failed connection; doubles with each further one. */
+    unsigned maximumPauseDoublings = 2;
     double coldRateShare = 1.0; /**< Used part of the call rate of a cold backend server; the platform allows 1.5 times the rate. */
     double waitShare = 0.9; /**< Part of the latency objective for which a call waits for capacity. */
     /** Part of the latency objective for which a call waits for an adapter: a late answer still has value, while a refusal costs a new call. */
@@ -48,6 +50,7 @@
     unsigned reportedRunning = 0; /**< Calls of this instance in its last report, which the load digest includes. */
     unsigned othersRunning = 0; /**< Calls of the other instances, delayed by several hundred milliseconds. */
     double failureRate = 0; /**< Exponential average of failed calls, from 0 to 1. */
+    unsigned connectFailures = 0; /**< Failed connections since the last call that it received. */
     TimePoint avoidUntil{}; /**< Receives no calls before, after a failed connection. */
     std::deque<TimePoint> coldSends; /**< Send times of recent calls while it was cold. */
     TimePoint firstColdSend{}; /**< Random start of sending while cold, if the share of this instance is below one call per second; unset: not drawn. */
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -40,6 +40,8 @@
     Duration unreachablePeriod = milliseconds(1000); /**< After an entry instance fails to connect to an engine; it repeats the report sooner. */
     /** Penalty period after an order without a reply: the engine may execute it up to 12 s late, and it takes seconds to learn whether it did. */
     Duration unansweredPenaltyTime = seconds(4);
+    /** An order that is answered is answered within 15 ms. After this time its adapter is loaded elsewhere too if calls wait for it. */
+    Duration slowOrderDelay = milliseconds(80);
     Duration demandTimeConstant = seconds(3); /**< Of the exponential average of the call rate. */
     Duration demandRetention = seconds(12); /**< Without a report, demand is dropped after four time constants, when 2% of the rate is left. */
     Duration rebalanceInterval = milliseconds(250); /**< Between updates of the engines' load and of the number of copies. */
@@ -94,6 +96,7 @@
     double expectedRunning = 0; /**< Calls running at once, from the demand for its adapters. */
     bool orderInFlight = false;
     bool reportInFlight = false;
+    AdapterKey orderedAdapter; /**< Of the order in flight. */
     std::optional<ModelOrder> unresolvedOrder; /**< Order without a reply, whose effect is unknown. */
     TimePoint lastOrder{};
     TimePoint reportDue{};
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -41,8 +41,8 @@
     Duration electionSpread = milliseconds(150);
     /** Interval of order credits to the leader. Three intervals fit into OrderSlotOptions::contactTimeout, after which a coordinator gets no orders. */
     Duration creditInterval = milliseconds(200);
-    /** For an order sent through another coordinator; covers the response time of the engine and two network hops. */
-    Duration orderTimeout = milliseconds(500);
+    /** For an order sent through another coordinator; covers the wait for the engine's answer and two network hops. */
+    Duration orderTimeout = milliseconds(260);
     Duration minimumTakeoverDelay = milliseconds(150); /**< Minimum wait before grants start; entry instances connect to a new leader within this time. */
     /** Interval of load digests: short against the run time of a call, which is a second or more on an engine. */
     Duration loadDigestInterval = milliseconds(100);
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -229,6 +229,9 @@
     }
     ServerView &view = found->second;
     view.running -= view.running > 0 ? 1 : 0;
+    if (result == CallResult::Answered || result == CallResult::NotRun) {
+        view.connectFailures = 0;
+    }
     switch (result) {
     case CallResult::Answered:
         view.failureRate *= 1 - failureSmoothing;
@@ -238,7 +241,10 @@
         break;
     case CallResult::Unreachable:
         view.failureRate += (1 - view.failureRate) * failureSmoothing;
-        view.avoidUntil = now + state.options.connectFailurePause;
+        if (now >= view.avoidUntil) { // calls sent at the same time fail together and count once
+            view.avoidUntil = now + state.options.connectFailurePause * (1U << std::min(view.connectFailures, state.options.maximumPauseDoublings));
+            ++view.connectFailures;
+        }
         break;
     case CallResult::NotRun:
     case CallResult::Abandoned:
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -40,6 +40,7 @@
         relay = relay == nullptr || subscriber.name < relay->name ? &subscriber : relay;
     }
     std::vector<std::uint64_t> receivers;
+    receivers.reserve(subscribers.size());
     for (const auto &[domain, relay] : relays) {
         receivers.push_back(relay->peer);
     }
--- a/src/ingress/entrysettings.h
+++ b/src/ingress/entrysettings.h
@@ -31,7 +31,8 @@
     double retryRatio = 0.15; /**< Retries per request. Below the platform's budget by as much as the counts of other instances may lag. */
     double retryReserve = 30; /**< Retries of the whole fleet allowed in addition to the ratio. */
     Duration lossTimeout = milliseconds(1200); /**< A backend server that acknowledges no data for this long is lost; tolerates one lost packet. */
-    Duration connectTimeout = milliseconds(500);
+    /** To a backend server, a few milliseconds away. A lost first packet is repeated after a second only, so a longer wait gains nothing. */
+    Duration connectTimeout = milliseconds(200);
     Duration drainTimeout = milliseconds(7700); /**< From the stop signal until remaining calls are aborted; below the platform's grace period. */
     /**
      * How long new calls are accepted after the stop signal: the load balancer probes once per second and needs two failed probes.
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -134,6 +134,7 @@
         orders.push_back(
             {id, engine.address, engine.born, kind, key.model, key.adapter, version, *engine.sequence, state.slots.slots[orderSlotFor(id)].fencingNumber});
         engine.orderInFlight = true;
+        engine.orderedAdapter = key;
         engine.lastOrder = now;
     }
 
@@ -223,8 +224,9 @@
         for (const auto &[id, engine] : state.engines) {
             for (const auto &[key, copy] : engine.adapters) {
                 storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
-                // A copy whose load order got no reply does not count, so that waiting calls get a copy on another engine.
-                const bool isReachable = engine.isReady && now >= engine.unreachableUntil && !hasUnresolvedOrder(engine, key);
+                // A copy whose load order gets no reply does not count, so that waiting calls get a copy on another engine.
+                const bool isSlow = engine.orderInFlight && engine.orderedAdapter == key && now - engine.lastOrder > state.options.slowOrderDelay;
+                const bool isReachable = engine.isReady && now >= engine.unreachableUntil && !isSlow && !hasUnresolvedOrder(engine, key);
                 usable[key] += isReachable && !copy.isUnloading && copy.version >= requiredVersion(state, key) ? 1 : 0;
             }
         }
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -202,6 +202,35 @@
     }
 }
 
+// Load pattern: many engines crash at once, and each of 193 instances finds out by itself. Guards against a wait for each lost engine every 600 ms.
+TEST_CASE("A backend server that stays unreachable is tried less and less often")
+{
+    DispatchState state = makeState();
+    TimePoint now = start;
+    unsigned attempts = 0;
+    for (; now < start + seconds(8); now += milliseconds(50)) {
+        if (now >= state.servers.at("s3").avoidUntil) {
+            callStarted(state, "s3", now);
+            callEnded(state, "s3", CallResult::Unreachable, now);
+            ++attempts;
+        }
+    }
+    CHECK(attempts <= 5);
+    SECTION("calls that fail at the same time count once")
+    {
+        DispatchState fresh = makeState();
+        for (int call = 0; call < 5; ++call) {
+            callEnded(fresh, "s3", CallResult::Unreachable, start);
+        }
+        CHECK(fresh.servers.at("s3").avoidUntil == start + fresh.options.connectFailurePause);
+    }
+    SECTION("one call that it receives ends the longer pauses")
+    {
+        callEnded(state, "s3", CallResult::Answered, now);
+        CHECK(state.servers.at("s3").connectFailures == 0);
+    }
+}
+
 // Guards against further calls to a backend server after another one has taken over its address and answers that it lacks the model.
 TEST_CASE("A backend server without the model of a call receives no more such calls")
 {
--- a/tests/placement/fullengines.cpp
+++ b/tests/placement/fullengines.cpp
@@ -38,10 +38,10 @@
     void beginLeader()
     {
         auto versions = std::move(state.requiredVersions); // replicated, unlike the rest
-        beginTerm(state, ++term, now);
+        beginTerm(state, ++m_term, now);
         state.requiredVersions = std::move(versions);
         for (OrderSlot &slot : state.slots.slots) {
-            slot = {"core-1", term, {}};
+            slot = {"core-1", m_term, {}};
         }
         for (const auto &[id, engine] : engines) {
             registry::ServerRecord record;
@@ -52,8 +52,8 @@
             record.born = 1;
             updateServer(state, record, true, now);
         }
-        reports.clear();
-        replies.clear();
+        m_reports.clear();
+        m_replies.clear();
     }
 
     void step()
@@ -67,14 +67,14 @@
             beginLeader();
         }
         if (random() % 100 == 0) {
-            state.requiredVersions["base/" + drawAdapter()] = ++lastVersion;
+            state.requiredVersions["base/" + drawAdapter()] = ++m_lastVersion;
         }
         recordDemand(state, "entry-1", {"base", drawAdapter()}, "chat", {static_cast<unsigned>(random() % 3), 1, static_cast<unsigned>(random() % 2), 0}, now);
         engines.at("s" + std::to_string(random() % engineCount)).run(drawAdapter(), now, milliseconds(random() % 2000));
         deliver();
         for (const std::string &id : takeDueReports(state, now)) {
             const ModelReport report = engines.at(id).report(now, milliseconds(100 + random() % 230));
-            reports.emplace(now + milliseconds(random() % 60), std::pair(id, report));
+            m_reports.emplace(now + milliseconds(random() % 60), std::pair(id, report));
         }
         for (const ModelOrder &order : planOrders(state, *catalog, now)) {
             send(order);
@@ -99,33 +99,33 @@
         const auto draw = random() % 10;
         if (draw == 0) {
             engine.executeLater(order, now + milliseconds(random() % 6000));
-            replies.emplace(now + milliseconds(350), std::pair(order, OrderOutcome::Unknown));
+            m_replies.emplace(now + milliseconds(350), std::pair(order, OrderOutcome::Unknown));
         } else if (draw == 1) {
             const OrderOutcome lost = engine.execute(order, now);
-            replies.emplace(now + milliseconds(350), std::pair(order, lost == OrderOutcome::Conflict ? lost : OrderOutcome::Unknown));
+            m_replies.emplace(now + milliseconds(350), std::pair(order, lost == OrderOutcome::Conflict ? lost : OrderOutcome::Unknown));
         } else {
-            replies.emplace(now + milliseconds(random() % 30), std::pair(order, engine.execute(order, now)));
+            m_replies.emplace(now + milliseconds(random() % 30), std::pair(order, engine.execute(order, now)));
         }
     }
 
     void deliver()
     {
-        while (!replies.empty() && replies.begin()->first <= now) {
-            const auto [order, outcome] = replies.begin()->second;
-            replies.erase(replies.begin());
+        while (!m_replies.empty() && m_replies.begin()->first <= now) {
+            const auto [order, outcome] = m_replies.begin()->second;
+            m_replies.erase(m_replies.begin());
             applyOrderReply(state, order, outcome, now);
         }
-        while (!reports.empty() && reports.begin()->first <= now) {
-            const auto [id, report] = reports.begin()->second;
-            reports.erase(reports.begin());
+        while (!m_reports.empty() && m_reports.begin()->first <= now) {
+            const auto [id, report] = m_reports.begin()->second;
+            m_reports.erase(m_reports.begin());
             applyReport(state, id, 1, report, now);
         }
     }
 
-    std::uint64_t term = 0;
-    std::uint64_t lastVersion = 1;
-    std::multimap<TimePoint, std::pair<std::string, ModelReport>> reports; // in transit, by arrival
-    std::multimap<TimePoint, std::pair<ModelOrder, OrderOutcome>> replies;
+    std::uint64_t m_term = 0;
+    std::uint64_t m_lastVersion = 1;
+    std::multimap<TimePoint, std::pair<std::string, ModelReport>> m_reports; // in transit, by arrival
+    std::multimap<TimePoint, std::pair<ModelOrder, OrderOutcome>> m_replies;
 };
 
 } // namespace
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -216,6 +216,30 @@
     }
 }
 
+// Load pattern: engines leave a fifth of the orders unanswered. Guards against calls that wait for the whole time-out of an order before their
+// adapter is loaded elsewhere.
+TEST_CASE("A load whose order is not answered soon is ordered from another engine too")
+{
+    Fleet fleet(2);
+    fleet.demand("a1", 1);
+    const auto first = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(first.size() == 1);
+    fleet.now += milliseconds(30);
+    fleet.demand("a1", 1);
+    REQUIRE(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    fleet.now += milliseconds(60);
+    fleet.demand("a1", 1);
+    const auto second = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].adapter == "a1");
+    CHECK(second[0].server != first[0].server);
+    SECTION("a late answer to the first order is taken into account")
+    {
+        applyOrderReply(fleet.state, first[0], OrderOutcome::Accepted, fleet.now);
+        CHECK(fleet.state.engines.at(first[0].server).adapters.at({"base", "a1"}).isConfirmed);
+    }
+}
+
 // Guards against an overloaded engine when one adapter receives most of the calls.
 TEST_CASE("A popular adapter is replicated, and an idle one is evicted")
 {
