httpio: check the framing of requests in one place, and refuse smuggled ones in the gateway too

Cause: the gateway took a body with the transfer encoding xchunked, identity, or chunked with identity for the next request on the connection; a missing or second Host header and a second Authorization header were served. Change: the check of the entry instance moves to httpio and serves both; HTTP/1.0 needs no Host header. Result: the new section fails before the change of the gateway (three encodings answered otherwise than 400, connection kept) and passes after.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -3,6 +3,7 @@
 #include "answers.h"
 #include "backendmessages.h"
 #include "calls.h"
+#include "httpio/framing.h"
 #include "mimosahollow/observability/metrics.h"
 #include "servicepath.h"
 
@@ -269,6 +270,10 @@
         co_return ConnectionState::Close;
     }
     const HttpRequest request = parser.release();
+    if (const std::string problem = httpio::findFramingError(request); !problem.empty()) {
+        co_await rejectAndClose(session, RefusalReason::InvalidRequest, 400, problem);
+        co_return ConnectionState::Close;
+    }
     if (role == ListenerRole::Backends) {
         co_return co_await handleBackendRequest(session, request);
     }
--- a/src/ingress/callerrequest.h
+++ b/src/ingress/callerrequest.h
@@ -24,13 +24,6 @@
     std::optional<Duration> timeout; /**< How long the caller waits for the response. */
 };
 
-/**
- * Returns an error message if the message framing of @p request is invalid or ambiguous, otherwise an empty string.
- *
- * Such a request may smuggle another one; its connection must be closed.
- */
-[[nodiscard]] std::string findFramingError(const CallerRequest &request);
-
 [[nodiscard]] CallHead parseCallHead(const CallerRequest &request, const HeaderNames &names);
 
 /** Headers that the entry instance adds to a request that it forwards to a backend server. */
--- a/src/ingress/callersession.cpp
+++ b/src/ingress/callersession.cpp
@@ -1,5 +1,6 @@
 #include "ingress/callersession.h"
 
+#include "httpio/framing.h"
 #include "ingress/callerconnection.h"
 #include "ingress/callrelay.h"
 #include "ingress/responsewriter.h"
@@ -83,7 +84,7 @@
             co_return;
         }
         caller.keepAlive = request->keep_alive() && !caller.entry.isStopping();
-        if (const std::string problem = findFramingError(*request); !problem.empty()) {
+        if (const std::string problem = httpio::findFramingError(*request); !problem.empty()) {
             caller.keepAlive = false;
             observability::DecisionLine line("call-refused");
             line.add("reason", problem);
--- a/tests/gateway/http.cpp
+++ b/tests/gateway/http.cpp
@@ -40,6 +40,22 @@
         REQUIRE(answer.status == 413);
     }
 
+    SECTION("with a framing that other programs may read differently; the body must not be served as a second request")
+    {
+        const std::string smuggled = "GET /registry/smuggled HTTP/1.1\r\nHost: test\r\n\r\n";
+        for (const std::string encoding : {"xchunked", "identity", "chunked, identity"}) {
+            HttpClient other = fixture.client();
+            const Answer answer = other.call("POST /registry/x HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: " + encoding + "\r\n\r\n" + smuggled);
+            CHECK(answer.status == 400);
+            CHECK(other.awaitEnd());
+        }
+        for (const std::string headers : {"", "Host: test\r\nHost: other\r\n", "Host: test\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n"}) {
+            HttpClient other = fixture.client();
+            CHECK(other.call("GET /registry/x HTTP/1.1\r\n" + headers + "\r\n").status == 400);
+            CHECK(other.awaitEnd());
+        }
+    }
+
     SECTION("with HTTP/1.0")
     {
         const Answer answer = client.call("GET /registry/x HTTP/1.0\r\n\r\n");
--- a/tests/ingress/ingress.cpp
+++ b/tests/ingress/ingress.cpp
@@ -1,3 +1,4 @@
+#include "httpio/framing.h"
 #include "ingress/callerrequest.h"
 #include "ingress/eventrelay.h"
 
@@ -47,34 +48,34 @@
 TEST_CASE("A request with invalid or ambiguous framing is refused")
 {
     CallerRequest request = makeRequest();
-    REQUIRE(findFramingError(request).empty());
+    REQUIRE(httpio::findFramingError(request).empty());
 
     SECTION("no Host header, or two")
     {
         request.insert(http::field::host, "two.example");
-        CHECK_FALSE(findFramingError(request).empty());
+        CHECK_FALSE(httpio::findFramingError(request).empty());
         request.erase(http::field::host);
-        CHECK_FALSE(findFramingError(request).empty());
+        CHECK_FALSE(httpio::findFramingError(request).empty());
     }
     SECTION("two Authorization headers")
     {
         request.insert(http::field::authorization, "Bearer key-2");
-        CHECK_FALSE(findFramingError(request).empty());
+        CHECK_FALSE(httpio::findFramingError(request).empty());
     }
     SECTION("a transfer encoding that is not exactly chunked")
     {
         request.erase(http::field::content_length);
         for (const char *encoding : {"xchunked", "identity", "gzip, chunked"}) {
             request.set(http::field::transfer_encoding, encoding);
-            CHECK_FALSE(findFramingError(request).empty());
+            CHECK_FALSE(httpio::findFramingError(request).empty());
         }
         request.set(http::field::transfer_encoding, "chunked");
-        CHECK(findFramingError(request).empty());
+        CHECK(httpio::findFramingError(request).empty());
     }
     SECTION("both a length and a transfer encoding")
     {
         request.set(http::field::transfer_encoding, "chunked");
-        CHECK_FALSE(findFramingError(request).empty());
+        CHECK_FALSE(httpio::findFramingError(request).empty());
     }
 }
 
