--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -44,13 +44,17 @@
     /** Writes @p bytes again and again until the other side closes the connection. */
     void writeForever(const std::string &bytes)
     {
-        auto text = std::make_shared<std::string>(bytes);
+        writeForever(std::make_shared<const std::string>(bytes));
+    }
+
+    void writeForever(std::shared_ptr<const std::string> text)
+    {
         boost::asio::async_write(socket, boost::asio::buffer(*text), [self = shared_from_this(), text](boost::system::error_code error, std::size_t count) {
             self->written += count;
             if (error) {
                 self->isBroken = true;
             } else {
-                self->writeForever(*text);
+                self->writeForever(text);
             }
         });
     }
--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -206,7 +206,7 @@
             return running != nullptr;
         }));
         for (unsigned id = 1; id <= 3; ++id) {
-            fixture.runFor(milliseconds(350));
+            fixture.runFor(milliseconds(250));
             running->write(chunk(event(id)));
         }
         running->write(std::string(chunkEnd));
