--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -25,6 +25,7 @@
     report.tokenWishes = {{"one", 12.5}};
     report.returned = {{"two", 8}};
     report.running = {{17, 3}};
+    report.suspected = {"s9"};
     report.wantsFeed = true;
     report.demand = {{"base", "a1", "chat", 4, 5, 2, 6}};
     report.spent = {{"one", 100, 250}};
@@ -71,6 +72,7 @@
     CHECK(report.hasHistory);
     CHECK(report.running[0].serverKey == 17);
     CHECK(report.running[0].running == 3);
+    CHECK(report.suspected == std::vector<std::string>{"s9"});
     CHECK(report.wantsFeed);
     CHECK(report.returned[0].value == 8);
     CHECK(report.tokenWishes[0].name == "one");
