--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -217,22 +217,21 @@
     }
     SECTION("bytes that are no event end at the time limit")
     {
-        fixture.script = [&fixture](const ConnectionPointer &connection, const std::string &) {
+        boost::asio::steady_timer timer(fixture.context);
+        ConnectionPointer running;
+        std::function<void()> drip = [&] {
+            running->write(chunk(":"));
+            timer.expires_after(milliseconds(30));
+            timer.async_wait([&](boost::system::error_code error) {
+                if (!error && !running->isBroken) {
+                    drip();
+                }
+            });
+        };
+        fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
+            running = connection;
             connection->write(streamHead("c1") + chunk(event(1)));
-            auto timer = std::make_shared<boost::asio::steady_timer>(fixture.context);
-            auto drip = std::make_shared<std::function<void()>>();
-            *drip = [connection, timer, drip] {
-                connection->write(chunk(":"));
-                timer->expires_after(milliseconds(30));
-                timer->async_wait([connection, drip](boost::system::error_code error) {
-                    if (!error && !connection->isBroken) {
-                        (*drip)();
-                    } else {
-                        *drip = {};
-                    }
-                });
-            };
-            (*drip)();
+            drip();
         };
         const TimePoint start = std::chrono::steady_clock::now();
         const std::string answer = fixture.call(caller, EntryFixture::request("/stream/x", "c1"), chunkEnd, seconds(5));
