placement: read the sequence of an engine again after an unload that may have had no effect

Change: only an unload of a confirmed copy counts; otherwise the sequence is unknown until the next report. Result: the new test fails before the change and passes after; the model of an engine in the property test no longer counts such orders either.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -263,12 +263,14 @@
     const AdapterKey key{order.model, order.adapter};
     switch (outcome) {
     case OrderOutcome::Accepted:
-    case OrderOutcome::AlreadyDone:
-        if (engine.sequence) {
-            engine.sequence = *engine.sequence + (outcome == OrderOutcome::Accepted || order.kind == OrderKind::Unload ? 1 : 0);
-        }
-        if (outcome == OrderOutcome::AlreadyDone && order.kind == OrderKind::Load) {
-            // It is unknown whether the engine counts an order without effect, so the sequence is read again.
+    case OrderOutcome::AlreadyDone: {
+        const auto known = engine.adapters.find(key);
+        const bool unloadsCopy = order.kind == OrderKind::Unload && known != engine.adapters.end() && known->second.isConfirmed;
+        if (engine.sequence && (outcome == OrderOutcome::Accepted || unloadsCopy)) {
+            engine.sequence = *engine.sequence + 1;
+        } else {
+            // An order without effect may not count. An order with a number that the engine has not reached yet, left unanswered, would be
+            // carried out once it is reached, seconds later and into a slot that has been given to another adapter.
             engine.sequence.reset();
             engine.reportDue = now + state.options.reportLag;
         }
@@ -284,6 +286,7 @@
             copy.readyAt = outcome == OrderOutcome::AlreadyDone ? now : copy.readyAt;
         }
         break;
+    }
     case OrderOutcome::OtherInstance:
         markReplaced(engine);
         break;
--- a/tests/placement/enginemodel.h
+++ b/tests/placement/enginemodel.h
@@ -45,8 +45,10 @@
             }
             m_copies[key] = {now + milliseconds(100 + m_random() % 300), {}, false};
             m_overfilled = m_overfilled || m_copies.size() > m_slots;
-        } else {
+        } else if (holds(order.adapter)) {
             outcome = unload(order.adapter, now);
+        } else {
+            return OrderOutcome::AlreadyDone; // does not count as an order
         }
         ++m_sequence;
         return outcome;
@@ -116,6 +118,13 @@
         TimePoint at{};
     };
 
+    [[nodiscard]] bool holds(const std::string &adapter) const
+    {
+        return std::any_of(m_copies.begin(), m_copies.end(), [&adapter](const auto &item) {
+            return item.first.first == adapter;
+        });
+    }
+
     OrderOutcome unload(const std::string &adapter, TimePoint now)
     {
         bool waits = false;
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -315,6 +315,30 @@
     }
 }
 
+// Guards against orders with a number that the engine has not reached. Found in a hunt (mix, seed 80034706291 of pestana-clara-grown): a load without
+// an answer was carried out ten seconds later, when the engine had reached its number, into a slot that held another adapter by then.
+TEST_CASE("The sequence is read again after an unload of an adapter that may not have been there")
+{
+    Fleet fleet(1);
+    fleet.demand("a1", 1);
+    const auto lost = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(lost.size() == 1);
+    applyOrderReply(fleet.state, lost[0], OrderOutcome::Unknown, fleet.now);
+    fleet.now += milliseconds(400);
+    fleet.readReports(); // the engine has not accepted the load
+    ModelOrder unload = lost[0];
+    unload.kind = OrderKind::Unload;
+    applyOrderReply(fleet.state, unload, OrderOutcome::AlreadyDone, fleet.now);
+    fleet.demand("a2", 1);
+    CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    fleet.now += fleet.state.options.reportLag;
+    fleet.readReports();
+    fleet.demand("a2", 1);
+    const auto next = planOrders(fleet.state, fleet.catalog, fleet.now);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].expectedSequence == 0);
+}
+
 // Guards against calls sent to an engine whose load order got no reply. In scenario scale-1, 4,373 calls went to engines without their
 // adapter.
 TEST_CASE("A load is unconfirmed until the engine accepts it")
