coordinator: timers and changes that outlive a coordinator no longer touch it

Cause: the handlers of the tick and placement timers and a resumed change used the coordinator after its destruction, when their timer had expired before. Only tests destroy a coordinator while its loop runs. Change: they look at the shared flag that other handlers use.

--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -284,8 +284,8 @@
 void Coordinator::scheduleTick()
 {
     m_timer.expires_after(m_settings.tickInterval);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error) {
+    m_timer.async_wait([this, alive = m_alive](boost::system::error_code error) {
+        if (!error && *alive) {
             tick(Clock::now());
             scheduleTick();
         }
--- a/src/coordinator/coordinatorlog.cpp
+++ b/src/coordinator/coordinatorlog.cpp
@@ -176,7 +176,12 @@
     m_changes[accepted.index] = pending;
     executeActions(std::move(actions));
     if (!pending->changed && !pending->isLost) {
-        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
+        const auto alive = m_alive;
+        const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!*alive) {
+            co_return Unavailable{"the coordinator has stopped"};
+        }
+        if (!error) {
             // The change may still be committed. The caller learns that the outcome is unknown and resends it.
             if (const auto found = m_changes.find(accepted.index); found != m_changes.end() && found->second == pending) {
                 m_changes.erase(found);
--- a/src/coordinator/coordinatororders.cpp
+++ b/src/coordinator/coordinatororders.cpp
@@ -53,8 +53,9 @@
     command.kind = fleetstate::CommandKind::TakeOrders;
     command.subject = std::move(assignment.holder);
     command.slots = std::move(assignment.slots);
+    const auto alive = m_alive;
     const ChangeResult result = co_await change(std::move(command));
-    if (!leads() || m_placement.term != term) {
+    if (!*alive || !leads() || m_placement.term != term) {
         co_return;
     }
     if (std::holds_alternative<Committed>(result)) {
--- a/src/coordinator/coordinatorplacement.cpp
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -52,8 +52,8 @@
     }
     m_isPlacementScheduled = true;
     m_placementTimer.expires_after(placementDelay);
-    m_placementTimer.async_wait([this](boost::system::error_code error) {
-        if (!error) {
+    m_placementTimer.async_wait([this, alive = m_alive](boost::system::error_code error) {
+        if (!error && *alive) {
             m_isPlacementScheduled = false;
             planPlacement(Clock::now());
         }
