ingress: log the shared prompt parts of calls whose answer breaks off

When engines ended one after the other, the log could not tell calls that end an engine from calls that were running beside them: an attempt line names neither the parts of the prompt nor how long the answer had been arriving. Both are now logged for answers that break off, so that the volume grows with failures only.

--- a/src/ingress/callerrequest.cpp
+++ b/src/ingress/callerrequest.cpp
@@ -17,6 +17,8 @@
 constexpr std::array<std::string_view, 9> hopByHopNames{
     "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade"};
 
+constexpr std::size_t maximumSharedParts = 32; // bounds what one request can add to the state of the instance
+
 std::string_view view(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -42,6 +44,18 @@
     return static_cast<double>(*prompt) + static_cast<double>(*output);
 }
 
+/** Ids in "id:tokens,id:tokens,...", without that of the last part, which belongs to one call or session. */
+std::vector<std::string> parseSharedParts(std::string_view text)
+{
+    std::vector<std::string> ids;
+    for (std::size_t comma = text.find(','); comma != std::string_view::npos && ids.size() < maximumSharedParts; comma = text.find(',')) {
+        const std::string_view part = text.substr(0, comma);
+        ids.emplace_back(part.substr(0, part.find(':')));
+        text.remove_prefix(comma + 1);
+    }
+    return ids;
+}
+
 bool matchesHeader(const std::string &name, std::string_view candidate)
 {
     return !name.empty() && beast::iequals(name, candidate);
@@ -87,6 +101,7 @@
         head.adapter = model.substr(slash + 1);
     }
     head.tokens = parseTokenCounts(view(request[names.tokenCounts]));
+    head.sharedParts = parseSharedParts(view(request[names.promptParts]));
     head.lastEventId = parseNumber<std::uint64_t>(view(request[names.lastEventId]));
     if (const auto timeout = parseNumber<std::uint32_t>(view(request[names.deadline]))) {
         head.timeout = milliseconds(*timeout);
--- a/src/ingress/callerrequest.h
+++ b/src/ingress/callerrequest.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mimosahollow::ingress {
 
@@ -20,6 +21,7 @@
     std::string model;
     std::string adapter;
     std::optional<double> tokens; /**< Sum of prompt and output tokens. */
+    std::vector<std::string> sharedParts; /**< Ids of the prompt parts that other calls may have too: all but the last. */
     std::optional<std::uint64_t> lastEventId;
     std::optional<Duration> timeout; /**< How long the caller waits for the response. */
 };
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -7,6 +7,7 @@
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -93,6 +94,7 @@
     bool m_usedTokens = false; // a backend server has run the call, or may have
     bool m_headSent = false; // the response head was sent to the caller; no other response is possible
     unsigned m_status = 0; // of the newest response of a backend server
+    std::optional<TimePoint> m_answerBegan; // when the head of that response arrived
     EventRelay m_events;
     std::string m_heldResponse; // error response of a backend server, forwarded if no other backend server gives a better one
 };
@@ -124,7 +126,12 @@
     const auto server = servers.find(target.server);
     observability::DecisionLine line("attempt");
     line.add("id", m_head.id).add("server", target.server).add("end", endNames.at(static_cast<std::size_t>(end))).add("status", status);
-    line.add("waited-ms", startedAt - m_arrived).add("ms", Clock::now() - startedAt).add("events", m_events.forwardedEvents);
+    const TimePoint now = Clock::now();
+    line.add("waited-ms", startedAt - m_arrived).add("ms", now - startedAt).add("events", m_events.forwardedEvents);
+    if (m_answerBegan && (end == AttemptEnd::Failed || end == AttemptEnd::Cut)) {
+        // Tells a prompt that ends every backend server from calls that were running beside it.
+        line.add("answering-ms", now - *m_answerBegan).add("parts", boost::algorithm::join(m_head.sharedParts, "+"));
+    }
     if (server != servers.end()) {
         line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
     }
@@ -266,6 +273,7 @@
         const auto &target = std::get<dispatch::Send>(choice);
         const TimePoint startedAt = Clock::now();
         m_status = 0;
+        m_answerBegan.reset();
         last = co_await runAttempt(target);
         logAttempt(target, last, startedAt, m_status);
         if (last == AttemptEnd::Answered) {
@@ -412,6 +420,7 @@
 {
     const HeaderNames &names = m_entry.settings().headers;
     m_status = exchange.status();
+    m_answerBegan = Clock::now();
     if (m_status == 421 || !exchange.header(names.notRun).empty()) {
         const AttemptEnd notRun = m_status == 421 ? AttemptEnd::Missing : AttemptEnd::NotRun;
         if (const ExchangeError error = co_await exchange.discardBody(m_call.deadline); error == ExchangeError::None) {
--- a/tests/ingress/ingress.cpp
+++ b/tests/ingress/ingress.cpp
@@ -18,6 +18,7 @@
     headerNames.deadline = "Patience";
     headerNames.model = "Model-Name";
     headerNames.tokenCounts = "Counts";
+    headerNames.promptParts = "Parts";
     headerNames.lastEventId = "Last-Event-Id";
     headerNames.responseSignature = "Signature";
     headerNames.notRun = "Not-Run";
@@ -37,6 +38,7 @@
     request.set("Call-Id", "q1");
     request.set("Model-Name", "base/a7");
     request.set("Counts", "1460,80");
+    request.set("Parts", "5c1e:800,91bd:410,e440:250");
     request.body() = "body";
     request.set(http::field::content_length, "4");
     return request;
@@ -119,6 +121,7 @@
     CHECK(head.model == "base");
     CHECK(head.adapter == "a7");
     CHECK(head.tokens == 1540.0);
+    CHECK(head.sharedParts == std::vector<std::string>{"5c1e", "91bd"});
     CHECK_FALSE(head.timeout);
 }
 
