quarantine: refuse prompt parts under which backend servers end, by one verdict of the fleet

Cause: each entry instance decided alone, for one call at a time. Nothing remembered what an engine was answering when it ended, so every further call with the part was sent on, and its retry carried it to a second engine. The class of fault is a harmful input whose effect is booked on the server that it hits.

Change: an entry instance whose answer breaks off soon after its beginning checks whether the server still accepts connections, and reports an end with the shared prompt parts of the calls that broke so. The leader collects ends and sound answers of all instances. A part without sound answers that is present at three ends at different moments, and that no other part explains as well, is quarantined through the replicated log. Calls with it are refused at once; calls with a suspected part are not repeated.

Ends that have another cause accuse no part: servers that crash together count once, sound answers clear the parts that calls share, and a connection that is only reset leaves the server reachable.

--- a/include/mimosahollow/core/refusal.h
+++ b/include/mimosahollow/core/refusal.h
@@ -30,6 +30,7 @@
     BackendFailed,
     LoadFailed,
     CostAboveBurst,
+    PromptQuarantined,
 };
 
 [[nodiscard]] std::string_view toString(CallOutcome outcome) noexcept;
--- a/include/mimosahollow/dispatch/call.h
+++ b/include/mimosahollow/dispatch/call.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mimosahollow::dispatch {
 
@@ -22,6 +23,7 @@
     TimePoint objectiveEnd{}; /**< Latest time at which the answer, or the first event of a stream, meets the latency objective. */
     TimePoint deadline{}; /**< Set by the caller or the route; an answer after it is useless. */
     std::set<std::string> triedServers; /**< Backend servers to which the call was already sent. */
+    std::vector<std::string> promptParts; /**< Ids of the prompt parts that other calls may have too. */
     std::string pinnedServer; /**< The only backend server allowed from now on; empty: any. */
 };
 
@@ -30,6 +32,7 @@
     NoCapacity, /**< All backend servers are full. */
     AdapterNotLoaded, /**< No backend server has the adapter, or it cannot be loaded in time. */
     ColdServers, /**< The remaining backend servers are cold and have reached their call rate limit. */
+    QuarantinedPrompt, /**< A part of the prompt ends the backend servers that answer it. */
 };
 
 [[nodiscard]] std::string_view toString(RefusalCause cause) noexcept;
--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -36,6 +36,12 @@
 /** Chooses the backend server with the lowest cost for @p call. Counts no call; use callStarted(). */
 [[nodiscard]] Decision decide(DispatchState &state, const Call &call, TimePoint now);
 
+/** Whether @p call may not be sent to any backend server because of its prompt. */
+[[nodiscard]] bool isQuarantined(const DispatchState &state, const Call &call);
+
+/** The refusal of such calls. */
+[[nodiscard]] Refuse quarantineRefusal();
+
 /** Counts a call sent to @p server. Each call must be followed by one callEnded(). */
 void callStarted(DispatchState &state, const std::string &server, TimePoint now);
 
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -4,6 +4,7 @@
 #include "mimosahollow/control/voter.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
 #include "mimosahollow/placement/modelorder.h"
+#include "mimosahollow/quarantine/serverend.h"
 #include "mimosahollow/registry/serverrecord.h"
 
 #include <cstdint>
@@ -77,6 +78,20 @@
     unsigned ageMilliseconds = 0;
 };
 
+/** A backend server that ended, as an entry instance saw it. */
+struct ReportedEnd
+{
+    quarantine::ServerEnd end;
+    unsigned ageMilliseconds = 0;
+};
+
+/** Newest sound answer to a call with a suspected prompt part. */
+struct SoundPart
+{
+    std::string part;
+    unsigned ageMilliseconds = 0;
+};
+
 /** What an entry instance tells the leader. */
 struct EntryReport
 {
@@ -90,6 +105,8 @@
     std::vector<std::string> unreachable; /**< Backend servers to which no connection can be opened. */
     std::vector<std::string> suspected; /**< Backend servers that lacked a copy which the leader has placed there. */
     bool wantsFeed = false; /**< It receives no placements and load digests from a coordinator of its failure domain. */
+    std::vector<ReportedEnd> ends; /**< Not reported to this leader before. */
+    std::vector<SoundPart> soundParts; /**< Of the parts that the leader suspects. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
@@ -102,6 +119,7 @@
     bool wantsHistory = false; /**< The leader does not know what the entry instance has spent; it grants nothing before. */
     bool grantsTokens = false; /**< False while a new leader collects what was spent; what it grants then says nothing of the rate. */
     unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
+    std::vector<std::string> suspectedParts = {}; /**< Prompt parts that may end backend servers. */
 };
 
 struct PlacedAdapter
--- a/include/mimosahollow/fleetstate/fleetstate.h
+++ b/include/mimosahollow/fleetstate/fleetstate.h
@@ -25,7 +25,7 @@
     friend bool operator==(const OrderHolder &, const OrderHolder &) = default;
 };
 
-/** What operators decided for the whole fleet; the same on every voter after the same log index. */
+/** What operators and leaders decided for the whole fleet; the same on every voter after the same log index. */
 struct FleetState
 {
     control::LogIndex index = 0; /**< Last entry applied. */
@@ -34,6 +34,7 @@
     std::set<std::string> evacuatedDomains;
     std::vector<OrderHolder> orderHolders; /**< By slot of engines. */
     std::map<std::string, std::uint64_t> adapterVersions; /**< By "model/adapter"; an adapter without an entry is at any version. */
+    std::map<std::string, control::LogIndex> quarantinedParts; /**< Prompt parts that end backend servers, with the index of the decision. */
 };
 
 /** Bytes that are not a command or a snapshot. */
--- /dev/null
+++ b/include/mimosahollow/quarantine/serverend.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosahollow::quarantine {
+
+/** The end of one incarnation of a backend server, as one entry instance saw it. */
+struct ServerEnd
+{
+    std::string server;
+    std::uint64_t born = 0; /**< Incarnation. */
+    std::vector<std::string> parts; /**< Shared prompt parts of the calls that it had just begun to answer. */
+};
+
+} // namespace mimosahollow::quarantine
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -178,6 +178,7 @@
             allowance::configure(m_rateLimiter, m_catalog->catalog());
         }
         applyOrderHolders();
+        applyQuarantine(now);
         m_placement.requiredVersions = {m_state.adapterVersions.begin(), m_state.adapterVersions.end()};
         std::vector<registry::ServerRecord> all;
         for (const auto &[id, entry] : m_registry.entries) {
@@ -213,6 +214,8 @@
     m_rateLimiter.accounts.clear();
     m_rateLimiter.grantsStartAt = now + m_rateLimiter.options.takeoverDelay;
     m_entries.clear();
+    m_crashLedger = {};
+    m_quarantinedSince.clear();
     m_unconfirmedReports.clear();
     m_confirmingReports.clear();
     m_reportRead.reset();
@@ -332,6 +335,9 @@
         planVoters(now);
     }
     requestEngineReports(now);
+    if (now >= m_nextQuarantinePlan) {
+        planQuarantine(now);
+    }
     if (now >= m_nextLoadDigest) {
         publishLoad(now);
     }
@@ -392,6 +398,7 @@
     counter("orders_unanswered_total", m_counters.ordersUnanswered);
     counter("entry_reports_total", m_counters.reports);
     counter("elections_won_total", m_counters.elections);
+    counter("server_ends_total", m_counters.serverEnds);
     const auto gauge = [&text](std::string_view name, std::uint64_t value) {
         text << "# TYPE mimosahollow_" << name << " gauge\nmimosahollow_" << name << ' ' << value << '\n';
     };
@@ -399,6 +406,8 @@
     gauge("log_index", m_state.index);
     gauge("catalog_version", m_state.catalogVersion);
     gauge("backend_servers", m_registry.entries.size());
+    gauge("suspected_prompt_parts", leads() ? quarantine::suspects(m_crashLedger).size() : 0);
+    gauge("quarantined_prompt_parts", m_state.quarantinedParts.size());
     const auto isVoter = [](const control::Member &member) {
         return !member.learner;
     };
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -12,6 +12,7 @@
 #include "mimosahollow/fleetstate/fleetcommand.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
 #include "mimosahollow/placement/placement.h"
+#include "mimosahollow/quarantine/crashledger.h"
 #include "mimosahollow/registry/serverregistry.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -21,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -59,6 +61,7 @@
     std::uint64_t ordersUnanswered = 0;
     std::uint64_t reports = 0; /**< Reports of entry instances. */
     std::uint64_t elections = 0; /**< Elections won. */
+    std::uint64_t serverEnds = 0; /**< Reports of backend servers that ended while they began to answer calls. */
 };
 
 /**
@@ -152,6 +155,10 @@
     void publish(const fleetlink::LinkMessage &message);
     void publishLoad(TimePoint now);
     void forgetGoneServers();
+    void recordCrashes(const fleetlink::Peer &peer, const fleetlink::EntryReport &report, TimePoint now);
+    void applyQuarantine(TimePoint now);
+    void planQuarantine(TimePoint now);
+    boost::asio::awaitable<void> changeQuarantine(fleetstate::CommandKind kind, std::string part);
 
     boost::asio::io_context &m_context;
     CoordinatorSettings m_settings;
@@ -208,6 +215,10 @@
     TimePoint m_nextPlacement{}; // latest time; a report or an answer can cause a plan earlier
     boost::asio::steady_timer m_placementTimer;
     bool m_isPlacementScheduled = false;
+    quarantine::CrashLedger m_crashLedger; // on the leader
+    std::map<std::string, TimePoint> m_quarantinedSince; // on the leader: by prompt part, as far as it knows
+    std::set<std::string> m_pendingQuarantines; // prompt parts with a change on its way
+    TimePoint m_nextQuarantinePlan{};
     CoordinatorCounters m_counters;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // shared with asynchronous handlers that may outlive this object
 };
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -206,6 +206,7 @@
         }
     }
     startGrantsEarly(now);
+    recordCrashes(peer, report, now);
     for (const fleetlink::NamedNumber &returned : report.returned) {
         allowance::returnTokens(m_rateLimiter, returned.name, returned.value);
     }
@@ -270,13 +271,14 @@
     // A new leader has received few reports yet, but every entry instance has a connection.
     const auto entries = static_cast<unsigned>(std::max(m_entries.size(), m_hub->entryCount()));
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoadTime(m_placement, now)).count());
+    const std::vector<std::string> suspects = quarantine::suspects(m_crashLedger);
     for (const std::string &name : m_confirmingReports) {
         const auto found = m_entries.find(name);
         if (found == m_entries.end()) {
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds};
+        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds, suspects};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -33,6 +33,7 @@
     ReasonEntry{RefusalReason::BackendFailed, "backend-failed", 502},
     ReasonEntry{RefusalReason::LoadFailed, "load-failed", 503},
     ReasonEntry{RefusalReason::CostAboveBurst, "cost-above-burst", 400},
+    ReasonEntry{RefusalReason::PromptQuarantined, "prompt-quarantined", 503},
 };
 
 constexpr bool tableMatchesEnum()
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -20,6 +20,7 @@
 constexpr Duration lateLoadExtension = milliseconds(60);
 constexpr Duration suspicionPeriod = milliseconds(600); // several reports to the leader
 constexpr Duration lateLoadLimit = milliseconds(1000); // a copy reported missing this long after its expected time is removed
+constexpr Duration quarantineRetry = seconds(60); // a quarantine lasts for minutes
 constexpr Duration longRetry = milliseconds(1000); // no usable backend server; capacity returns only by an announcement or a restart
 
 /** Whether @p server may receive @p call, regardless of its load and its adapters. */
@@ -158,12 +159,29 @@
         return "adapter-not-loaded";
     case RefusalCause::ColdServers:
         return "cold-servers";
+    case RefusalCause::QuarantinedPrompt:
+        return "quarantined-prompt";
     }
     return "unknown";
 }
 
+bool isQuarantined(const DispatchState &state, const Call &call)
+{
+    return std::any_of(call.promptParts.begin(), call.promptParts.end(), [&state](const std::string &part) {
+        return state.quarantinedParts.contains(part);
+    });
+}
+
+Refuse quarantineRefusal()
+{
+    return {RefusalCause::QuarantinedPrompt, quarantineRetry};
+}
+
 Decision decide(DispatchState &state, const Call &call, TimePoint now)
 {
+    if (isQuarantined(state, call)) {
+        return quarantineRefusal();
+    }
     const catalog::ServiceSpec *service = state.catalog ? state.catalog->findService(call.service) : nullptr;
     if (service == nullptr) {
         return Refuse{RefusalCause::NoServer, longRetry};
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -110,6 +110,34 @@
     return {table->organisation, table->tokens, table->age_milliseconds};
 }
 
+std::unique_ptr<wire::ServerEndT> toWire(const ReportedEnd &reported)
+{
+    auto table = std::make_unique<wire::ServerEndT>();
+    table->server = reported.end.server;
+    table->born = reported.end.born;
+    table->parts = reported.end.parts;
+    table->age_milliseconds = reported.ageMilliseconds;
+    return table;
+}
+
+ReportedEnd fromWire(const std::unique_ptr<wire::ServerEndT> &table)
+{
+    return {{table->server, table->born, table->parts}, table->age_milliseconds};
+}
+
+std::unique_ptr<wire::SoundPartT> toWire(const SoundPart &sound)
+{
+    auto table = std::make_unique<wire::SoundPartT>();
+    table->part = sound.part;
+    table->age_milliseconds = sound.ageMilliseconds;
+    return table;
+}
+
+SoundPart fromWire(const std::unique_ptr<wire::SoundPartT> &table)
+{
+    return {table->part, table->age_milliseconds};
+}
+
 std::unique_ptr<wire::ServerPlacementT> toWire(const ServerPlacement &placement)
 {
     auto table = std::make_unique<wire::ServerPlacementT>();
@@ -210,6 +238,8 @@
     table.suspected = report.suspected;
     table.wants_feed = report.wantsFeed;
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
+    table.ends = converted<std::unique_ptr<wire::ServerEndT>>(report.ends, itemToWire);
+    table.sound_parts = converted<std::unique_ptr<wire::SoundPartT>>(report.soundParts, itemToWire);
     body.Set(std::move(table));
 }
 
@@ -223,6 +253,7 @@
     table.load_milliseconds = reply.loadMilliseconds;
     table.wants_history = reply.wantsHistory;
     table.grants_tokens = reply.grantsTokens;
+    table.suspected_parts = reply.suspectedParts;
     body.Set(std::move(table));
 }
 
@@ -251,6 +282,12 @@
         item->version = version;
         table.adapter_versions.push_back(std::move(item));
     }
+    for (const auto &[part, index] : state.quarantinedParts) {
+        auto item = std::make_unique<wire::QuarantinedPartT>();
+        item->part = part;
+        item->index = index;
+        table.quarantined_parts.push_back(std::move(item));
+    }
     body.Set(std::move(table));
 }
 
@@ -326,6 +363,9 @@
     for (const auto &item : table.adapter_versions) {
         state.adapterVersions[item->adapter] = item->version;
     }
+    for (const auto &item : table.quarantined_parts) {
+        state.quarantinedParts[item->part] = item->index;
+    }
     return state;
 }
 
@@ -375,7 +415,9 @@
                            report->has_history,
                            report->unreachable,
                            report->suspected,
-                           report->wants_feed};
+                           report->wants_feed,
+                           converted<ReportedEnd>(report->ends, itemFromWire),
+                           converted<SoundPart>(report->sound_parts, itemFromWire)};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
@@ -384,7 +426,8 @@
                            converted<NamedNumber>(reply->tokens, itemFromWire),
                            reply->wants_history,
                            reply->grants_tokens,
-                           reply->load_milliseconds};
+                           reply->load_milliseconds,
+                           reply->suspected_parts};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
         return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire), placement->number};
--- a/src/fleetstate/fleetcodec.cpp
+++ b/src/fleetstate/fleetcodec.cpp
@@ -41,7 +41,7 @@
 std::variant<FleetCommand, FleetStateError> decodeCommand(std::span<const std::uint8_t> bytes)
 {
     const auto *table = verified<wire::FleetCommand>(bytes);
-    if (table == nullptr || table->kind() > static_cast<std::uint8_t>(CommandKind::NameAdapterVersion)) {
+    if (table == nullptr || table->kind() > static_cast<std::uint8_t>(CommandKind::ReleasePart)) {
         return FleetStateError{"the bytes are not a command of this version"};
     }
     FleetCommand command{static_cast<CommandKind>(table->kind()), table->version(), textOf(table->subject()), textOf(table->text()), {}};
@@ -66,8 +66,13 @@
     for (const OrderHolder &holder : state.orderHolders) {
         holders.push_back(wire::CreateOrderSlotDirect(builder, holder.name.c_str(), holder.fencingNumber));
     }
+    std::vector<flatbuffers::Offset<wire::QuarantinedPart>> quarantined;
+    for (const auto &[part, index] : state.quarantinedParts) {
+        quarantined.push_back(wire::CreateQuarantinedPartDirect(builder, part.c_str(), index));
+    }
     const char *text = state.catalogText ? state.catalogText->c_str() : nullptr;
-    builder.Finish(wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions, &holders));
+    builder.Finish(
+        wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions, &holders, &quarantined));
     return finished(builder);
 }
 
@@ -98,6 +103,11 @@
             state.adapterVersions[textOf(entry->adapter())] = entry->version();
         }
     }
+    if (table->quarantined_parts() != nullptr) {
+        for (const wire::QuarantinedPart *entry : *table->quarantined_parts()) {
+            state.quarantinedParts[textOf(entry->part())] = entry->index();
+        }
+    }
     return state;
 }
 
--- a/src/fleetstate/fleetstate.cpp
+++ b/src/fleetstate/fleetstate.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::size_t maximumQuarantinedParts = 64; // each is compared with every call; the oldest is released first
 constexpr std::uint32_t maximumOrderSlots = 1024; // bounds what a damaged entry of the log can allocate
 
 bool putCatalog(FleetState &state, const FleetCommand &command)
@@ -43,6 +44,19 @@
     return !command.slots.empty();
 }
 
+bool quarantinePart(FleetState &state, control::LogIndex index, const FleetCommand &command)
+{
+    if (command.subject.empty() || !state.quarantinedParts.try_emplace(command.subject, index).second) {
+        return false;
+    }
+    if (state.quarantinedParts.size() > maximumQuarantinedParts) {
+        state.quarantinedParts.erase(std::min_element(state.quarantinedParts.begin(), state.quarantinedParts.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        }));
+    }
+    return true;
+}
+
 } // namespace
 
 bool apply(FleetState &state, control::LogIndex index, const FleetCommand &command)
@@ -59,6 +73,10 @@
         return takeOrders(state, index, command);
     case CommandKind::NameAdapterVersion:
         return nameAdapterVersion(state, command);
+    case CommandKind::QuarantinePart:
+        return quarantinePart(state, index, command);
+    case CommandKind::ReleasePart:
+        return state.quarantinedParts.erase(command.subject) != 0;
     }
     return false;
 }
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -32,6 +32,16 @@
 constexpr Duration rateRetryAfter = milliseconds(1000); // the token bucket holds about one second of its rate
 constexpr Duration notRunRetryAfter = milliseconds(300);
 
+/** An answer that breaks off later than this after its beginning was not ended by its own prompt; one that still arrives then is sound. */
+constexpr Duration firstTokensTime = milliseconds(700);
+
+LocalResponse makeRefusal(const dispatch::Refuse &refusal)
+{
+    const bool isQuarantined = refusal.cause == dispatch::RefusalCause::QuarantinedPrompt;
+    const RefusalReason reason = isQuarantined ? RefusalReason::PromptQuarantined : RefusalReason::NoCapacity;
+    return {reason, std::string(dispatch::toString(refusal.cause)), refusal.retryAfter, 503};
+}
+
 enum class AttemptEnd : std::uint8_t {
     Answered, /**< The caller received the complete response. */
     CallerLeft,
@@ -75,6 +85,7 @@
     [[nodiscard]] bool isRepeatable() const;
     [[nodiscard]] LocalResponse makeFailureResponse(AttemptEnd end) const;
     void chooseService();
+    void judgePrompt(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end);
     void logEnd(std::string_view outcome, unsigned status, std::string_view reason);
     void logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint startedAt, unsigned status);
 
@@ -95,6 +106,7 @@
     bool m_headSent = false; // the response head was sent to the caller; no other response is possible
     unsigned m_status = 0; // of the newest response of a backend server
     std::optional<TimePoint> m_answerBegan; // when the head of that response arrived
+    bool m_isSound = false; // a stream that lasts has been counted as a sound answer
     EventRelay m_events;
     std::string m_heldResponse; // error response of a backend server, forwarded if no other backend server gives a better one
 };
@@ -209,6 +221,11 @@
     if (service != nullptr && service->engine) {
         m_call.model = m_head.model;
         m_call.adapter = m_head.adapter;
+        m_call.promptParts = m_head.sharedParts;
+    }
+    if (dispatch::isQuarantined(m_entry.dispatchState(), m_call)) {
+        const LocalResponse response = makeRefusal(dispatch::quarantineRefusal());
+        co_return co_await refuse(response);
     }
     if (m_organisation != nullptr) {
         m_tokens = m_organisation->countsTokens ? m_head.tokens.value_or(m_organisation->plainTokens) : 1;
@@ -267,7 +284,7 @@
                 const LocalResponse response = makeFailureResponse(last);
                 co_return co_await refuse(response);
             }
-            const LocalResponse response{RefusalReason::NoCapacity, std::string(dispatch::toString(refusal->cause)), refusal->retryAfter, 503};
+            const LocalResponse response = makeRefusal(*refusal);
             co_return co_await refuse(response);
         }
         const auto &target = std::get<dispatch::Send>(choice);
@@ -300,8 +317,8 @@
         if (last == AttemptEnd::Unreachable) {
             continue;
         }
-        if (last == AttemptEnd::Failed && !isRepeatable()) {
-            break;
+        if (last == AttemptEnd::Failed && (!isRepeatable() || m_entry.isSuspected(m_call))) {
+            break; // a repeat of a call whose prompt is suspected may end another backend server
         }
         const bool mayTryAnotherServer = m_attemptedServers.size() < m_route->maximumAttempts;
         if ((!mayTryAnotherServer && m_call.pinnedServer.empty()) || !m_entry.takeRetry(m_call.service)) {
@@ -404,6 +421,7 @@
         }
     }
     m_caller.watch->clearInterrupt();
+    judgePrompt(target, exchange, end);
     const bool hasNotRun = end == AttemptEnd::NotRun || end == AttemptEnd::Missing || end == AttemptEnd::Unreachable;
     m_usedTokens = m_usedTokens || (m_attemptedServers.contains(target.server) && !hasNotRun);
     if (end == AttemptEnd::Failed || end == AttemptEnd::Cut || end == AttemptEnd::TimedOut) {
@@ -416,6 +434,24 @@
     co_return end;
 }
 
+/** Tells what the end of an attempt says about the prompt of its call. */
+void CallRelay::judgePrompt(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end)
+{
+    const bool isSuccess = m_status >= 200 && m_status < 300;
+    if (!m_answerBegan || !isSuccess) {
+        return;
+    }
+    const bool isShort = Clock::now() - *m_answerBegan < firstTokensTime;
+    const bool isBroken = end == AttemptEnd::Failed || end == AttemptEnd::Cut;
+    // The end of an answer without a length may also be that of its backend server.
+    const bool isOpenEnded = end == AttemptEnd::Answered && exchange.endsWithConnection();
+    if (isShort && (isBroken || isOpenEnded)) {
+        m_entry.answerBroke(target, m_call);
+    } else if (end == AttemptEnd::Answered) {
+        m_entry.answeredSoundly(m_call);
+    }
+}
+
 asio::awaitable<AttemptEnd> CallRelay::relayResponse(ServerExchange &exchange)
 {
     const HeaderNames &names = m_entry.settings().headers;
@@ -551,6 +587,10 @@
             }
         }
         if (!completeEvents.empty()) {
+            if (!m_isSound && Clock::now() - *m_answerBegan >= firstTokensTime) {
+                m_isSound = true;
+                m_entry.answeredSoundly(m_call);
+            }
             const bool isWritten = co_await writeChunk(m_caller, completeEvents);
             if (!isWritten) {
                 co_return AttemptEnd::CallerLeft;
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -8,6 +8,8 @@
 #include "mimosahollow/dispatch/dispatch.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
 #include "mimosahollow/observability/metrics.h"
+#include "mimosahollow/quarantine/serverend.h"
+#include "mimosahollow/quarantine/soundparts.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,12 +18,15 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosahollow::gateway {
@@ -88,6 +93,12 @@
     void countRequest(const std::string &service);
     [[nodiscard]] bool takeRetry(const std::string &service);
     void handleMissingModel(const std::string &server, const dispatch::Call &call);
+    /** The answer of @p target to @p call ended too early, soon after its beginning. Tells the leader if the backend server has ended. */
+    void answerBroke(const dispatch::Send &target, const dispatch::Call &call);
+    /** A backend server has answered @p call without ending at its prompt. */
+    void answeredSoundly(const dispatch::Call &call);
+    /** Whether a prompt part of @p call may be what ends backend servers. */
+    [[nodiscard]] bool isSuspected(const dispatch::Call &call) const;
 
     void sessionOpened();
     void sessionClosed();
@@ -117,6 +128,20 @@
         unsigned calls = 0;
     };
     struct TokenWaiter;
+    using Incarnation = std::pair<std::string, std::uint64_t>; // id and start of a backend server
+    struct BrokenAnswers
+    {
+        std::string address;
+        TimePoint since{};
+        std::set<std::string> parts;
+    };
+    struct ObservedEnd
+    {
+        quarantine::ServerEnd end;
+        TimePoint at{};
+        std::uint64_t reportStamp = 0; // of the newest report with it
+        bool isKnownToLeader = false;
+    };
 
     boost::asio::awaitable<void> acceptCallers();
     void linkOpened(const fleetlink::Peer &peer);
@@ -129,6 +154,9 @@
     void addExpectedRetries(TimePoint now);
     void addHistory(fleetlink::EntryReport &report, TimePoint now) const;
     void sendReport(TimePoint now);
+    boost::asio::awaitable<void> checkServer(Incarnation incarnation);
+    void addCrashes(fleetlink::EntryReport &report, TimePoint now);
+    void crashesReported(std::uint64_t stamp);
     void postDispatchWaitingCalls();
     void dispatchWaitingCalls();
     void closeIdleCallers();
@@ -159,6 +187,10 @@
     std::map<std::pair<std::string, std::string>, RunningCalls> m_running; // calls on inference engines, by model and adapter
     /** Adapters of refused calls that are expected to be retried; they are reported as wanted until the retry is due. */
     std::map<std::pair<std::string, std::string>, ExpectedRetries> m_expectedRetries;
+    std::map<Incarnation, BrokenAnswers> m_brokenAnswers; // of backend servers that are being checked
+    std::deque<ObservedEnd> m_observedEnds; // oldest first
+    quarantine::SoundParts m_soundParts;
+    std::set<std::string> m_suspectedParts; // by the leader
     std::list<WaitingCall *> m_waitingCalls; // most urgent first
     std::list<TokenWaiter *> m_tokenWaiters;
     std::vector<boost::asio::steady_timer *> m_stateWaiters;
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -35,6 +35,10 @@
             observability::logDecision(line.text());
             m_leader = coordinators->leader;
             m_sendsHistory = true;
+            for (ObservedEnd &observed : m_observedEnds) {
+                observed.isKnownToLeader = false;
+                observed.reportStamp = 0;
+            }
             m_feedHeard = now;
             m_hub->dial(m_leader);
             sendReport(now);
@@ -90,8 +94,13 @@
     m_state.catalogText.reset(); // only the decoded index is needed from here on
     m_dispatch.evacuatedDomains = m_state.evacuatedDomains;
     m_dispatch.requiredVersions = m_state.adapterVersions;
+    m_dispatch.quarantinedParts.clear();
+    for (const auto &[part, index] : m_state.quarantinedParts) {
+        m_dispatch.quarantinedParts.insert(part);
+    }
     observability::DecisionLine line("state");
     line.add("index", m_state.index).add("catalog", m_state.catalogVersion).add("evacuated", m_state.evacuatedDomains.size());
+    line.add("quarantined", m_state.quarantinedParts.size());
     observability::logDecision(line.text());
     postDispatchWaitingCalls();
 }
@@ -104,6 +113,8 @@
     limitIdleConnections();
     m_dispatch.expectedLoadTime = milliseconds(reply.loadMilliseconds);
     m_sendsHistory = reply.wantsHistory;
+    m_suspectedParts = {reply.suspectedParts.begin(), reply.suspectedParts.end()};
+    crashesReported(reply.stamp);
     for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
         waiter->cancel();
     }
@@ -238,6 +249,7 @@
             }
         }
         addExpectedRetries(now);
+        addCrashes(report, now);
         for (auto demand = m_demand.begin(); demand != m_demand.end();) {
             const auto running = m_running.find(demand->first);
             demand->second.running = running == m_running.end() ? 0 : running->second.calls;
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -196,6 +196,12 @@
     return m_parser->get().result_int();
 }
 
+bool ServerExchange::endsWithConnection() const
+{
+    const auto &head = m_parser->get();
+    return !m_parser->chunked() && !head.has_content_length() && head.result() != http::status::no_content;
+}
+
 std::string_view ServerExchange::header(const std::string &name) const
 {
     const auto value = m_parser->get()[name];
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -45,6 +45,8 @@
     void abort();
 
     [[nodiscard]] unsigned status() const;
+    /** Whether the response has neither a length nor chunks. */
+    [[nodiscard]] bool endsWithConnection() const;
     [[nodiscard]] std::string_view header(const std::string &name) const;
     [[nodiscard]] const boost::beast::http::fields &fields() const;
 
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -12,7 +12,7 @@
 
 // Above the maximum request deadline of 600 s; a bound keeps arithmetic on time points from overflowing.
 constexpr std::int64_t longestDurationUs = 3'600'000'000;
-constexpr auto lastReason = static_cast<std::uint8_t>(RefusalReason::CostAboveBurst);
+constexpr auto lastReason = static_cast<std::uint8_t>(RefusalReason::PromptQuarantined);
 constexpr auto lastOutcome = static_cast<std::uint8_t>(scheduling::ReleaseOutcome::NotSent);
 
 std::optional<Duration> duration(std::int64_t microseconds) noexcept
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -28,7 +28,7 @@
 constexpr std::array latencyBounds{0.0, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.055, 0.1, 0.25, 0.5, 1.1, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0};
 
 constexpr std::array<std::string_view, 5> callEndNames{"completed", "refused", "failed", "caller-left", "deadline-exceeded"};
-constexpr std::size_t reasonCount = static_cast<std::size_t>(RefusalReason::CostAboveBurst) + 1;
+constexpr std::size_t reasonCount = static_cast<std::size_t>(RefusalReason::PromptQuarantined) + 1;
 
 Latencies makeLatencies()
 {
--- /dev/null
+++ b/src/quarantine/crashledger.cpp
@@ -0,0 +1,185 @@
+#include "mimosahollow/quarantine/crashledger.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace mimosahollow::quarantine {
+
+namespace {
+
+using Ends = std::vector<const CrashLedger::End *>;
+
+/** Ends that no quarantined part explains, oldest first. */
+Ends unexplainedEnds(const CrashLedger &ledger)
+{
+    Ends ends;
+    for (const auto &[incarnation, end] : ledger.ends) {
+        const bool isExplained = std::any_of(end.parts.begin(), end.parts.end(), [&ledger](const std::string &part) {
+            return ledger.quarantined.contains(part);
+        });
+        if (!isExplained) {
+            ends.push_back(&end);
+        }
+    }
+    std::sort(ends.begin(), ends.end(), [](const CrashLedger::End *left, const CrashLedger::End *right) {
+        return left->at < right->at;
+    });
+    return ends;
+}
+
+bool hadSoundAnswer(const CrashLedger &ledger, const std::string &part)
+{
+    const auto known = ledger.parts.find(part);
+    return known != ledger.parts.end() && known->second.hasSoundAnswer;
+}
+
+/** Whether @p part may have caused @p end: it was present, and has had no sound answer since. */
+bool explains(const CrashLedger &ledger, const std::string &part, const CrashLedger::End &end)
+{
+    const auto known = ledger.parts.find(part);
+    const bool isSoundSince = known != ledger.parts.end() && known->second.hasSoundAnswer && end.at <= known->second.soundAt;
+    return end.parts.contains(part) && !isSoundSince;
+}
+
+/** The ends that each part may have caused, oldest first. */
+std::map<std::string, Ends> endsByPart(const CrashLedger &ledger)
+{
+    std::map<std::string, Ends> byPart;
+    for (const CrashLedger::End *end : unexplainedEnds(ledger)) {
+        for (const std::string &part : end->parts) {
+            if (explains(ledger, part, *end)) {
+                byPart[part].push_back(end);
+            }
+        }
+    }
+    return byPart;
+}
+
+/** Number of @p ends, counting those at the same moment once. */
+unsigned countMoments(const CrashLedger &ledger, const Ends &ends)
+{
+    unsigned count = 0;
+    TimePoint counted{};
+    for (const CrashLedger::End *end : ends) {
+        if (count == 0 || end->at - counted >= ledger.options.sameMoment) {
+            ++count;
+            counted = end->at;
+        }
+    }
+    return count;
+}
+
+/** Whether another part may have caused all @p ends of @p part. A part that had sound answers before is no rival of one that never had. */
+bool isAmbiguous(const CrashLedger &ledger, const std::map<std::string, Ends> &byPart, const std::string &part, const Ends &ends)
+{
+    const bool isNeverSound = !hadSoundAnswer(ledger, part);
+    return std::any_of(byPart.begin(), byPart.end(), [&](const auto &other) {
+        return other.first != part && !(isNeverSound && hadSoundAnswer(ledger, other.first))
+               && std::all_of(ends.begin(), ends.end(), [&](const CrashLedger::End *end) {
+                      return explains(ledger, other.first, *end);
+                  });
+    });
+}
+
+bool isCulprit(const CrashLedger &ledger, const std::map<std::string, Ends> &byPart, const std::string &part, const Ends &ends)
+{
+    if (ledger.released.contains(part)) {
+        return !ends.empty();
+    }
+    const unsigned moments = countMoments(ledger, ends);
+    if (moments < ledger.options.endsOfCulprit) {
+        return false;
+    }
+    const bool isUnique = !isAmbiguous(ledger, byPart, part, ends);
+    const bool isCertain = moments >= ledger.options.endsWhenInDoubt;
+    return hadSoundAnswer(ledger, part) ? isUnique && isCertain : isUnique || isCertain;
+}
+
+/** Forgets the parts that were present at no end, whose sound answers no longer matter. */
+void dropUnusedParts(CrashLedger &ledger)
+{
+    std::set<std::string_view> used;
+    for (const auto &[incarnation, end] : ledger.ends) {
+        used.insert(end.parts.begin(), end.parts.end());
+    }
+    std::erase_if(ledger.parts, [&used](const auto &item) {
+        return !used.contains(item.first);
+    });
+}
+
+void dropOldEnds(CrashLedger &ledger, TimePoint now)
+{
+    std::erase_if(ledger.ends, [&ledger, now](const auto &item) {
+        return now - item.second.at > ledger.options.memory;
+    });
+    while (ledger.ends.size() > ledger.options.maximumEnds) {
+        ledger.ends.erase(std::min_element(ledger.ends.begin(), ledger.ends.end(), [](const auto &left, const auto &right) {
+            return left.second.at < right.second.at;
+        }));
+    }
+}
+
+} // namespace
+
+void recordEnd(CrashLedger &ledger, const ServerEnd &end, TimePoint at)
+{
+    const auto [known, isNew] = ledger.ends.try_emplace({end.server, end.born}, CrashLedger::End{at, {}});
+    known->second.at = std::min(known->second.at, at);
+    known->second.parts.insert(end.parts.begin(), end.parts.end());
+}
+
+void recordSoundAnswer(CrashLedger &ledger, const std::string &part, TimePoint at)
+{
+    CrashLedger::Part &record = ledger.parts[part];
+    record.hasSoundAnswer = true;
+    record.soundAt = std::max(record.soundAt, at);
+}
+
+void release(CrashLedger &ledger, const std::string &part)
+{
+    ledger.quarantined.erase(part);
+    ledger.released.insert(part);
+    std::erase_if(ledger.ends, [&part](const auto &item) {
+        return item.second.parts.contains(part);
+    });
+}
+
+std::vector<std::string> suspects(const CrashLedger &ledger)
+{
+    std::vector<std::string> names;
+    for (const auto &[part, record] : ledger.parts) {
+        if (record.suspectSince != TimePoint{}) {
+            names.push_back(part);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> findCulprits(CrashLedger &ledger, TimePoint now)
+{
+    dropOldEnds(ledger, now);
+    dropUnusedParts(ledger);
+    const auto byPart = endsByPart(ledger);
+    for (auto &[part, record] : ledger.parts) {
+        const auto ends = byPart.find(part);
+        if (ends == byPart.end() || countMoments(ledger, ends->second) < ledger.options.endsOfSuspect) {
+            record.suspectSince = {};
+        }
+    }
+    std::vector<std::string> culprits;
+    for (const auto &[part, ends] : byPart) {
+        if (countMoments(ledger, ends) >= ledger.options.endsOfSuspect) {
+            CrashLedger::Part &record = ledger.parts[part];
+            record.suspectSince = record.suspectSince == TimePoint{} ? now : record.suspectSince;
+            if (now - record.suspectSince < ledger.options.objectionTime) {
+                continue;
+            }
+        }
+        if (isCulprit(ledger, byPart, part, ends)) {
+            culprits.push_back(part);
+        }
+    }
+    return culprits;
+}
+
+} // namespace mimosahollow::quarantine
--- a/tests/crashes/crashes.cpp
+++ b/tests/crashes/crashes.cpp
@@ -193,6 +193,18 @@
         entries[number] = std::move(entry);
     }
 
+    void restartCoordinator()
+    {
+        coordinator.reset();
+        startCoordinator(false);
+        for (Server &server : servers) {
+            coordinator->announce(recordOf(server));
+        }
+        REQUIRE(runUntil([this] {
+            return isServing(0) && isServing(1);
+        }));
+    }
+
     void commit(const fleetstate::FleetCommand &command)
     {
         bool isCommitted = false;
@@ -224,14 +236,13 @@
         server.acceptor.listen(64, error);
         REQUIRE_FALSE(error);
         accept(server);
-        registry::ServerRecord record{idOf(server), "llm", server.address, "a", 8, registry::ServerState::Ready, server.born, 1, 0, {}};
-        record.held = {{"base", "", 1}};
-        coordinator->announce(record);
+        coordinator->announce(recordOf(server));
     }
 
-    static std::string idOf(const Server &server)
+    static registry::ServerRecord recordOf(const Server &server)
     {
-        return server.address + "#" + std::to_string(server.born);
+        const std::string id = server.address + "#" + std::to_string(server.born);
+        return {id, "llm", server.address, "a", 8, registry::ServerState::Ready, server.born, 1, 0, {{"base", "", 1}}};
     }
 
     void crash(Server &server)
@@ -278,6 +289,12 @@
         if (!fatalPart.empty() && parts.find(fatalPart) != std::string::npos) {
             ++fatalArrivals;
             connection.write(answerHead + "5\r\nid: 1\r\n"); // ends inside the first event
+            if (resetsOnly) {
+                boost::system::error_code ignored;
+                connection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                connection.socket.close(ignored);
+                return;
+            }
             auto timer = std::make_shared<asio::steady_timer>(context, milliseconds(20));
             timer->async_wait([this, &server, timer, born = server.born](boost::system::error_code) {
                 if (server.born == born && server.acceptor.is_open()) {
@@ -362,6 +379,7 @@
     std::vector<std::unique_ptr<ingress::Entry>> entries;
     std::list<Server> servers;
     std::string fatalPart;
+    bool resetsOnly = false; /**< A call with the part loses its connection, and the server lives on. */
     unsigned crashes = 0;
     unsigned fatalArrivals = 0;
     TimePoint lastCrash{};
@@ -385,4 +403,32 @@
     for (unsigned sent = 0; sent < 8; ++sent) {
         CHECK(CrashingFleet::isServed(fleet.call(sent % 2, CrashingFleet::unique("tenant:5"))));
     }
+
+    SECTION("the quarantine outlives the coordinator, and binds an entry instance that is new")
+    {
+        fleet.restartCoordinator();
+        fleet.startEntry(2);
+        REQUIRE(fleet.runUntil([&fleet] {
+            return fleet.isServing(2);
+        }));
+        fleet.fatalArrivals = 0;
+        for (unsigned sent = 0; sent < 6; ++sent) {
+            fleet.call(sent % 3, CrashingFleet::unique("tenant:5,fatal:7"));
+        }
+        CHECK(fleet.fatalArrivals == 0);
+    }
+}
+
+// Guards against a quarantine by answers that are lost while the backend servers live.
+TEST_CASE("Connections that are reset on living servers quarantine nothing")
+{
+    CrashingFleet fleet;
+    fleet.fatalPart = "lost";
+    fleet.resetsOnly = true;
+    fleet.sendFatalCalls(12, 12);
+    CHECK(fleet.fatalArrivals >= 12);
+    fleet.runFor(seconds(1));
+    fleet.fatalPart.clear();
+    CHECK(CrashingFleet::isServed(fleet.call(0, CrashingFleet::unique("tenant:5,lost:7"))));
+    CHECK(CrashingFleet::isServed(fleet.call(1, CrashingFleet::unique("tenant:5,lost:7"))));
 }
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -352,3 +352,18 @@
         REQUIRE(static_cast<std::size_t>(end - sends.begin()) - i <= allowed);
     }
 }
+
+// Guards against a call that waits when its prompt is quarantined, or that is sent all the same.
+TEST_CASE("A call with a quarantined prompt part is refused at once, also while it waits")
+{
+    DispatchState state = makeState();
+    Call call = modelCall("a1");
+    call.promptParts = {"shared", "fatal"};
+    CHECK(sentTo(decide(state, call, start)) == "s1");
+    state.quarantinedParts = {"fatal"};
+    const Decision decision = decide(state, call, start);
+    REQUIRE(std::holds_alternative<Refuse>(decision));
+    CHECK(std::get<Refuse>(decision).cause == RefusalCause::QuarantinedPrompt);
+    call.promptParts = {"shared"};
+    CHECK(sentTo(decide(state, call, start)) == "s1");
+}
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -30,6 +30,8 @@
     report.demand = {{"base", "a1", "chat", 4, 5, 2, 6}};
     report.spent = {{"one", 100, 250}};
     report.hasHistory = true;
+    report.ends = {{{"s8", 12, {"5c1e", "91bd"}}, 40}};
+    report.soundParts = {{"5c1e", 90}};
     return report;
 }
 
@@ -73,11 +75,20 @@
     CHECK(report.running[0].serverKey == 17);
     CHECK(report.running[0].running == 3);
     CHECK(report.suspected == std::vector<std::string>{"s9"});
+    REQUIRE(report.ends.size() == 1);
+    CHECK(report.ends[0].end.server == "s8");
+    CHECK(report.ends[0].end.born == 12);
+    CHECK(report.ends[0].end.parts == std::vector<std::string>{"5c1e", "91bd"});
+    CHECK(report.ends[0].ageMilliseconds == 40);
+    REQUIRE(report.soundParts.size() == 1);
+    CHECK(report.soundParts[0].part == "5c1e");
+    CHECK(report.soundParts[0].ageMilliseconds == 90);
     CHECK(report.wantsFeed);
     CHECK(report.returned[0].value == 8);
     CHECK(report.tokenWishes[0].name == "one");
 
-    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400});
+    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400, {"91bd"}});
+    CHECK(reply.suspectedParts == std::vector<std::string>{"91bd"});
     CHECK(reply.entries == 6);
     CHECK(reply.wantsHistory);
     CHECK(reply.loadMilliseconds == 400);
--- a/tests/fleetstate/fleetstate.cpp
+++ b/tests/fleetstate/fleetstate.cpp
@@ -48,6 +48,23 @@
     CHECK(state.adapterVersions.at("m/a1") == 3);
 }
 
+// Guards against a quarantine that is decided twice or cannot be taken back, and against quarantines without bound.
+TEST_CASE("Prompt parts are quarantined once, can be released, and are bounded")
+{
+    FleetState state;
+    CHECK(apply(state, 1, {CommandKind::QuarantinePart, 0, "first", {}}));
+    CHECK_FALSE(apply(state, 2, {CommandKind::QuarantinePart, 0, "first", {}}));
+    CHECK_FALSE(apply(state, 3, {CommandKind::QuarantinePart, 0, "", {}}));
+    for (control::LogIndex index = 4; index < 104; ++index) {
+        CHECK(apply(state, index, {CommandKind::QuarantinePart, 0, "part-" + std::to_string(index), {}}));
+    }
+    CHECK(state.quarantinedParts.size() == 64);
+    CHECK_FALSE(state.quarantinedParts.contains("first"));
+    CHECK(state.quarantinedParts.contains("part-103"));
+    CHECK(apply(state, 104, {CommandKind::ReleasePart, 0, "part-103", {}}));
+    CHECK_FALSE(apply(state, 105, {CommandKind::ReleasePart, 0, "part-103", {}}));
+}
+
 // Guards against state that a restart or a transfer loses or alters.
 TEST_CASE("Commands and snapshots survive their encoding")
 {
@@ -61,15 +78,17 @@
     apply(state, 2, command);
     apply(state, 3, {CommandKind::NameAdapterVersion, 4, "m/a1", {}});
     apply(state, 4, {CommandKind::TakeOrders, 0, "core-1", {}, {0, 2}});
+    apply(state, 5, {CommandKind::QuarantinePart, 0, "5c1e", {}});
     const auto bytes = encodeSnapshot(state);
     const auto restored = decodeSnapshot(bytes);
     REQUIRE(std::holds_alternative<FleetState>(restored));
     const auto &copy = std::get<FleetState>(restored);
-    CHECK(copy.index == 4);
+    CHECK(copy.index == 5);
     CHECK(copy.orderHolders == std::vector<OrderHolder>{{"core-1", 4}, {}, {"core-1", 4}});
     CHECK(copy.catalogVersion == 7);
     CHECK(*copy.catalogText == "text");
     CHECK(copy.evacuatedDomains == std::set<std::string>{"north"});
+    CHECK(copy.quarantinedParts == std::map<std::string, control::LogIndex>{{"5c1e", 5}});
     CHECK(copy.adapterVersions == std::map<std::string, std::uint64_t>{{"m/a1", 4}});
 
     SECTION("cut bytes are refused")
