callpermits: keep the limits that backend servers name, for all entry instances together

Cause: nothing read the limit. A reader in each entry instance alone would have sent the limit once for each instance: the class of fault is a bound of the whole fleet that each instance keeps, or not, by itself.

Change: entry instances report what answers name, the leader tells all others in the load digest and issues permits at the named rate. A call goes to such a server with a permit only. Waiting calls ask for permits at once; unused ones return to the leader. Placement loads copies of adapters whose calls wait for permits on engines without a limit.

--- a/include/mimosahollow/dispatch/call.h
+++ b/include/mimosahollow/dispatch/call.h
@@ -32,6 +32,7 @@
     NoCapacity, /**< All backend servers are full. */
     AdapterNotLoaded, /**< No backend server has the adapter, or it cannot be loaded in time. */
     ColdServers, /**< The remaining backend servers are cold and have reached their call rate limit. */
+    LimitedServers, /**< The remaining backend servers have named a limit, and no permit is left. */
     QuarantinedPrompt, /**< A part of the prompt ends the backend servers that answer it. */
 };
 
--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -58,9 +58,10 @@
 /** Applies the record of a backend server. Returns false, without effect, if the known record is as new or newer. */
 bool updateServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now);
 
+/** Takes over the calls of other instances and the limits of backend servers. */
+void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest, TimePoint now);
+
 /** Applies the placement that the leader has sent; updates of an earlier term and of other incarnations are ignored. */
-/** Takes over the calls of other instances. */
-void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest);
 void applyPlacement(DispatchState &state, const fleetlink::PlacementUpdate &update, TimePoint now);
 
 /** Handles the reply of @p server that it does not have the model or adapter of @p call, or that it is another instance. */
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -54,6 +54,15 @@
     TimePoint avoidUntil{}; /**< Receives no calls before, after a failed connection. */
     std::deque<TimePoint> coldSends; /**< Send times of recent calls while it was cold. */
     TimePoint firstColdSend{}; /**< Random start of sending while cold, if the share of this instance is below one call per second; unset: not drawn. */
+    double callsPerSecond = 0; /**< Limit in force, named by the backend server, for all entry instances together; 0: none. */
+    double statedLimit = 0; /**< In the newest answer to this instance. */
+    TimePoint limitStatedAt{}; /**< Unset: no answer to this instance has named or ended a limit. */
+    bool isLimitReported = false; /**< The leader has been sent the newest statement. */
+    unsigned permits = 0; /**< Calls that may be sent under the limit. */
+    TimePoint permitsUntil{};
+    std::set<std::string> permitWishes; /**< Ids of calls that a permit would have brought here since the last report. */
+    std::uint64_t wishStamp = 0; /**< Of the report with a request that is not answered yet; 0: none. */
+    TimePoint wishedAt{};
     std::uint64_t placementNumber = 0; /**< Of the update with the newest placement in this leader term. */
     TimePoint suspectUntil{}; /**< A call has not found its copy; the leader is asked to read the state of the server. */
     bool hasPlacement = false; /**< The leader has sent its placement, which overrides the adapters in its record. */
--- /dev/null
+++ b/include/mimosahollow/dispatch/serverlimits.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "mimosahollow/dispatch/dispatchstate.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace mimosahollow::dispatch {
+
+/** Whether @p server may get another call: it has no limit, or this instance holds a permit of the leader. */
+[[nodiscard]] bool hasPermit(const ServerView &server, TimePoint now);
+
+/** An answer of @p server names @p callsPerSecond as its limit, or none. Returns whether the limit has changed. */
+bool limitStated(DispatchState &state, const std::string &server, std::optional<double> callsPerSecond, TimePoint now);
+
+/** Takes over the limit that the leader knows, 0 if none, unless this instance has heard from the server itself just before. */
+void applyLimit(ServerView &server, double callsPerSecond, TimePoint now);
+
+void addPermits(DispatchState &state, const std::string &server, unsigned permits, TimePoint now);
+
+/** Permits to request in the report with @p stamp: one for each call that would have gone to @p server, if no request is unanswered. */
+[[nodiscard]] unsigned takePermitWishes(ServerView &server, std::uint64_t stamp, TimePoint now);
+
+/** The leader has answered the reports up to @p stamp. */
+void permitWishesAnswered(DispatchState &state, std::uint64_t stamp);
+
+/** Removes permits held for too long; returns their number, which the leader can issue again. */
+[[nodiscard]] unsigned takeExpiredPermits(ServerView &server, TimePoint now);
+
+} // namespace mimosahollow::dispatch
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/control/logentry.h"
 #include "mimosahollow/control/voter.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
@@ -92,6 +93,27 @@
     unsigned ageMilliseconds = 0;
 };
 
+/** Limit of a backend server, from its newest answer to an entry instance. */
+struct ReportedLimit
+{
+    callpermits::StatedLimit limit;
+    unsigned ageMilliseconds = 0;
+};
+
+/** Permits for calls to a backend server with a limit. */
+struct PermitRequest
+{
+    std::string server;
+    unsigned wanted = 0;
+    unsigned returned = 0; /**< Not used in time. */
+};
+
+struct IssuedPermits
+{
+    std::string server;
+    unsigned permits = 0;
+};
+
 /** What an entry instance tells the leader. */
 struct EntryReport
 {
@@ -107,6 +129,8 @@
     bool wantsFeed = false; /**< It receives no placements and load digests from a coordinator of its failure domain. */
     std::vector<ReportedEnd> ends; /**< Not reported to this leader before. */
     std::vector<SoundPart> soundParts; /**< Of the parts that the leader suspects. */
+    std::vector<ReportedLimit> limits; /**< Statements that the leader has not got yet. */
+    std::vector<PermitRequest> permitRequests;
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
@@ -120,6 +144,7 @@
     bool grantsTokens = false; /**< False while a new leader collects what was spent; what it grants then says nothing of the rate. */
     unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
     std::vector<std::string> suspectedParts = {}; /**< Prompt parts that may end backend servers. */
+    std::vector<IssuedPermits> permits = {};
 };
 
 struct PlacedAdapter
@@ -146,11 +171,20 @@
     std::uint64_t number = 0; /**< Increases with each update of a term; a placement replaces those of lower numbers. */
 };
 
-/** Calls on backend servers from all entry instances together, from the leader. */
+/** Calls per second that a backend server takes from all entry instances together. */
+struct ServerLimit
+{
+    std::uint32_t serverKey = 0; /**< registry::serverKey() of its id. */
+    double callsPerSecond = 0;
+};
+
+/** Calls on backend servers from all entry instances together, and limits of backend servers, from the leader. */
 struct LoadDigest
 {
     control::Term term = 0;
     std::vector<ServerLoad> servers; /**< Only counts above 0. */
+    bool knowsLimits = false; /**< False while a new leader collects the limits. */
+    std::vector<ServerLimit> limits = {};
 };
 
 /** A coordinator tells the leader that it can send orders to engines. */
--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -4,6 +4,7 @@
 #include "mimosahollow/registry/serverrecord.h"
 
 #include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,9 @@
 /** Drops the waiting and running calls of an entry instance that is gone. */
 void removeEntry(PlacementState &state, std::string_view entry);
 
+/** Names the engines that have a limit for their calls; all others have none. */
+void setLimitedEngines(PlacementState &state, const std::set<std::string> &engines);
+
 /** Records that an entry instance cannot connect to @p server. */
 void markUnreachable(PlacementState &state, const std::string &server, TimePoint now);
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -81,6 +81,7 @@
     std::uint64_t born = 0; /**< Start time of the incarnation. */
     bool hasReport = false; /**< Its state was read at least once. */
     bool isReady = false; /**< It announces itself as ready, and its failure domain is not evacuated. */
+    bool isLimited = false; /**< It has named a limit for its calls. */
     bool isReplaced = false; /**< Another backend server answers at its address. */
     std::optional<std::uint64_t> sequence; /**< Number of accepted orders; unknown before the first report and after an order without a reply. */
     std::set<std::string> baseModels;
--- /dev/null
+++ b/src/callpermits/permitissuer.cpp
@@ -0,0 +1,66 @@
+#include "mimosahollow/callpermits/permitissuer.h"
+
+#include <algorithm>
+
+namespace mimosahollow::callpermits {
+
+namespace {
+
+void accrue(const PermitIssuer &issuer, PermitBucket &bucket, TimePoint now)
+{
+    const double capacity = std::max(1.0, bucket.callsPerSecond * toSeconds(issuer.options.burst));
+    const double accrued = bucket.callsPerSecond * std::max(0.0, toSeconds(now - bucket.updatedAt));
+    bucket.permits = std::min(capacity, bucket.permits + accrued);
+    bucket.updatedAt = now;
+}
+
+} // namespace
+
+bool applyStatement(PermitIssuer &issuer, const StatedLimit &stated, TimePoint statedAt, TimePoint now)
+{
+    const auto [found, isNew] = issuer.buckets.try_emplace(stated.server);
+    PermitBucket &bucket = found->second;
+    const bool isOlder = stated.born < bucket.born || (stated.born == bucket.born && statedAt <= bucket.statedAt);
+    if (!isNew && isOlder) {
+        return false;
+    }
+    const bool isChanged = stated.born != bucket.born || stated.callsPerSecond != bucket.callsPerSecond;
+    if (stated.born != bucket.born) {
+        bucket = {}; // without permits: what the other incarnation has not got is no credit of this one
+        bucket.born = stated.born;
+        bucket.updatedAt = now;
+    }
+    accrue(issuer, bucket, now);
+    bucket.callsPerSecond = stated.callsPerSecond;
+    bucket.statedAt = statedAt;
+    return isChanged;
+}
+
+unsigned issue(PermitIssuer &issuer, const std::string &server, unsigned wanted, TimePoint now)
+{
+    const auto found = issuer.buckets.find(server);
+    if (found == issuer.buckets.end() || found->second.callsPerSecond <= 0) {
+        return 0;
+    }
+    accrue(issuer, found->second, now);
+    const unsigned issued = std::min(wanted, static_cast<unsigned>(found->second.permits));
+    found->second.permits -= issued;
+    return issued;
+}
+
+void takeBack(PermitIssuer &issuer, const std::string &server, unsigned permits, TimePoint now)
+{
+    if (const auto found = issuer.buckets.find(server); found != issuer.buckets.end()) {
+        found->second.permits += permits;
+        accrue(issuer, found->second, now);
+    }
+}
+
+void forgetEnded(PermitIssuer &issuer, TimePoint now)
+{
+    std::erase_if(issuer.buckets, [&issuer, now](const auto &item) {
+        return item.second.callsPerSecond <= 0 && now - item.second.statedAt > issuer.options.memory;
+    });
+}
+
+} // namespace mimosahollow::callpermits
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -214,6 +214,7 @@
     m_rateLimiter.accounts.clear();
     m_rateLimiter.grantsStartAt = now + m_rateLimiter.options.takeoverDelay;
     m_entries.clear();
+    m_permitIssuer = {};
     m_crashLedger = {};
     m_quarantinedSince.clear();
     m_unconfirmedReports.clear();
@@ -316,6 +317,7 @@
             broadcastServers(refreshed, true, false);
         }
         forgetGoneServers();
+        callpermits::forgetEnded(m_permitIssuer, now);
         if (leads()) {
             const auto expired = registry::expire(m_registry, now);
             if (!expired.empty()) {
@@ -406,6 +408,10 @@
     gauge("log_index", m_state.index);
     gauge("catalog_version", m_state.catalogVersion);
     gauge("backend_servers", m_registry.entries.size());
+    const auto isLimited = [](const auto &item) {
+        return item.second.callsPerSecond > 0;
+    };
+    gauge("limited_backend_servers", static_cast<std::uint64_t>(std::count_if(m_permitIssuer.buckets.begin(), m_permitIssuer.buckets.end(), isLimited)));
     gauge("suspected_prompt_parts", leads() ? quarantine::suspects(m_crashLedger).size() : 0);
     gauge("quarantined_prompt_parts", m_state.quarantinedParts.size());
     const auto isVoter = [](const control::Member &member) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -5,6 +5,7 @@
 #include "coordinator/engineoperations.h"
 #include "fleetlink/linkhub.h"
 #include "mimosahollow/allowance/ratelimiter.h"
+#include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/catalog/catalogdecoder.h"
 #include "mimosahollow/catalog/catalogindex.h"
 #include "mimosahollow/control/consensus.h"
@@ -156,6 +157,7 @@
     void publishLoad(TimePoint now);
     void forgetGoneServers();
     void recordCrashes(const fleetlink::Peer &peer, const fleetlink::EntryReport &report, TimePoint now);
+    void handlePermitRequests(const fleetlink::EntryReport &report, EntryView &entry, TimePoint now);
     void applyQuarantine(TimePoint now);
     void planQuarantine(TimePoint now);
     boost::asio::awaitable<void> changeQuarantine(fleetstate::CommandKind kind, std::string part);
@@ -215,6 +217,7 @@
     TimePoint m_nextPlacement{}; // latest time; a report or an answer can cause a plan earlier
     boost::asio::steady_timer m_placementTimer;
     bool m_isPlacementScheduled = false;
+    callpermits::PermitIssuer m_permitIssuer; // on the leader
     quarantine::CrashLedger m_crashLedger; // on the leader
     std::map<std::string, TimePoint> m_quarantinedSince; // on the leader: by prompt part, as far as it knows
     std::set<std::string> m_pendingQuarantines; // prompt parts with a change on its way
--- a/src/coordinator/coordinatorfeed.cpp
+++ b/src/coordinator/coordinatorfeed.cpp
@@ -79,7 +79,12 @@
             running[load.serverKey] += load.running;
         }
     }
-    fleetlink::LoadDigest digest{m_placement.term, {}};
+    fleetlink::LoadDigest digest{m_placement.term, {}, now >= m_rateLimiter.grantsStartAt, {}};
+    for (const auto &[server, bucket] : m_permitIssuer.buckets) {
+        if (bucket.callsPerSecond > 0) {
+            digest.limits.push_back({registry::serverKey(server), bucket.callsPerSecond});
+        }
+    }
     for (const auto &[key, count] : running) {
         digest.servers.push_back({key, count});
     }
@@ -91,6 +96,9 @@
     std::erase_if(m_feed.rows, [this](const auto &row) {
         return !m_registry.entries.contains(row.first);
     });
+    std::erase_if(m_permitIssuer.buckets, [this](const auto &bucket) {
+        return !m_registry.entries.contains(bucket.first);
+    });
 }
 
 } // namespace mimosahollow::coordinator
--- a/src/coordinator/coordinatorinternal.h
+++ b/src/coordinator/coordinatorinternal.h
@@ -41,6 +41,7 @@
     std::uint64_t stamp = 0; /**< Of its last report. */
     std::vector<fleetlink::ServerLoad> running; /**< Its running calls. */
     bool wantsFeed = false; /**< It receives no feed from a coordinator of its failure domain. */
+    std::map<std::string, unsigned> permits; /**< Issued permits not yet sent to it, by backend server. */
     std::map<std::string, double> granted; /**< Granted tokens not yet sent to it, by organisation. */
 };
 
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -207,6 +207,7 @@
     }
     startGrantsEarly(now);
     recordCrashes(peer, report, now);
+    handlePermitRequests(report, entry, now);
     for (const fleetlink::NamedNumber &returned : report.returned) {
         allowance::returnTokens(m_rateLimiter, returned.name, returned.value);
     }
@@ -244,6 +245,33 @@
     confirmReports();
 }
 
+void Coordinator::handlePermitRequests(const fleetlink::EntryReport &report, EntryView &entry, TimePoint now)
+{
+    for (const fleetlink::ReportedLimit &reported : report.limits) {
+        if (callpermits::applyStatement(m_permitIssuer, reported.limit, now - milliseconds(reported.ageMilliseconds), now)) {
+            observability::DecisionLine line("server-limit");
+            line.add("server", reported.limit.server).add("born", reported.limit.born);
+            line.add("calls-per-minute", static_cast<std::uint64_t>(reported.limit.callsPerSecond * 60));
+            observability::logDecision(line.text());
+        }
+    }
+    if (!report.limits.empty()) {
+        std::set<std::string> limited;
+        for (const auto &[server, bucket] : m_permitIssuer.buckets) {
+            if (bucket.callsPerSecond > 0) {
+                limited.insert(server);
+            }
+        }
+        placement::setLimitedEngines(m_placement, limited);
+    }
+    for (const fleetlink::PermitRequest &request : report.permitRequests) {
+        callpermits::takeBack(m_permitIssuer, request.server, request.returned, now);
+        if (const unsigned issued = callpermits::issue(m_permitIssuer, request.server, request.wanted, now); issued > 0) {
+            entry.permits[request.server] += issued;
+        }
+    }
+}
+
 /** Confirms the leadership by one round of the log, for all reports that arrived before it. */
 void Coordinator::confirmReports()
 {
@@ -278,11 +306,14 @@
             continue;
         }
         EntryView &entry = found->second;
-        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds, suspects};
+        fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds, suspects, {}};
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
         entry.granted.clear();
+        for (const auto &[server, permits] : std::exchange(entry.permits, {})) {
+            reply.permits.push_back({server, permits});
+        }
         m_hub->send(entry.peer, reply);
     }
 }
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/dispatch/dispatch.h"
 
+#include "mimosahollow/dispatch/serverlimits.h"
+
 #include <algorithm>
 #include <optional>
 #include <unordered_map>
@@ -21,7 +23,7 @@
 constexpr Duration suspicionPeriod = milliseconds(600); // several reports to the leader
 constexpr Duration lateLoadLimit = milliseconds(1000); // a copy reported missing this long after its expected time is removed
 constexpr Duration quarantineRetry = seconds(60); // a quarantine lasts for minutes
-constexpr Duration longRetry = milliseconds(1000); // no usable backend server; capacity returns only by an announcement or a restart
+constexpr Duration longRetry = milliseconds(1000); // no usable backend server, or limits that last for seconds
 
 /** Whether @p server may receive @p call, regardless of its load and its adapters. */
 bool isUsable(const DispatchState &state, const ServerView &server, const Call &call, TimePoint now)
@@ -139,9 +141,11 @@
     if (cause == RefusalCause::AdapterNotLoaded) {
         return waitForAdapter(state, call, readyAt, now);
     }
-    const TimePoint limit = waitLimit(call, state.options.waitShare);
+    // Calls that wait for permits get another copy of their adapter, so they wait as long as those without a copy.
+    const bool isCopyExpected = cause == RefusalCause::LimitedServers && !call.adapter.empty();
+    const TimePoint limit = waitLimit(call, isCopyExpected ? state.options.adapterWaitShare : state.options.waitShare);
     if (now >= limit) {
-        return Refuse{cause, cause == RefusalCause::NoServer ? longRetry : shortRetry};
+        return Refuse{cause, cause == RefusalCause::NoServer || cause == RefusalCause::LimitedServers ? longRetry : shortRetry};
     }
     return Wait{cause, std::min(limit, now + recheckInterval)};
 }
@@ -159,6 +163,8 @@
         return "adapter-not-loaded";
     case RefusalCause::ColdServers:
         return "cold-servers";
+    case RefusalCause::LimitedServers:
+        return "limited-servers";
     case RefusalCause::QuarantinedPrompt:
         return "quarantined-prompt";
     }
@@ -190,6 +196,8 @@
     const std::uint64_t version = requiredVersion(state, call);
     std::optional<Candidate> best;
     double bestCost = 0;
+    ServerView *bestLimited = nullptr; // would be chosen with a permit
+    double bestLimitedCost = 0;
     TimePoint nextReady{};
     RefusalCause cause = RefusalCause::NoServer;
     for (auto &[id, server] : state.servers) {
@@ -215,11 +223,22 @@
             continue;
         }
         const double value = cost(state, server);
+        if (!hasPermit(server, now)) {
+            cause = std::max(cause, RefusalCause::LimitedServers);
+            if (bestLimited == nullptr || value < bestLimitedCost) {
+                bestLimited = &server;
+                bestLimitedCost = value;
+            }
+            continue;
+        }
         if (!best || value < bestCost) {
             best = copy;
             bestCost = value;
         }
     }
+    if (bestLimited != nullptr && (!best || bestLimitedCost < bestCost)) {
+        bestLimited->permitWishes.insert(call.id);
+    }
     if (best) {
         return Send{best->server->record.id, best->server->record.address, best->version};
     }
@@ -233,6 +252,7 @@
 {
     if (const auto found = state.servers.find(server); found != state.servers.end()) {
         ++found->second.running;
+        found->second.permits -= found->second.callsPerSecond > 0 && found->second.permits > 0 ? 1 : 0;
         if (now < found->second.coldUntil) {
             found->second.coldSends.push_back(now);
         }
@@ -337,7 +357,7 @@
     }
 }
 
-void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest)
+void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest, TimePoint now)
 {
     if (digest.term < state.placementTerm) {
         return;
@@ -347,7 +367,15 @@
     for (const fleetlink::ServerLoad &load : digest.servers) {
         running[load.serverKey] = load.running;
     }
+    std::unordered_map<std::uint32_t, double> limits;
+    for (const fleetlink::ServerLimit &limit : digest.limits) {
+        limits[limit.serverKey] = limit.callsPerSecond;
+    }
     for (auto &[id, server] : state.servers) {
+        if (digest.knowsLimits) {
+            const auto limit = limits.find(server.key);
+            applyLimit(server, limit == limits.end() ? 0 : limit->second, now);
+        }
         const auto found = running.find(server.key);
         const unsigned total = found == running.end() ? 0 : found->second;
         server.othersRunning = total - std::min(total, server.reportedRunning);
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -138,6 +138,48 @@
     return {table->part, table->age_milliseconds};
 }
 
+std::unique_ptr<wire::ReportedLimitT> toWire(const ReportedLimit &reported)
+{
+    auto table = std::make_unique<wire::ReportedLimitT>();
+    table->server = reported.limit.server;
+    table->born = reported.limit.born;
+    table->calls_per_second = reported.limit.callsPerSecond;
+    table->age_milliseconds = reported.ageMilliseconds;
+    return table;
+}
+
+ReportedLimit fromWire(const std::unique_ptr<wire::ReportedLimitT> &table)
+{
+    return {{table->server, table->born, table->calls_per_second}, table->age_milliseconds};
+}
+
+std::unique_ptr<wire::PermitRequestT> toWire(const PermitRequest &request)
+{
+    auto table = std::make_unique<wire::PermitRequestT>();
+    table->server = request.server;
+    table->wanted = request.wanted;
+    table->returned = request.returned;
+    return table;
+}
+
+PermitRequest fromWire(const std::unique_ptr<wire::PermitRequestT> &table)
+{
+    return {table->server, table->wanted, table->returned};
+}
+
+std::unique_ptr<wire::IssuedPermitsT> toWire(const IssuedPermits &issued)
+{
+    auto table = std::make_unique<wire::IssuedPermitsT>();
+    table->server = issued.server;
+    table->permits = issued.permits;
+    return table;
+}
+
+IssuedPermits fromWire(const std::unique_ptr<wire::IssuedPermitsT> &table)
+{
+    return {table->server, table->permits};
+}
+
 std::unique_ptr<wire::ServerPlacementT> toWire(const ServerPlacement &placement)
 {
     auto table = std::make_unique<wire::ServerPlacementT>();
@@ -240,6 +282,8 @@
     table.spent = converted<std::unique_ptr<wire::SpentTokensT>>(report.spent, itemToWire);
     table.ends = converted<std::unique_ptr<wire::ServerEndT>>(report.ends, itemToWire);
     table.sound_parts = converted<std::unique_ptr<wire::SoundPartT>>(report.soundParts, itemToWire);
+    table.limits = converted<std::unique_ptr<wire::ReportedLimitT>>(report.limits, itemToWire);
+    table.permit_requests = converted<std::unique_ptr<wire::PermitRequestT>>(report.permitRequests, itemToWire);
     body.Set(std::move(table));
 }
 
@@ -254,6 +298,7 @@
     table.wants_history = reply.wantsHistory;
     table.grants_tokens = reply.grantsTokens;
     table.suspected_parts = reply.suspectedParts;
+    table.permits = converted<std::unique_ptr<wire::IssuedPermitsT>>(reply.permits, itemToWire);
     body.Set(std::move(table));
 }
 
@@ -303,6 +348,11 @@
     wire::LoadDigestT table;
     table.term = digest.term;
     setLoads(table, digest.servers);
+    table.knows_limits = digest.knowsLimits;
+    for (const ServerLimit &limit : digest.limits) {
+        table.limited_keys.push_back(limit.serverKey);
+        table.limits.push_back(static_cast<float>(limit.callsPerSecond));
+    }
     body.Set(std::move(table));
 }
 
@@ -417,7 +467,9 @@
                            report->suspected,
                            report->wants_feed,
                            converted<ReportedEnd>(report->ends, itemFromWire),
-                           converted<SoundPart>(report->sound_parts, itemFromWire)};
+                           converted<SoundPart>(report->sound_parts, itemFromWire),
+                           converted<ReportedLimit>(report->limits, itemFromWire),
+                           converted<PermitRequest>(report->permit_requests, itemFromWire)};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
@@ -427,7 +479,8 @@
                            reply->wants_history,
                            reply->grants_tokens,
                            reply->load_milliseconds,
-                           reply->suspected_parts};
+                           reply->suspected_parts,
+                           converted<IssuedPermits>(reply->permits, itemFromWire)};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
         return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire), placement->number};
@@ -439,7 +492,11 @@
         return OrderCredit{credit->stamp};
     }
     if (const auto *digest = body.AsLoadDigest()) {
-        return LoadDigest{digest->term, loadsOf(*digest)};
+        LoadDigest copy{digest->term, loadsOf(*digest), digest->knows_limits, {}};
+        for (std::size_t row = 0; row < std::min(digest->limited_keys.size(), digest->limits.size()); ++row) {
+            copy.limits.push_back({digest->limited_keys[row], digest->limits[row]});
+        }
+        return copy;
     }
     if (const auto *request = body.AsOrderRequest()) {
         return orderFromWire(*request);
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -412,6 +412,9 @@
             ++m_sends;
             error = co_await exchange.begin(makeForwardedHead(m_request, m_entry.settings().headers, added), m_request.body(), m_head.id, m_call.deadline);
             if (error == ExchangeError::None) {
+                if (exchange.status() != 421) { // which another backend server at the same address sends
+                    m_entry.limitStated(target.server, exchange.header(m_entry.settings().headers.serverLimit));
+                }
                 end = co_await relayResponse(exchange);
             } else {
                 end = endOfExchange(error);
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -93,6 +93,8 @@
     void countRequest(const std::string &service);
     [[nodiscard]] bool takeRetry(const std::string &service);
     void handleMissingModel(const std::string &server, const dispatch::Call &call);
+    /** An answer of @p server names @p limit, a decimal number of calls per second; empty: none. */
+    void limitStated(const std::string &server, std::string_view limit);
     /** The answer of @p target to @p call ended too early, soon after its beginning. Tells the leader if the backend server has ended. */
     void answerBroke(const dispatch::Send &target, const dispatch::Call &call);
     /** A backend server has answered @p call without ending at its prompt. */
@@ -157,6 +159,8 @@
     boost::asio::awaitable<void> checkServer(Incarnation incarnation);
     void addCrashes(fleetlink::EntryReport &report, TimePoint now);
     void crashesReported(std::uint64_t stamp);
+    void addLimits(fleetlink::EntryReport &report, TimePoint now);
+    void permitsIssued(const fleetlink::LeaderReply &reply, TimePoint now);
     void postDispatchWaitingCalls();
     void dispatchWaitingCalls();
     void closeIdleCallers();
--- a/src/ingress/entrycalls.cpp
+++ b/src/ingress/entrycalls.cpp
@@ -101,7 +101,7 @@
                 waiter.timer.cancel();
             }
         });
-        if (wait.cause == dispatch::RefusalCause::AdapterNotLoaded) {
+        if (wait.cause == dispatch::RefusalCause::AdapterNotLoaded || wait.cause == dispatch::RefusalCause::LimitedServers) {
             scheduleReport(now + m_settings.urgentReportDelay);
         }
         postDispatchWaitingCalls();
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -61,7 +61,7 @@
         if (peer.hello.domain == m_settings.domain) {
             m_feedHeard = now;
         }
-        dispatch::applyLoad(m_dispatch, *digest);
+        dispatch::applyLoad(m_dispatch, *digest, now);
         postDispatchWaitingCalls();
     } else if (const auto *placement = std::get_if<fleetlink::PlacementUpdate>(&message)) {
         dispatch::applyPlacement(m_dispatch, *placement, now);
@@ -115,6 +115,7 @@
     m_sendsHistory = reply.wantsHistory;
     m_suspectedParts = {reply.suspectedParts.begin(), reply.suspectedParts.end()};
     crashesReported(reply.stamp);
+    permitsIssued(reply, now);
     for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
         waiter->cancel();
     }
@@ -250,6 +251,7 @@
         }
         addExpectedRetries(now);
         addCrashes(report, now);
+        addLimits(report, now);
         for (auto demand = m_demand.begin(); demand != m_demand.end();) {
             const auto running = m_running.find(demand->first);
             demand->second.running = running == m_running.end() ? 0 : running->second.calls;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -114,6 +114,13 @@
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
 }
 
+void setLimitedEngines(PlacementState &state, const std::set<std::string> &engines)
+{
+    for (auto &[id, engine] : state.engines) {
+        engine.isLimited = engines.contains(id);
+    }
+}
+
 void markUnreachable(PlacementState &state, const std::string &server, TimePoint now)
 {
     if (const auto found = state.engines.find(server); found != state.engines.end()) {
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -20,6 +20,7 @@
  * when no other can.
  */
 constexpr double unansweredPenaltyCost = 20;
+constexpr double limitPenaltyCost = 8; // more than a load from the weight store: calls on an engine with a limit wait for permits
 // Limits of the mean call time. Right after the start of a term, running calls are reported before the rate that caused them.
 constexpr Duration shortestCallTime = milliseconds(100);
 constexpr Duration longestCallTime = seconds(10);
@@ -37,6 +38,7 @@
     std::vector<ModelOrder> orders;
     unsigned storeTransfers = 0;
     std::map<AdapterKey, unsigned> usable; // copies with the required version, loaded or in transit
+    std::map<AdapterKey, unsigned> unlimited; // of these, the ones on engines without a limit
 
     [[nodiscard]] const catalog::EngineSpec *specOf(const EngineState &engine) const
     {
@@ -150,6 +152,7 @@
         engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isCached, false, false};
         touchHostCache(state, engine, key, version);
         ++usable[key];
+        unlimited[key] += engine.isLimited ? 0 : 1;
         send(id, engine, OrderKind::Load, key, version);
     }
 
@@ -171,18 +174,22 @@
         // The hash prefers the same engine for every load of an adapter, since that engine has it in host memory.
         const std::string name = key.model + "/" + key.adapter + "@" + id;
         const double affinityCost = static_cast<double>(XXH3_64bits(name.data(), name.size()) % 1024) / 1024;
+        const double limitPenalty = engine.isLimited ? limitPenaltyCost : 0;
         const double unansweredPenalty = now < engine.penalizedUntil ? unansweredPenaltyCost : 0;
-        return engine.expectedRunning / (engine.slots * state.options.batchSharePerCopy) + (isCached ? 0 : 2) + (isFree ? 0 : 0.3) + affinityCost
+        return engine.expectedRunning / (engine.slots * state.options.batchSharePerCopy) + (isCached ? 0 : 2) + (isFree ? 0 : 0.3) + affinityCost + limitPenalty
                + unansweredPenalty;
     }
 
-    /** Orders a load of @p key on the engine with the lowest cost, or an unload to make room. Returns false if no engine can take it. */
-    bool loadCopy(const AdapterKey &key, const DemandState &demand, Duration minimumIdle)
+    /**
+     * Orders a load of @p key on the engine with the lowest cost, or an unload to make room; with @p unlimitedOnly on engines without a limit
+     * only. Returns false if no engine can take it.
+     */
+    bool loadCopy(const AdapterKey &key, const DemandState &demand, Duration minimumIdle, bool unlimitedOnly = false)
     {
         const std::string *best = nullptr;
         double bestCost = 0;
         for (auto &[id, engine] : state.engines) {
-            if (engine.service != demand.service) {
+            if (engine.service != demand.service || (unlimitedOnly && engine.isLimited)) {
                 continue;
             }
             if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
@@ -227,7 +234,9 @@
                 // A copy whose load order gets no reply does not count, so that waiting calls get a copy on another engine.
                 const bool isSlow = engine.orderInFlight && engine.orderedAdapter == key && now - engine.lastOrder > state.options.slowOrderDelay;
                 const bool isReachable = engine.isReady && now >= engine.unreachableUntil && !isSlow && !hasUnresolvedOrder(engine, key);
-                usable[key] += isReachable && !copy.isUnloading && copy.version >= requiredVersion(state, key) ? 1 : 0;
+                const bool isUsable = isReachable && !copy.isUnloading && copy.version >= requiredVersion(state, key);
+                usable[key] += isUsable ? 1 : 0;
+                unlimited[key] += isUsable && !engine.isLimited ? 1 : 0;
             }
         }
     }
@@ -320,14 +329,14 @@
     };
 
     /**
-     * Loads first copies of adapters with waiting calls. When the weight store cannot deliver all of them, adapters that serve the most
-     * calls in time go first; in the order of arrival, all of them would be late.
+     * Loads first copies of adapters with waiting calls, and copies elsewhere if all are on engines that have named a limit. When the weight store cannot
+     * deliver all of them, adapters that serve the most calls in time go first; in the order of arrival, all of them would be late.
      */
     void loadWaitingAdapters()
     {
         std::vector<WaitingAdapter> waiting;
         for (const auto &[key, demand] : state.demand) {
-            if (!key.adapter.empty() && waitingCalls(demand) > 0 && usableCopies(key) == 0) {
+            if (!key.adapter.empty() && waitingCalls(demand) > 0 && unlimited[key] == 0) {
                 waiting.push_back({callsInTime(demand), demand.waitingSince, &key});
             }
         }
@@ -335,7 +344,7 @@
             return left.inTime != right.inTime ? left.inTime > right.inTime : left.since < right.since;
         });
         for (const WaitingAdapter &adapter : waiting) {
-            loadCopy(*adapter.key, state.demand[*adapter.key], state.options.minimumIdle);
+            loadCopy(*adapter.key, state.demand[*adapter.key], state.options.minimumIdle, usableCopies(*adapter.key) > 0);
         }
     }
 
@@ -391,7 +400,7 @@
 std::vector<ModelOrder> planOrders(PlacementState &state, const catalog::CatalogIndex &catalog, TimePoint now)
 {
     state.storeTransferLimit = storeTransferLimitOf(state.options, catalog);
-    Planner planner{state, catalog, now, {}, 0, {}};
+    Planner planner{state, catalog, now, {}, 0, {}, {}};
     planner.countUsableCopies();
     planner.loadBaseModels();
     planner.loadWaitingAdapters();
--- a/tests/feed/feed.cpp
+++ b/tests/feed/feed.cpp
@@ -157,17 +157,17 @@
     dispatch::ServerView &server = state.servers.at("s1");
     server.running = 4;
     server.reportedRunning = 3;
-    dispatch::applyLoad(state, {1, {{registry::serverKey("s1"), 8}}});
+    dispatch::applyLoad(state, {1, {{registry::serverKey("s1"), 8}}}, now);
     CHECK(server.othersRunning == 5);
     SECTION("a server that is not named runs no calls")
     {
-        dispatch::applyLoad(state, {1, {}});
+        dispatch::applyLoad(state, {1, {}}, now);
         CHECK(server.othersRunning == 0);
     }
     SECTION("a digest of an older term is dropped")
     {
         state.placementTerm = 2;
-        dispatch::applyLoad(state, {1, {}});
+        dispatch::applyLoad(state, {1, {}}, now);
         CHECK(server.othersRunning == 5);
     }
 }
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -32,6 +32,8 @@
     report.hasHistory = true;
     report.ends = {{{"s8", 12, {"5c1e", "91bd"}}, 40}};
     report.soundParts = {{"5c1e", 90}};
+    report.limits = {{{"s7", 3, 4.5}, 60}};
+    report.permitRequests = {{"s7", 2, 1}};
     return report;
 }
 
@@ -83,11 +85,23 @@
     REQUIRE(report.soundParts.size() == 1);
     CHECK(report.soundParts[0].part == "5c1e");
     CHECK(report.soundParts[0].ageMilliseconds == 90);
+    REQUIRE(report.limits.size() == 1);
+    CHECK(report.limits[0].limit.server == "s7");
+    CHECK(report.limits[0].limit.born == 3);
+    CHECK(report.limits[0].limit.callsPerSecond == 4.5);
+    CHECK(report.limits[0].ageMilliseconds == 60);
+    REQUIRE(report.permitRequests.size() == 1);
+    CHECK(report.permitRequests[0].server == "s7");
+    CHECK(report.permitRequests[0].wanted == 2);
+    CHECK(report.permitRequests[0].returned == 1);
     CHECK(report.wantsFeed);
     CHECK(report.returned[0].value == 8);
     CHECK(report.tokenWishes[0].name == "one");
 
-    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400, {"91bd"}});
+    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400, {"91bd"}, {{"s7", 2}}});
+    REQUIRE(reply.permits.size() == 1);
+    CHECK(reply.permits[0].server == "s7");
+    CHECK(reply.permits[0].permits == 2);
     CHECK(reply.suspectedParts == std::vector<std::string>{"91bd"});
     CHECK(reply.entries == 6);
     CHECK(reply.wantsHistory);
@@ -98,7 +112,11 @@
     CHECK(update.servers[0].born == 77);
     CHECK(update.servers[0].adapters[0].readyMilliseconds == 120);
 
-    const LoadDigest digest = roundTrip(LoadDigest{3, {{17, 4}, {18, 70'000}}});
+    const LoadDigest digest = roundTrip(LoadDigest{3, {{17, 4}, {18, 70'000}}, true, {{17, 2.5}}});
+    CHECK(digest.knowsLimits);
+    REQUIRE(digest.limits.size() == 1);
+    CHECK(digest.limits[0].serverKey == 17);
+    CHECK(digest.limits[0].callsPerSecond == 2.5);
     CHECK(digest.term == 3);
     CHECK(digest.servers[0].serverKey == 17);
     CHECK(digest.servers[0].running == 4);
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -178,6 +178,35 @@
     CHECK(orders[0].server != holder);
 }
 
+// Load pattern: engines name a limit for their calls. Guards against calls that wait for permits while other engines have room.
+TEST_CASE("Calls that wait for an engine with a limit get a copy on one without")
+{
+    Fleet fleet(2);
+    fleet.demand("a1", 1);
+    fleet.executeOrders();
+    REQUIRE(fleet.copies("a1") == 1);
+    const std::string holder = fleet.held["s1"].contains("a1") ? "s1" : "s2";
+    fleet.now += seconds(1);
+    SECTION("the other engine has none")
+    {
+        setLimitedEngines(fleet.state, {holder});
+        REQUIRE(planOrders(fleet.state, fleet.catalog, fleet.now).empty()); // no call waits
+        fleet.demand("a1", 1);
+        const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+        REQUIRE(orders.size() == 1);
+        CHECK(orders[0].server != holder);
+        CHECK(orders[0].kind == OrderKind::Load);
+    }
+    SECTION("all engines have one")
+    {
+        setLimitedEngines(fleet.state, {"s1", "s2"});
+        fleet.demand("a1", 1);
+        CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+        fleet.demand("a2", 1); // has no copy at all
+        CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).size() == 1);
+    }
+}
+
 // Load pattern: engines crash under load. Guards against calls that wait for copies there until the missing announcements are noticed, seconds later.
 TEST_CASE("A copy does not count on an engine whose state cannot be read")
 {
