ingress: a stream without length and chunks that is closed before its first event has broken off

Callers got an empty answer that looked complete: the end of the connection was taken for the end of a stream in which nothing had come. Such an attempt now counts as failed, like one that ends within an event.

--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -560,6 +560,7 @@
     m_events.partial.clear();
     std::string bytes;
     std::string completeEvents;
+    bool hasEvents = false; // of this backend server
     const auto cutOrFailed = [this] {
         return m_route->isResumable || !m_headSent ? AttemptEnd::Failed : AttemptEnd::Cut;
     };
@@ -580,6 +581,10 @@
             // The body was terminated correctly, but the last event is incomplete: the backend server stopped in the middle of it.
             co_return cutOrFailed();
         }
+        if (isEnd && exchange.endsWithConnection() && !hasEvents && completeEvents.empty()) {
+            co_return cutOrFailed(); // the connection was closed before the first event, and nothing else tells the end
+        }
+        hasEvents = hasEvents || !completeEvents.empty();
         if (!m_headSent && (!completeEvents.empty() || isEnd)) {
             m_headSent = true;
             m_entry.metrics().firstToken(Clock::now() - m_arrived);
--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -160,6 +160,38 @@
     CHECK(runs == 1);
 }
 
+// Guards against a stream without a length and chunks, which ends with its connection, being cut or passed on as complete when it has broken off.
+TEST_CASE("A stream that ends with its connection is complete only after whole events")
+{
+    EntryFixture fixture;
+    const auto caller = fixture.connect();
+    std::string events;
+    fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
+        boost::asio::write(connection->socket, boost::asio::buffer("HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: c1\r\n\r\n" + events));
+        connection->close();
+    };
+    SECTION("after its last event")
+    {
+        events = event(1) + event(2);
+        const std::string answer = fixture.call(caller, EntryFixture::request("/stream/x", "c1"), chunkEnd, seconds(3));
+        CHECK(answer.find("id: 2") != std::string::npos);
+        CHECK(answer.ends_with(chunkEnd));
+    }
+    SECTION("within an event")
+    {
+        events = event(1) + "id: 2\nda";
+        const std::string answer = fixture.call(caller, EntryFixture::request("/stream/x", "c1"), chunkEnd, seconds(3));
+        CHECK(answer.find("id: 1") != std::string::npos);
+        CHECK_FALSE(answer.ends_with(chunkEnd));
+        CHECK(caller->isBroken);
+    }
+    SECTION("before its first event")
+    {
+        const std::string answer = fixture.call(caller, EntryFixture::request("/stream/x", "c1"), "}\n", seconds(3));
+        CHECK(answer.starts_with("HTTP/1.1 502 "));
+    }
+}
+
 // Guards against work that is done twice because a backend server is only silent, or its announcements are.
 TEST_CASE("A call that runs on a backend server declared gone ends there, once")
 {
