scheduling: a pool owner refuses messages under which its servers end

The gateway hashes the messages of a prompt, the owner notes those of answers that broke off soon after their beginning, and counts an end when another process of the server announces itself. The verdict is that of the coordinators' ledger. It binds one pool: owners in other failure domains come to it by ends of their own.

--- a/include/mimosahollow/gateway/servingrequest.h
+++ b/include/mimosahollow/gateway/servingrequest.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mimosahollow::gateway {
 
@@ -27,6 +28,7 @@
     std::uint32_t promptTokens = 0; /**< Estimate. */
     std::uint32_t maximumOutputTokens = 0;
     std::uint64_t prefixHash = 0; /**< Hash of the start of the prompt, for prefix-cache affinity; 0: none. */
+    std::vector<std::uint64_t> promptParts; /**< Hashes of the messages of the prompt. */
     std::string idempotencyKey;
     std::uint64_t bodyHash = 0; /**< Detects another request under the same idempotency key. */
     TimePoint arrival{};
--- a/include/mimosahollow/scheduling/poolstate.h
+++ b/include/mimosahollow/scheduling/poolstate.h
@@ -2,6 +2,8 @@
 
 #include "mimosahollow/core/ids.h"
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/quarantine/crashledger.h"
+#include "mimosahollow/quarantine/soundparts.h"
 #include "mimosahollow/scheduling/adapterstate.h"
 #include "mimosahollow/scheduling/declaration.h"
 #include "mimosahollow/scheduling/requestindex.h"
@@ -11,6 +13,10 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosahollow::scheduling {
@@ -37,6 +43,13 @@
 {
     static constexpr std::size_t prefixEntries = 4096; // direct-mapped; a collision only costs a prefix-cache hit
 
+    /** Prompt parts of answers that broke off soon after their beginning on one process of a server. */
+    struct BrokenAnswers
+    {
+        TimePoint since;
+        std::set<std::string> parts;
+    };
+
     PoolId pool{};
     FencingNumber fencing = 0;
     SchedulingSettings settings;
@@ -70,6 +83,10 @@
     TimePoint ordersAllowedFrom; /**< Earliest order to servers that ignore fencing numbers. */
     TimePoint ownedSince;
     std::vector<InstanceId> unreportedInstances; /**< Entry instances that have not reported their grants to this owner. */
+    std::map<std::pair<std::uint32_t, std::uint64_t>, BrokenAnswers> brokenAnswers; /**< By server and incarnation. */
+    quarantine::CrashLedger crashes;
+    quarantine::SoundParts soundParts;
+    std::map<std::string, TimePoint> quarantinedSince; /**< By prompt part. */
     bool mayHaveUnknownGrants = false; /**< Grants of earlier owners may exist that this owner does not know. */
 };
 
--- a/include/mimosahollow/scheduling/request.h
+++ b/include/mimosahollow/scheduling/request.h
@@ -4,6 +4,7 @@
 #include "mimosahollow/core/time.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace mimosahollow::scheduling {
 
@@ -18,6 +19,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maximumOutputTokens = 0;
     std::uint64_t prefixHash = 0; /**< Hash of organisation and conversation; 0: none. */
+    std::vector<std::uint64_t> promptParts = {}; /**< Hashes of the messages of the prompt. */
     TimePoint deadline;
     bool repeatable = true;
 
--- a/src/gateway/calls.cpp
+++ b/src/gateway/calls.cpp
@@ -231,6 +231,7 @@
     call.serving.promptTokens = model.promptTokens;
     call.serving.maximumOutputTokens = model.maximumOutputTokens;
     call.serving.prefixHash = model.prefixHash;
+    call.serving.promptParts = model.promptParts;
     call.attempt.contentType = "application/json";
     call.attempt.stream = model.stream;
     call.attempt.target = endpoint == ModelEndpoint::ChatCompletions ? "/v1/chat/completions" : "/v1/completions";
--- a/src/gateway/modelcall.cpp
+++ b/src/gateway/modelcall.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t bytesPerToken = 4;
 // Length of the prompt start that decides about prefix-cache affinity; system prompts are usually longer.
 constexpr std::size_t prefixBytes = 256;
+// Bounds what one call adds to the messages between instances; older messages of a long conversation have been answered before.
+constexpr std::size_t maximumPromptParts = 32;
 // Engines nest at most a few levels; deep nesting only costs stack.
 constexpr std::size_t maximumJsonDepth = 32;
 // "base:name@version"; longer names only fill log lines.
@@ -76,6 +78,24 @@
     return json::object{{"include_usage", include != nullptr && include->get_bool()}};
 }
 
+/** Hashes of the last messages of @p prompt, or of @p prompt itself if it is no list. */
+std::vector<std::uint64_t> hashParts(const json::value &prompt)
+{
+    const auto hash = [](const json::value &part) {
+        const std::string text = json::serialize(part);
+        return XXH3_64bits(text.data(), text.size());
+    };
+    const json::array *messages = prompt.if_array();
+    if (messages == nullptr) {
+        return {hash(prompt)};
+    }
+    std::vector<std::uint64_t> parts;
+    for (std::size_t i = messages->size() - std::min(messages->size(), maximumPromptParts); i < messages->size(); ++i) {
+        parts.push_back(hash((*messages)[i]));
+    }
+    return parts;
+}
+
 } // namespace
 
 std::variant<ModelCall, std::string> parseModelCall(ModelEndpoint endpoint, std::string_view body)
@@ -130,6 +150,7 @@
     call.promptTokens = static_cast<std::uint32_t>(promptText.size() / bytesPerToken + 1);
     call.maximumOutputTokens = std::get<std::uint32_t>(tokens);
     call.prefixHash = XXH3_64bits(promptText.data(), std::min(promptText.size(), prefixBytes));
+    call.promptParts = hashParts(*prompt);
     if (call.stream && !forwardedOptions->empty()) {
         forwarded["stream_options"] = *forwardedOptions;
     }
--- a/src/gateway/modelcall.h
+++ b/src/gateway/modelcall.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace mimosahollow::gateway {
 
@@ -24,6 +25,7 @@
     std::uint32_t promptTokens = 0; /**< Estimate from the size of the prompt. */
     std::uint32_t maximumOutputTokens = 0;
     std::uint64_t prefixHash = 0;
+    std::vector<std::uint64_t> promptParts; /**< Hash of each message, or of the whole prompt. */
     std::string upstreamBody; /**< JSON for the backend server without "model" and "adapter"; never contains headers of the caller. A key that the
                                    caller writes into its prompt is content; see repeatsKey() in calls.cpp. */
 };
--- a/src/link/poolcodec.cpp
+++ b/src/link/poolcodec.cpp
@@ -33,6 +33,7 @@
     Encoded operator()(const PoolAcquire &message) const
     {
         const scheduling::AcquireRequest &request = message.request;
+        const auto promptParts = request.promptParts.empty() ? 0 : builder.CreateVector(request.promptParts);
         const auto content = wire::CreateAcquireRequest(builder,
                                                         request.id.process,
                                                         request.id.sequence,
@@ -45,7 +46,8 @@
                                                         request.maximumOutputTokens,
                                                         request.prefixHash,
                                                         microseconds(request.deadline - now),
-                                                        request.repeatable);
+                                                        request.repeatable,
+                                                        promptParts);
         return {wire::PoolContent_AcquireRequest, content.Union()};
     }
 
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -57,6 +57,9 @@
     message.request.prefixHash = table.prefix_hash();
     message.request.deadline = now + *remaining;
     message.request.repeatable = table.repeatable();
+    if (table.prompt_parts() != nullptr) {
+        message.request.promptParts.assign(table.prompt_parts()->begin(), table.prompt_parts()->end());
+    }
     return message;
 }
 
--- /dev/null
+++ b/src/scheduling/crashes.cpp
@@ -0,0 +1,108 @@
+#include "crashes.h"
+
+#include "placement.h"
+
+#include <algorithm>
+
+namespace mimosahollow::scheduling {
+
+namespace {
+
+constexpr Duration firstTokensTime = milliseconds(700); // an answer that breaks off later was not ended by its own prompt
+constexpr Duration quarantineTime = seconds(600); // until a part is tried again
+constexpr Duration resetMemory = seconds(30); // within which the next process of a server announces itself
+constexpr Duration quarantineRetry = seconds(60);
+
+std::string nameOf(std::uint64_t part)
+{
+    return std::to_string(part);
+}
+
+} // namespace
+
+bool isQuarantined(const PoolState &state, const AcquireRequest &request)
+{
+    return !state.quarantinedSince.empty() && std::any_of(request.promptParts.begin(), request.promptParts.end(), [&state](std::uint64_t part) {
+        return state.quarantinedSince.contains(nameOf(part));
+    });
+}
+
+void refuseQuarantined(const AcquireRequest &request, Actions &actions)
+{
+    refuse(request, RefusalReason::PromptQuarantined, quarantineRetry, actions);
+}
+
+void judgePrompt(PoolState &state, const RequestRecord &record, const Release &release, TimePoint now)
+{
+    if (record.request.promptParts.empty() || record.grantedAt == TimePoint{}) {
+        return;
+    }
+    if (release.outcome == ReleaseOutcome::Completed) {
+        for (const std::uint64_t part : record.request.promptParts) {
+            quarantine::recordSoundAnswer(state.soundParts, nameOf(part), now);
+        }
+        return;
+    }
+    const bool isShort = release.firstTokenLatency == Duration{} || now - (record.grantedAt + release.firstTokenLatency) < firstTokensTime;
+    if (release.outcome != ReleaseOutcome::ConnectionReset || !isShort) {
+        return;
+    }
+    PoolState::BrokenAnswers &broken = state.brokenAnswers[{number(state.servers[record.server].id), record.incarnation}];
+    broken.since = broken.parts.empty() ? now : broken.since;
+    for (const std::uint64_t part : record.request.promptParts) {
+        broken.parts.insert(nameOf(part));
+    }
+}
+
+void serverProcessEnded(PoolState &state, const ServerState &server, TimePoint now)
+{
+    const auto broken = state.brokenAnswers.extract({number(server.id), server.incarnation});
+    if (broken.empty() || now - broken.mapped().since > resetMemory) {
+        return;
+    }
+    const auto &parts = broken.mapped().parts;
+    quarantine::recordEnd(state.crashes, {std::to_string(number(server.id)), server.incarnation, {parts.begin(), parts.end()}}, broken.mapped().since);
+    for (const std::string &part : parts) {
+        if (const auto soundAt = quarantine::lastSoundAnswer(state.soundParts, part)) {
+            quarantine::recordSoundAnswer(state.crashes, part, *soundAt);
+        }
+    }
+}
+
+void planQuarantine(PoolState &state, TimePoint now, Actions &actions)
+{
+    std::erase_if(state.brokenAnswers, [now](const auto &item) {
+        return now - item.second.since > resetMemory;
+    });
+    for (auto since = state.quarantinedSince.begin(); since != state.quarantinedSince.end();) {
+        if (now - since->second < quarantineTime) {
+            ++since;
+            continue;
+        }
+        quarantine::release(state.crashes, since->first);
+        since = state.quarantinedSince.erase(since);
+    }
+    if (state.crashes.ends.empty()) {
+        return;
+    }
+    for (const std::string &part : quarantine::suspects(state.crashes)) {
+        if (const auto soundAt = quarantine::lastSoundAnswer(state.soundParts, part)) {
+            quarantine::recordSoundAnswer(state.crashes, part, *soundAt);
+        }
+    }
+    const auto culprits = quarantine::findCulprits(state.crashes, now);
+    for (const std::string &part : culprits) {
+        state.quarantinedSince[part] = now;
+        state.crashes.quarantined.insert(part);
+    }
+    if (culprits.empty()) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < state.records.size(); ++i) {
+        if (state.records[i].phase == RequestPhase::Waiting && isQuarantined(state, state.records[i].request)) {
+            refuseWaiting(state, i, RefusalReason::PromptQuarantined, quarantineRetry, actions);
+        }
+    }
+}
+
+} // namespace mimosahollow::scheduling
--- a/src/scheduling/requests.cpp
+++ b/src/scheduling/requests.cpp
@@ -1,5 +1,6 @@
 #include "mimosahollow/scheduling/pool.h"
 
+#include "crashes.h"
 #include "loads.h"
 #include "lookup.h"
 #include "placement.h"
@@ -110,6 +111,10 @@
         refuse(request, RefusalReason::DeadlineExceeded, {}, actions);
         return;
     }
+    if (isQuarantined(state, request)) {
+        refuseQuarantined(request, actions);
+        return;
+    }
     if (!canRun(state, request)) {
         refuse(request, RefusalReason::NoCapacity, overloadedRetry, actions);
         return;
@@ -149,6 +154,7 @@
         return;
     }
     const std::uint32_t server = record.server;
+    judgePrompt(state, record, release, now);
     applyReleaseOutcome(state, record, release, now);
     endGrant(state, position, release.tokensUsed);
     grantWaiting(state, server, now, actions);
--- a/src/scheduling/servers.cpp
+++ b/src/scheduling/servers.cpp
@@ -1,6 +1,7 @@
 #include "mimosahollow/scheduling/pool.h"
 
 #include "availability.h"
+#include "crashes.h"
 #include "loads.h"
 #include "lookup.h"
 #include "placement.h"
@@ -20,6 +21,7 @@
         eraseSlot(state, position, i, now);
     }
     server.erased.clear();
+    serverProcessEnded(state, server, now);
     server.incarnation = announcement.incarnation;
     server.announced = true;
     server.slowStart.coldLimit = std::max(1U, announcement.coldLimit);
--- a/src/scheduling/tick.cpp
+++ b/src/scheduling/tick.cpp
@@ -1,6 +1,7 @@
 #include "mimosahollow/scheduling/pool.h"
 
 #include "availability.h"
+#include "crashes.h"
 #include "loads.h"
 #include "lookup.h"
 #include "placement.h"
@@ -50,6 +51,7 @@
     }
     expireOrders(state, now);
     expireRequests(state, now, actions);
+    planQuarantine(state, now, actions);
     if (markSilentServers(state, now)) {
         applyAvailability(state, now, actions);
         return;
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -217,6 +217,7 @@
     request.promptTokens = call.request.promptTokens;
     request.maximumOutputTokens = call.request.maximumOutputTokens;
     request.prefixHash = call.request.prefixHash;
+    request.promptParts = call.request.promptParts;
     request.deadline = call.deadline;
     request.repeatable = call.repeatable;
     sendToOwner(state, pool.pool, pool.owner, request, now, actions);
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -22,7 +22,7 @@
 {
     PoolAcquire message;
     message.pool = PoolId{3};
-    message.request = {{1, 2}, InstanceId{4}, OrganisationId{5}, 2.5, AdapterId{6}, 70, 80, 90, sent + seconds(9), false};
+    message.request = {{1, 2}, InstanceId{4}, OrganisationId{5}, 2.5, AdapterId{6}, 70, 80, 90, {11, 12}, sent + seconds(9), false};
     return message;
 }
 
--- a/tests/scheduling/poolfixture.h
+++ b/tests/scheduling/poolfixture.h
@@ -64,6 +64,7 @@
         request.promptTokens = 100;
         request.maximumOutputTokens = outputTokens;
         request.prefixHash = prefix;
+        request.promptParts = promptParts;
         request.deadline = now + timeout;
         actions.clear();
         submit(state, request, now, actions);
@@ -138,6 +139,7 @@
     std::uint32_t coldLimit;
     bool checksFencing = true;
     std::uint64_t prefix = 0;
+    std::vector<std::uint64_t> promptParts; /**< Of the next requests. */
     std::uint64_t sequence = 0;
     TimePoint now{seconds(1000)};
     Actions actions;
