--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -3,8 +3,8 @@
 #include "mimosahollow/placement/placementstate.h"
 #include "mimosahollow/registry/serverrecord.h"
 
-#include <span>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
