--- a/include/mimosahollow/quarantine/soundparts.h
+++ b/include/mimosahollow/quarantine/soundparts.h
@@ -12,7 +12,7 @@
 /** Prompt parts that were answered soundly, with the time of the newest such answer. Parts not answered for long are dropped first. */
 struct SoundParts
 {
-    std::size_t generationSize = 4096; /**< At most twice as many parts are kept. */
+    std::size_t generationSize = 1024; /**< At most twice as many parts are kept. */
     std::unordered_map<std::string, TimePoint> current;
     std::unordered_map<std::string, TimePoint> previous;
 };
