quarantine: keep the times that both front ends use in one place

The time of first tokens, the length of a quarantine and the time told to callers stood two or three times, in dispatch, the entry instance, the coordinator's settings and the pool owner; they are now in quarantine/times.h. The pool owner copied sound answers to its ledger in two equal loops, and the gateway serialized a plain prompt a second time to hash it. A comment of the ledger named the wrong parts. Behaviour is unchanged.

--- a/include/mimosahollow/quarantine/crashledger.h
+++ b/include/mimosahollow/quarantine/crashledger.h
@@ -42,7 +42,7 @@
     };
     LedgerOptions options;
     std::map<std::pair<std::string, std::uint64_t>, End> ends; /**< By server and incarnation. */
-    std::map<std::string, Part> parts; /**< Of suspects, and of parts released from quarantine. */
+    std::map<std::string, Part> parts; /**< Suspects, and parts with reported sound answers, as long as an end names them. */
     std::set<std::string> quarantined; /**< As decided; the ends at these parts are explained. */
     std::set<std::string> released; /**< One more end at such a part is sufficient. */
 };
--- a/src/coordinator/coordinatorquarantine.cpp
+++ b/src/coordinator/coordinatorquarantine.cpp
@@ -2,6 +2,7 @@
 
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
+#include "mimosahollow/quarantine/times.h"
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -54,7 +55,7 @@
         }
     }
     for (const auto &[part, since] : m_quarantinedSince) {
-        if (now - since >= m_settings.quarantineTime && m_pendingQuarantines.insert(part).second) {
+        if (now - since >= quarantine::quarantineTime && m_pendingQuarantines.insert(part).second) {
             asio::co_spawn(m_context, changeQuarantine(fleetstate::CommandKind::ReleasePart, part), asio::detached);
         }
     }
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -30,7 +30,6 @@
     std::vector<std::string> seeds; /**< Link addresses of coordinators; may be out of date. */
     bool bootstrapsFleet = false; /**< First start of the whole fleet: the seeds are its initial voters. */
     std::string dataFolder;
-    Duration quarantineTime = seconds(600); /**< After which a prompt part is tried again. */
     Duration changeTimeout = milliseconds(1500); /**< To commit a change; callers resend after less than 4 s. */
     Duration readTimeout = milliseconds(700); /**< For a linearizable read; callers give up after 1 s. */
     /**
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "mimosahollow/dispatch/dispatch.h"
 
 #include "mimosahollow/dispatch/serverlimits.h"
+#include "mimosahollow/quarantine/times.h"
 
 #include <algorithm>
 #include <optional>
@@ -22,7 +23,6 @@
 constexpr Duration lateLoadExtension = milliseconds(60);
 constexpr Duration suspicionPeriod = milliseconds(600); // several reports to the leader
 constexpr Duration lateLoadLimit = milliseconds(1000); // a copy reported missing this long after its expected time is removed
-constexpr Duration quarantineRetry = seconds(60); // a quarantine lasts for minutes
 constexpr Duration longRetry = milliseconds(1000); // no usable backend server, or limits that last for seconds
 
 /** Whether @p server may receive @p call, regardless of its load and its adapters. */
@@ -180,7 +180,7 @@
 
 Refuse quarantineRefusal()
 {
-    return {RefusalCause::QuarantinedPrompt, quarantineRetry};
+    return {RefusalCause::QuarantinedPrompt, quarantine::retryAfter};
 }
 
 Decision decide(DispatchState &state, const Call &call, TimePoint now)
--- a/src/gateway/modelcall.cpp
+++ b/src/gateway/modelcall.cpp
@@ -78,20 +78,19 @@
     return json::object{{"include_usage", include != nullptr && include->get_bool()}};
 }
 
-/** Hashes of the last messages of @p prompt, or of @p prompt itself if it is no list. */
-std::vector<std::uint64_t> hashParts(const json::value &prompt)
+/** Hashes of the last messages of @p prompt, or of its serialized form @p promptText if it is no list. */
+std::vector<std::uint64_t> hashParts(const json::value &prompt, const std::string &promptText)
 {
-    const auto hash = [](const json::value &part) {
-        const std::string text = json::serialize(part);
+    const auto hash = [](const std::string &text) {
         return XXH3_64bits(text.data(), text.size());
     };
     const json::array *messages = prompt.if_array();
     if (messages == nullptr) {
-        return {hash(prompt)};
+        return {hash(promptText)};
     }
     std::vector<std::uint64_t> parts;
     for (std::size_t i = messages->size() - std::min(messages->size(), maximumPromptParts); i < messages->size(); ++i) {
-        parts.push_back(hash((*messages)[i]));
+        parts.push_back(hash(json::serialize((*messages)[i])));
     }
     return parts;
 }
@@ -150,7 +149,7 @@
     call.promptTokens = static_cast<std::uint32_t>(promptText.size() / bytesPerToken + 1);
     call.maximumOutputTokens = std::get<std::uint32_t>(tokens);
     call.prefixHash = XXH3_64bits(promptText.data(), std::min(promptText.size(), prefixBytes));
-    call.promptParts = hashParts(*prompt);
+    call.promptParts = hashParts(*prompt, promptText);
     if (call.stream && !forwardedOptions->empty()) {
         forwarded["stream_options"] = *forwardedOptions;
     }
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -6,6 +6,7 @@
 #include "mimosahollow/dispatch/dispatch.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
+#include "mimosahollow/quarantine/times.h"
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/beast/http/field.hpp>
@@ -32,9 +33,6 @@
 constexpr Duration rateRetryAfter = milliseconds(1000); // the token bucket holds about one second of its rate
 constexpr Duration notRunRetryAfter = milliseconds(300);
 
-/** An answer that breaks off later than this after its beginning was not ended by its own prompt; one that still arrives then is sound. */
-constexpr Duration firstTokensTime = milliseconds(700);
-
 LocalResponse makeRefusal(const dispatch::Refuse &refusal)
 {
     const bool isQuarantined = refusal.cause == dispatch::RefusalCause::QuarantinedPrompt;
@@ -444,7 +442,7 @@
     if (!m_answerBegan || !isSuccess) {
         return;
     }
-    const bool isShort = Clock::now() - *m_answerBegan < firstTokensTime;
+    const bool isShort = Clock::now() - *m_answerBegan < quarantine::firstTokensTime;
     const bool isBroken = end == AttemptEnd::Failed || end == AttemptEnd::Cut;
     // The end of an answer without a length may also be that of its backend server.
     const bool isOpenEnded = end == AttemptEnd::Answered && exchange.endsWithConnection();
@@ -595,7 +593,7 @@
             }
         }
         if (!completeEvents.empty()) {
-            if (!m_isSound && Clock::now() - *m_answerBegan >= firstTokensTime) {
+            if (!m_isSound && Clock::now() - *m_answerBegan >= quarantine::firstTokensTime) {
                 m_isSound = true;
                 m_entry.answeredSoundly(m_call);
             }
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -2,22 +2,32 @@
 
 #include "placement.h"
 
+#include "mimosahollow/quarantine/times.h"
+
 #include <algorithm>
 
 namespace mimosahollow::scheduling {
 
 namespace {
 
-constexpr Duration firstTokensTime = milliseconds(700); // an answer that breaks off later was not ended by its own prompt
-constexpr Duration quarantineTime = seconds(600); // until a part is tried again
 constexpr Duration resetMemory = seconds(30); // within which the next process of a server announces itself
-constexpr Duration quarantineRetry = seconds(60);
 
 std::string nameOf(std::uint64_t part)
 {
     return std::to_string(part);
 }
 
+/** Tells the ledger of the newest sound answers to calls with @p parts. */
+template<typename Parts>
+void copySoundAnswers(PoolState &state, const Parts &parts)
+{
+    for (const std::string &part : parts) {
+        if (const auto soundAt = quarantine::lastSoundAnswer(state.soundParts, part)) {
+            quarantine::recordSoundAnswer(state.crashes, part, *soundAt);
+        }
+    }
+}
+
 } // namespace
 
 bool isQuarantined(const PoolState &state, const AcquireRequest &request)
@@ -29,7 +39,7 @@
 
 void refuseQuarantined(const AcquireRequest &request, Actions &actions)
 {
-    refuse(request, RefusalReason::PromptQuarantined, quarantineRetry, actions);
+    refuse(request, RefusalReason::PromptQuarantined, quarantine::retryAfter, actions);
 }
 
 void judgePrompt(PoolState &state, const RequestRecord &record, const Release &release, TimePoint now)
@@ -43,7 +53,7 @@
         }
         return;
     }
-    const bool isShort = release.firstTokenLatency == Duration{} || now - (record.grantedAt + release.firstTokenLatency) < firstTokensTime;
+    const bool isShort = release.firstTokenLatency == Duration{} || now - (record.grantedAt + release.firstTokenLatency) < quarantine::firstTokensTime;
     if (release.outcome != ReleaseOutcome::ConnectionReset || !isShort) {
         return;
     }
@@ -62,11 +72,7 @@
     }
     const auto &parts = broken.mapped().parts;
     quarantine::recordEnd(state.crashes, {std::to_string(number(server.id)), server.incarnation, {parts.begin(), parts.end()}}, broken.mapped().since);
-    for (const std::string &part : parts) {
-        if (const auto soundAt = quarantine::lastSoundAnswer(state.soundParts, part)) {
-            quarantine::recordSoundAnswer(state.crashes, part, *soundAt);
-        }
-    }
+    copySoundAnswers(state, parts);
 }
 
 void planQuarantine(PoolState &state, TimePoint now, Actions &actions)
@@ -75,7 +81,7 @@
         return now - item.second.since > resetMemory;
     });
     for (auto since = state.quarantinedSince.begin(); since != state.quarantinedSince.end();) {
-        if (now - since->second < quarantineTime) {
+        if (now - since->second < quarantine::quarantineTime) {
             ++since;
             continue;
         }
@@ -85,11 +91,7 @@
     if (state.crashes.ends.empty()) {
         return;
     }
-    for (const std::string &part : quarantine::suspects(state.crashes)) {
-        if (const auto soundAt = quarantine::lastSoundAnswer(state.soundParts, part)) {
-            quarantine::recordSoundAnswer(state.crashes, part, *soundAt);
-        }
-    }
+    copySoundAnswers(state, quarantine::suspects(state.crashes));
     const auto culprits = quarantine::findCulprits(state.crashes, now);
     for (const std::string &part : culprits) {
         state.quarantinedSince[part] = now;
@@ -100,7 +102,7 @@
     }
     for (std::uint32_t i = 0; i < state.records.size(); ++i) {
         if (state.records[i].phase == RequestPhase::Waiting && isQuarantined(state, state.records[i].request)) {
-            refuseWaiting(state, i, RefusalReason::PromptQuarantined, quarantineRetry, actions);
+            refuseWaiting(state, i, RefusalReason::PromptQuarantined, quarantine::retryAfter, actions);
         }
     }
 }
