--- a/fuzz/poolcodec.cpp
+++ b/fuzz/poolcodec.cpp
@@ -27,7 +27,7 @@
 }
 
 const link::PoolMessage messages[] = {
-    link::PoolAcquire{PoolId{3}, {{1, 2}, InstanceId{4}, OrganisationId{5}, 2.5, AdapterId{6}, 70, 80, 90, now, false}},
+    link::PoolAcquire{PoolId{3}, {{1, 2}, InstanceId{4}, OrganisationId{5}, 2.5, AdapterId{6}, 70, 80, 90, {11, 12}, now, false}},
     link::PoolAcquireReply(scheduling::Grant{{1, 2}, InstanceId{3}, 4, 5, ServerId{6}, AdapterId{7}}),
     link::PoolAcquireReply(scheduling::Refusal{{1, 2}, InstanceId{3}, RefusalReason::NoCapacity, milliseconds(250)}),
     link::PoolRelease{PoolId{1}, {{2, 3}, 4, 5, scheduling::ReleaseOutcome::ConnectionReset, 6, milliseconds(7)}},
