scheduling: the owners of all pools of a kind share what they know of messages that end servers

Callers of `serve` saw servers end under one message in each failure domain in turn: the owner of a pool counted the ends of its own servers only, so a message that had been refused in one failure domain went on to end servers in the others, three to five times in each, and a new owner began at none.

Owners now send what they have seen (ends, sound answers, verdicts) to the owners of the other pools of the same kind: with the next summary after a change, and at the interval of remote summaries for owners that are new or missed a message. Ends and sound answers that others reported are not passed on, since their times would grow later with each exchange. A verdict is adopted with its time unless it was released since. The ledger keeps the time of a release instead of erasing ends, since ends from before the release can still arrive. The fields are optional ones of the summary, which older builds ignore.

The damage test of tests/poolcodec encoded a message decoded on the receiver's clock with the sender's clock. Summaries carried no times until now; it uses the receiver's clock for both and is as strict.

Tests of serving, quarantine, scheduling and poolcodec pass; the other tests were not run on this commit.

--- a/include/mimosahollow/quarantine/crashledger.h
+++ b/include/mimosahollow/quarantine/crashledger.h
@@ -44,7 +44,7 @@
     std::map<std::pair<std::string, std::uint64_t>, End> ends; /**< By server and incarnation. */
     std::map<std::string, Part> parts; /**< Suspects, and parts with reported sound answers, as long as an end names them. */
     std::set<std::string> quarantined; /**< As decided; the ends at these parts are explained. */
-    std::set<std::string> released; /**< One more end at such a part is sufficient. */
+    std::map<std::string, TimePoint> released; /**< With the time of the release; one later end at such a part is sufficient. */
 };
 
 /** Adds what an entry instance saw of an end; several reports of one end are merged. @p at is the time of the end. */
@@ -53,8 +53,8 @@
 /** A call with @p part was answered soundly until @p at. */
 void recordSoundAnswer(CrashLedger &ledger, const std::string &part, TimePoint at);
 
-/** Ends the quarantine of @p part on probation: one more end at it is sufficient for the next one. */
-void release(CrashLedger &ledger, const std::string &part);
+/** Ends the quarantine of @p part on probation: one end later than @p now is sufficient for the next one. */
+void release(CrashLedger &ledger, const std::string &part, TimePoint now);
 
 /** Parts about which entry instances are to report sound answers. */
 [[nodiscard]] std::vector<std::string> suspects(const CrashLedger &ledger);
--- a/include/mimosahollow/quarantine/serverend.h
+++ b/include/mimosahollow/quarantine/serverend.h
@@ -12,6 +12,8 @@
     std::string server;
     std::uint64_t born = 0; /**< Incarnation. */
     std::vector<std::string> parts; /**< Shared prompt parts of the calls that it had just begun to answer. */
+
+    friend bool operator==(const ServerEnd &, const ServerEnd &) = default;
 };
 
 } // namespace mimosahollow::quarantine
--- a/include/mimosahollow/scheduling/pool.h
+++ b/include/mimosahollow/scheduling/pool.h
@@ -60,6 +60,9 @@
 /** Continues with the state from exportState() of the former owner. @p fencing is above that of the former owner. */
 void importState(PoolState &state, PoolState &&handedOver, FencingNumber fencing, TimePoint now, Actions &actions);
 
+/** Takes over what the owner of another pool of the same kind has seen. */
+void applyCrashEvidence(PoolState &state, const CrashEvidence &evidence);
+
 [[nodiscard]] PoolSummary summarise(const PoolState &state, TimePoint now);
 
 } // namespace mimosahollow::scheduling
--- a/include/mimosahollow/scheduling/poolstate.h
+++ b/include/mimosahollow/scheduling/poolstate.h
@@ -5,6 +5,7 @@
 #include "mimosahollow/quarantine/crashledger.h"
 #include "mimosahollow/quarantine/soundparts.h"
 #include "mimosahollow/scheduling/adapterstate.h"
+#include "mimosahollow/scheduling/crashevidence.h"
 #include "mimosahollow/scheduling/declaration.h"
 #include "mimosahollow/scheduling/requestindex.h"
 #include "mimosahollow/scheduling/requestrecord.h"
@@ -84,9 +85,9 @@
     TimePoint ownedSince;
     std::vector<InstanceId> unreportedInstances; /**< Entry instances that have not reported their grants to this owner. */
     std::map<std::pair<std::uint32_t, std::uint64_t>, BrokenAnswers> brokenAnswers; /**< By server and incarnation. */
-    quarantine::CrashLedger crashes;
+    quarantine::CrashLedger crashes; /**< With the evidence of all owners. */
+    CrashEvidence crashEvidence; /**< For the other owners. */
     quarantine::SoundParts soundParts;
-    std::map<std::string, TimePoint> quarantinedSince; /**< By prompt part. */
     bool mayHaveUnknownGrants = false; /**< Grants of earlier owners may exist that this owner does not know. */
 };
 
--- a/include/mimosahollow/scheduling/poolsummary.h
+++ b/include/mimosahollow/scheduling/poolsummary.h
@@ -2,6 +2,7 @@
 
 #include "mimosahollow/core/ids.h"
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/scheduling/crashevidence.h"
 
 #include <cstdint>
 #include <vector>
@@ -30,6 +31,7 @@
     Duration expectedLoadWait{}; /**< Until a load that is requested now has finished. */
     std::vector<AdapterId> adapters; /**< Resident or being loaded, in ascending order. */
     std::vector<AdapterWait> waits; /**< Resident adapters with waiting requests, in ascending order; requests for others start at once. */
+    CrashEvidence crashEvidence; /**< Only in summaries to the owners of other pools of the same kind. */
 
     friend bool operator==(const PoolSummary &, const PoolSummary &) = default;
 };
--- a/include/mimosahollow/serving/servingstate.h
+++ b/include/mimosahollow/serving/servingstate.h
@@ -27,6 +27,7 @@
     TimePoint ownedUntil{}; /**< End of the lease; nothing may be granted or ordered from then on. */
     bool awaitsLoadToken = false; /**< A request for a token of the load budget is pending. */
     RequestId loadTokenRequestId; /**< Id of that request in the quota leases. */
+    scheduling::CrashEvidence sharedEvidence; /**< As last sent to the owners of the other pools of the same kind. */
 };
 
 /** An order that was sent to a backend server and has no result yet. */
--- a/src/coordinator/coordinatorquarantine.cpp
+++ b/src/coordinator/coordinatorquarantine.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr Duration planInterval = milliseconds(100); // short beside the time that several servers take to end
 
 } // namespace
@@ -79,7 +81,7 @@
     if (!std::holds_alternative<Committed>(result)) {
         observability::logWarning("the quarantine of prompt part " + part + " was not changed; it is tried again");
     } else if (isRelease) {
-        quarantine::release(m_crashLedger, part);
+        quarantine::release(m_crashLedger, part, Clock::now());
     }
 }
 
--- a/src/link/poolcodec.cpp
+++ b/src/link/poolcodec.cpp
@@ -109,6 +109,9 @@
         for (const scheduling::AdapterWait &wait : summary.waits) {
             waits.push_back(wire::CreateAdapterWait(builder, number(wait.adapter), microseconds(wait.wait)));
         }
+        const auto serverEnds = encodeEnds(summary.crashEvidence);
+        const auto soundAnswers = encodePartTimes(summary.crashEvidence.soundAnswers);
+        const auto quarantinedParts = encodePartTimes(summary.crashEvidence.quarantinedSince);
         const auto content = wire::CreatePoolSummary(builder,
                                                      number(summary.pool),
                                                      summary.fencing,
@@ -119,7 +122,10 @@
                                                      microseconds(summary.expectedWait),
                                                      microseconds(summary.expectedLoadWait),
                                                      builder.CreateVector(adapters),
-                                                     builder.CreateVector(waits));
+                                                     builder.CreateVector(waits),
+                                                     serverEnds,
+                                                     soundAnswers,
+                                                     quarantinedParts);
         return {wire::PoolContent_PoolSummary, content.Union()};
     }
 
@@ -154,6 +160,32 @@
     }
 
 private:
+    template<typename Table>
+    using OptionalVector = flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>;
+
+    OptionalVector<wire::ServerEnd> encodeEnds(const scheduling::CrashEvidence &evidence) const
+    {
+        std::vector<flatbuffers::Offset<wire::ServerEnd>> ends;
+        ends.reserve(evidence.ends.size());
+        for (const scheduling::CrashEvidence::End &shared : evidence.ends) {
+            const auto server = builder.CreateString(shared.end.server);
+            const auto parts = builder.CreateVectorOfStrings(shared.end.parts);
+            ends.push_back(wire::CreateServerEnd(builder, server, shared.end.born, microseconds(now - shared.at), parts));
+        }
+        return ends.empty() ? 0 : builder.CreateVector(ends);
+    }
+
+    OptionalVector<wire::PromptPartAge> encodePartTimes(const std::map<std::string, TimePoint> &times) const
+    {
+        std::vector<flatbuffers::Offset<wire::PromptPartAge>> ages;
+        ages.reserve(times.size());
+        for (const auto &[part, at] : times) {
+            const auto name = builder.CreateString(part);
+            ages.push_back(wire::CreatePromptPartAge(builder, name, microseconds(now - at)));
+        }
+        return ages.empty() ? 0 : builder.CreateVector(ages);
+    }
+
     Encoded reply(const RequestId &id, InstanceId entry, wire::AcquireResult kind, Offset result) const
     {
         const auto content = wire::CreateAcquireReply(builder, id.process, id.sequence, number(entry), kind, result);
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -23,6 +23,13 @@
     return std::chrono::microseconds(microseconds);
 }
 
+/** The time that is @p microseconds before @p now. */
+std::optional<TimePoint> pastTime(std::int64_t microseconds, TimePoint now) noexcept
+{
+    const auto age = duration(microseconds);
+    return age && *age >= Duration::zero() ? std::optional(now - *age) : std::nullopt;
+}
+
 template<typename Table>
 RequestId requestId(const Table &table) noexcept
 {
@@ -114,11 +121,53 @@
     return message;
 }
 
-Result convertSummary(const wire::PoolSummary &table)
+using PartTimes = std::map<std::string, TimePoint>;
+
+/** Returns nothing if a time is out of range. */
+std::optional<PartTimes> partTimes(const flatbuffers::Vector<flatbuffers::Offset<wire::PromptPartAge>> *ages, TimePoint now)
+{
+    PartTimes times;
+    if (ages == nullptr) {
+        return times;
+    }
+    for (const wire::PromptPartAge *age : *ages) {
+        const auto at = pastTime(age->age_us(), now);
+        if (!at) {
+            return std::nullopt;
+        }
+        times[age->prompt_part()->str()] = *at;
+    }
+    return times;
+}
+
+/** Returns nothing if a time is out of range. */
+std::optional<scheduling::CrashEvidence> crashEvidence(const wire::PoolSummary &table, TimePoint now)
+{
+    auto soundAnswers = partTimes(table.sound_answers(), now);
+    auto quarantinedSince = partTimes(table.quarantined_parts(), now);
+    if (!soundAnswers || !quarantinedSince) {
+        return std::nullopt;
+    }
+    scheduling::CrashEvidence evidence{{}, std::move(*soundAnswers), std::move(*quarantinedSince)};
+    if (table.server_ends() == nullptr) {
+        return evidence;
+    }
+    for (const wire::ServerEnd *end : *table.server_ends()) {
+        const auto at = pastTime(end->age_us(), now);
+        if (!at) {
+            return std::nullopt;
+        }
+        evidence.ends.push_back({{end->server()->str(), end->incarnation(), strings(*end->prompt_parts())}, *at});
+    }
+    return evidence;
+}
+
+Result convertSummary(const wire::PoolSummary &table, TimePoint now)
 {
     const auto wait = duration(table.expected_wait_us());
     const auto loadWait = duration(table.expected_load_wait_us());
-    if (!wait || !loadWait) {
+    auto evidence = crashEvidence(table, now);
+    if (!wait || !loadWait || !evidence) {
         return PoolCodecError::ValueOutOfRange;
     }
     scheduling::PoolSummary message;
@@ -130,6 +179,7 @@
     message.waiting = table.waiting();
     message.expectedWait = *wait;
     message.expectedLoadWait = *loadWait;
+    message.crashEvidence = std::move(*evidence);
     message.adapters.reserve(table.adapters()->size());
     for (const std::uint32_t adapter : *table.adapters()) {
         message.adapters.push_back(AdapterId{adapter});
@@ -181,7 +231,7 @@
     case wire::PoolContent_GrantReport:
         return convertGrantReport(*message.content_as_GrantReport(), now);
     case wire::PoolContent_PoolSummary:
-        return convertSummary(*message.content_as_PoolSummary());
+        return convertSummary(*message.content_as_PoolSummary(), now);
     case wire::PoolContent_ServerAnnouncement:
         return convertAnnouncement(*message.content_as_ServerAnnouncement());
     case wire::PoolContent_ServerReport:
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -9,13 +9,20 @@
 
 using Ends = std::vector<const CrashLedger::End *>;
 
-/** Ends that no quarantined part explains, oldest first. */
+/** Whether @p part is, or was at the time of @p end, known to end servers. Ends from before a release may be reported after it. */
+bool isKnownCause(const CrashLedger &ledger, const std::string &part, const CrashLedger::End &end)
+{
+    const auto released = ledger.released.find(part);
+    return ledger.quarantined.contains(part) || (released != ledger.released.end() && end.at <= released->second);
+}
+
+/** Ends that no known cause explains, oldest first. */
 Ends unexplainedEnds(const CrashLedger &ledger)
 {
     Ends ends;
     for (const auto &[incarnation, end] : ledger.ends) {
-        const bool isExplained = std::any_of(end.parts.begin(), end.parts.end(), [&ledger](const std::string &part) {
-            return ledger.quarantined.contains(part);
+        const bool isExplained = std::any_of(end.parts.begin(), end.parts.end(), [&ledger, &end = end](const std::string &part) {
+            return isKnownCause(ledger, part, end);
         });
         if (!isExplained) {
             ends.push_back(&end);
@@ -135,13 +142,10 @@
     record.soundAt = std::max(record.soundAt, at);
 }
 
-void release(CrashLedger &ledger, const std::string &part)
+void release(CrashLedger &ledger, const std::string &part, TimePoint now)
 {
     ledger.quarantined.erase(part);
-    ledger.released.insert(part);
-    std::erase_if(ledger.ends, [&part](const auto &item) {
-        return item.second.parts.contains(part);
-    });
+    ledger.released[part] = now;
 }
 
 std::vector<std::string> suspects(const CrashLedger &ledger)
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -239,12 +239,24 @@
     }
 }
 
+/** Tells the owned pools of the same kind what the owner of another pool has seen of ended servers. */
+void applyCrashEvidence(ServingState &state, const routing::PoolSummary &sender, const scheduling::CrashEvidence &evidence)
+{
+    for (auto &[id, owned] : state.pools) {
+        const routing::PoolSummary *summary = findSummary(state, id);
+        if (id != sender.pool && summary != nullptr && summary->kind == sender.kind) {
+            scheduling::applyCrashEvidence(owned.state, evidence);
+        }
+    }
+}
+
 void applySummary(ServingState &state, InstanceId from, const scheduling::PoolSummary &content, TimePoint now, Actions &actions)
 {
     routing::PoolSummary *summary = findSummary(state, content.pool);
     if (summary == nullptr || summary->owner != from) {
         return;
     }
+    applyCrashEvidence(state, *summary, content.crashEvidence);
     summary->reachable = true;
     summary->inService = content.inService;
     summary->expectedWait = content.expectedWait;
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -116,6 +116,33 @@
     return std::clamp<Duration>(remoteIntervalPerInstance * static_cast<std::int64_t>(instances), summaryInterval, maximumRemoteInterval);
 }
 
+/** Sends what an owned pool has seen of ended servers to the owners of the other pools of its kind. */
+void shareCrashEvidence(ServingState &state, PoolId id, OwnedPool &owned, TimePoint now, Actions &actions)
+{
+    owned.sharedEvidence = owned.state.crashEvidence;
+    if (owned.sharedEvidence == scheduling::CrashEvidence{}) {
+        return;
+    }
+    const control::Pool *own = findPool(state, id);
+    scheduling::PoolSummary summary = scheduling::summarise(owned.state, now);
+    summary.crashEvidence = owned.sharedEvidence;
+    for (const control::Pool &other : state.index.configuration->pools) {
+        if (own != nullptr && other.kind == own->kind && other.id != id) {
+            sendToOwner(state, other.id, other.owner, summary, now, actions);
+        }
+    }
+}
+
+/** Shares new evidence, and with @p includeKnown all of it, for owners that are new or missed a message. */
+void shareCrashEvidence(ServingState &state, bool includeKnown, TimePoint now, Actions &actions)
+{
+    for (auto &[id, owned] : state.pools) {
+        if (now < owned.ownedUntil && (includeKnown || owned.sharedEvidence != owned.state.crashEvidence)) {
+            shareCrashEvidence(state, id, owned, now, actions);
+        }
+    }
+}
+
 void publishSummaries(ServingState &state, TimePoint now, Actions &actions)
 {
     const auto &instances = state.index.configuration->instances;
@@ -134,6 +161,7 @@
             }
         }
     }
+    shareCrashEvidence(state, includeRemote, now, actions);
 }
 
 /** Handles an event of a server that another instance forwarded. Does not forward it again, so that it cannot circulate. */
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -59,9 +59,20 @@
     SECTION("a summary")
     {
         const scheduling::PoolSummary summary{
-            PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}, {{AdapterId{8}, milliseconds(10)}}};
+            PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}, AdapterId{9}}, {{AdapterId{8}, milliseconds(10)}}, {}};
         REQUIRE(passOn(summary) == summary);
     }
+    SECTION("a summary with ended servers, sound answers and quarantined parts, with their times on the receiver's clock")
+    {
+        const auto summaryAt = [](TimePoint now) {
+            scheduling::PoolSummary summary;
+            summary.crashEvidence.ends = {{{"11", 12, {"13", "14"}}, now - seconds(15)}, {{"16", 17, {}}, now - milliseconds(18)}};
+            summary.crashEvidence.soundAnswers = {{"14", now - seconds(19)}};
+            summary.crashEvidence.quarantinedSince = {{"13", now - seconds(20)}};
+            return summary;
+        };
+        REQUIRE(passOn(summaryAt(sent)) == summaryAt(received));
+    }
     SECTION("an announcement and a report of a server")
     {
         const gateway::BackendAnnouncement announcement{"s", "127.0.0.1:1", "a", "base", 2, 3, 4, 5, true, true, {"x@1", "y@2"}};
@@ -87,15 +98,24 @@
     }
     SECTION("any single damaged byte of a summary, with aligned access only") // found by the fuzz target under the sanitizers
     {
-        const scheduling::PoolSummary summary{
-            PoolId{1}, 2, true, 3, 4, 5, milliseconds(6), milliseconds(7), {AdapterId{8}}, {{AdapterId{8}, milliseconds(10)}}};
+        const scheduling::PoolSummary summary{PoolId{1},
+                                              2,
+                                              true,
+                                              3,
+                                              4,
+                                              5,
+                                              milliseconds(6),
+                                              milliseconds(7),
+                                              {AdapterId{8}},
+                                              {{AdapterId{8}, milliseconds(10)}},
+                                              {{{{"s", 9, {"p"}}, sent}}, {{"p", sent}}, {{"q", sent}}}};
         const std::vector<std::uint8_t> whole = encode(summary, sent);
         for (std::size_t i = 0; i < whole.size() * 256; ++i) {
             bytes = whole;
             bytes[i / 256] = static_cast<std::uint8_t>(i % 256);
             const auto decoded = decodePoolMessage(bytes, received);
             if (const auto *message = std::get_if<PoolMessage>(&decoded)) {
-                const auto again = decodePoolMessage(encode(*message, sent), received);
+                const auto again = decodePoolMessage(encode(*message, received), received);
                 REQUIRE(std::holds_alternative<PoolMessage>(again));
             }
         }
--- a/tests/quarantine/crashledger.cpp
+++ b/tests/quarantine/crashledger.cpp
@@ -154,7 +154,7 @@
     }
     REQUIRE(run.pass(seconds(1)) == Parts{"fatal"});
     run.ledger.quarantined.insert("fatal");
-    release(run.ledger, "fatal");
+    release(run.ledger, "fatal", run.now);
     CHECK(run.pass(seconds(1)).empty());
     run.end("s1", {"fatal", "other"});
     CHECK(run.pass(milliseconds(100)) == Parts{"fatal"});
--- a/tests/serving/fleet.h
+++ b/tests/serving/fleet.h
@@ -34,6 +34,8 @@
     TimePoint now = TimePoint{} + seconds(1000);
     std::map<RequestId, TrackedCall> calls;
     std::map<std::string, std::set<std::string>> resident; /**< Names of loaded adapters by server address. */
+    std::array<std::uint64_t, 4> incarnations{1, 1, 1, 1}; /**< Of the processes of the servers. */
+    std::vector<std::uint64_t> promptParts; /**< Of the next model calls. */
     std::map<std::string, unsigned> runsByKey; /**< Runs by idempotency key. */
     std::set<std::size_t> down; /**< Stopped instances. */
     std::set<std::size_t> unleased; /**< Instances whose pool leases are not renewed. */
@@ -79,6 +81,7 @@
         request.keyHash = KeyHash{key};
         request.promptTokens = 10;
         request.maximumOutputTokens = 10;
+        request.promptParts = promptParts;
         return submit(entry, std::move(request), expected, deadline);
     }
 
@@ -129,6 +132,17 @@
         });
     }
 
+    /** The server that runs a call ends just after the beginning of its answer, and comes back with its adapters. */
+    void endServerOf(const RequestId &id)
+    {
+        const std::string address = calls.at(id).servers.back();
+        finish(id, Outcome::FailedDuringAnswer);
+        const auto server = std::find_if(configuration.servers.begin(), configuration.servers.end(), [&address](const control::BackendServer &candidate) {
+            return candidate.address == address;
+        });
+        ++incarnations[number(server->id) - 1];
+    }
+
     /** The caller disconnects, while its call runs or waits. */
     void disconnectCaller(const RequestId &id)
     {
@@ -386,9 +400,9 @@
                 const control::BackendServer &server = configuration.servers[i];
                 const auto &adapters = resident[server.address];
                 const gateway::BackendAnnouncement announcement{
-                    server.name, server.address, "", server.kind, 1, 4, 2, 4, true, false, {adapters.begin(), adapters.end()}};
+                    server.name, server.address, "", server.kind, incarnations[i], 4, 2, 4, true, false, {adapters.begin(), adapters.end()}};
                 handle(states[i], announcement, now, actions);
-                handle(states[i], gateway::BackendReport{server.name, 1, 0, 0, announcement.adapters}, now, actions);
+                handle(states[i], gateway::BackendReport{server.name, incarnations[i], 0, 0, announcement.adapters}, now, actions);
             });
             if (i % 2 == 0) {
                 setBucketLease(states[i], i / 2 + 1, now + seconds(3), now);
