scheduling: the owner of a pool keeps the limits that its backend servers name

The entry instance passes the limit on when the head of an answer arrives, so that it does not wait for the end of a stream. The owner, which alone grants the slots of its servers, takes a permit for each grant; permits accrue at the limit. It marks grants of limited servers, whose answers then report the end of the limit too. If all usable servers have named limits, a request that could not start before its deadline is refused at once with the time until the next free permit, and pool summaries tell other instances of the wait. The bucket of permits and the check of the header are the ones of the entry instances on the users' platform.

The message uses the frame kind of server reports with a new content: older builds drop an unknown content with a log line, but close the link at an unknown kind.

Evidence: the new test of tests/serving, four instances in two failure domains, two servers that name 4 calls a second.

--- a/fuzz/poolcodec.cpp
+++ b/fuzz/poolcodec.cpp
@@ -28,7 +28,7 @@
 
 const link::PoolMessage messages[] = {
     link::PoolAcquire{PoolId{3}, {{1, 2}, InstanceId{4}, OrganisationId{5}, 2.5, AdapterId{6}, 70, 80, 90, {11, 12}, now, false}},
-    link::PoolAcquireReply(scheduling::Grant{{1, 2}, InstanceId{3}, 4, 5, ServerId{6}, AdapterId{7}}),
+    link::PoolAcquireReply(scheduling::Grant{{1, 2}, InstanceId{3}, 4, 5, ServerId{6}, AdapterId{7}, true}),
     link::PoolAcquireReply(scheduling::Refusal{{1, 2}, InstanceId{3}, RefusalReason::NoCapacity, milliseconds(250)}),
     link::PoolRelease{PoolId{1}, {{2, 3}, 4, 5, scheduling::ReleaseOutcome::ConnectionReset, 6, milliseconds(7)}},
     link::PoolGrantReport{PoolId{1}, {InstanceId{2}, {{{3, 4}, 5, 6, ServerId{7}, OrganisationId{8}, AdapterId{9}, 10, now}}}},
@@ -45,6 +45,7 @@
                             {{{{"s", 11, {"p", "q"}}, now}}, {{"q", now}}, {{"p", now}}}},
     gateway::BackendAnnouncement{"s", "127.0.0.1:1", "a", "base", 2, 3, 4, 5, true, true, {"x@1", "y@2"}},
     gateway::BackendReport{"s", 2, 3, 4, {"x@1"}},
+    link::PoolLimitStatement{PoolId{1}, {{2, 3}, 4, 5, 6.5}},
 };
 
 } // namespace
--- a/include/mimosahollow/callpermits/permitissuer.h
+++ b/include/mimosahollow/callpermits/permitissuer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/core/time.h"
 
 #include <cstdint>
@@ -16,19 +17,15 @@
     double callsPerSecond = 0; /**< From all entry instances together; 0: no limit. */
 };
 
-/** Permits of one backend server; they accrue at its limit. */
-struct PermitBucket
+/** Permits for one backend server, and the statement that set its limit. */
+struct ServerPermits : PermitBucket
 {
     std::uint64_t born = 0;
-    double callsPerSecond = 0; /**< 0: no limit. */
     TimePoint statedAt{};
-    double permits = 0;
-    TimePoint updatedAt{};
 };
 
 struct PermitIssuerOptions
 {
-    Duration burst = milliseconds(500); /**< Permits of this time can be issued at once, and one at least. */
     Duration memory = seconds(30); /**< An ended limit is kept for this long, so that an older statement does not bring it back. */
 };
 
@@ -36,7 +33,7 @@
 struct PermitIssuer
 {
     PermitIssuerOptions options;
-    std::map<std::string, PermitBucket> buckets; /**< By server. */
+    std::map<std::string, ServerPermits> buckets; /**< By server. */
 };
 
 /** Applies a statement made at @p statedAt, unless a newer one is known. Returns whether the limit of the server has changed. */
--- a/include/mimosahollow/gateway/backendevents.h
+++ b/include/mimosahollow/gateway/backendevents.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mimosahollow/core/ids.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,4 +34,12 @@
     std::vector<std::string> adapters;
 };
 
+/** An answer of a backend server names a limit, or none any more. */
+struct BackendLimit
+{
+    RequestId id; /**< Of the call that is answered. */
+    std::uint64_t grant = 0;
+    double callsPerSecond = 0; /**< From all instances together; 0: none. */
+};
+
 } // namespace mimosahollow::gateway
--- a/include/mimosahollow/gateway/servingevent.h
+++ b/include/mimosahollow/gateway/servingevent.h
@@ -10,6 +10,6 @@
 namespace mimosahollow::gateway {
 
 /** What the gateway and the order sender push into the dispatch ring. */
-using ServingEvent = std::variant<ServingRequest, ServingResult, BackendAnnouncement, BackendReport, BackendOrderResult>;
+using ServingEvent = std::variant<ServingRequest, ServingResult, BackendAnnouncement, BackendReport, BackendLimit, BackendOrderResult>;
 
 } // namespace mimosahollow::gateway
--- a/include/mimosahollow/gateway/servingreply.h
+++ b/include/mimosahollow/gateway/servingreply.h
@@ -20,6 +20,7 @@
     FencingNumber fencing = 0;
     TimePoint deadline{};
     bool repeatable = false;
+    bool isLimited = false; /**< The backend server has named a limit. */
 };
 
 /** The call is refused. */
--- a/include/mimosahollow/link/poolmessages.h
+++ b/include/mimosahollow/link/poolmessages.h
@@ -4,6 +4,7 @@
 #include "mimosahollow/gateway/backendevents.h"
 #include "mimosahollow/scheduling/actions.h"
 #include "mimosahollow/scheduling/grantreport.h"
+#include "mimosahollow/scheduling/limitstatement.h"
 #include "mimosahollow/scheduling/poolsummary.h"
 #include "mimosahollow/scheduling/release.h"
 #include "mimosahollow/scheduling/request.h"
@@ -40,8 +41,22 @@
     friend bool operator==(const PoolGrantReport &, const PoolGrantReport &) = default;
 };
 
+struct PoolLimitStatement
+{
+    PoolId pool{};
+    scheduling::LimitStatement statement;
+
+    friend bool operator==(const PoolLimitStatement &, const PoolLimitStatement &) = default;
+};
+
 /** Every message about a pool. Announcements and reports are passed on as the instance received them. */
-using PoolMessage =
-    std::variant<PoolAcquire, PoolAcquireReply, PoolRelease, PoolGrantReport, scheduling::PoolSummary, gateway::BackendAnnouncement, gateway::BackendReport>;
+using PoolMessage = std::variant<PoolAcquire,
+                                 PoolAcquireReply,
+                                 PoolRelease,
+                                 PoolGrantReport,
+                                 scheduling::PoolSummary,
+                                 gateway::BackendAnnouncement,
+                                 gateway::BackendReport,
+                                 PoolLimitStatement>;
 
 } // namespace mimosahollow::link
--- a/include/mimosahollow/scheduling/actions.h
+++ b/include/mimosahollow/scheduling/actions.h
@@ -19,6 +19,7 @@
     FencingNumber fencing = 0;
     ServerId server{};
     AdapterId adapter{};
+    bool isLimited = false; /**< The server has named a limit; the entry instance reports the end of it too. */
 
     friend bool operator==(const Grant &, const Grant &) = default;
 };
@@ -56,6 +57,8 @@
     LoadOnDemand,
     LoadReplica,
     EvictLeastUseful,
+    LimitNamed, /**< By the chosen server, or changed. */
+    LimitEnded,
     Refused,
 };
 
--- a/include/mimosahollow/scheduling/pool.h
+++ b/include/mimosahollow/scheduling/pool.h
@@ -3,6 +3,7 @@
 #include "mimosahollow/scheduling/actions.h"
 #include "mimosahollow/scheduling/declaration.h"
 #include "mimosahollow/scheduling/grantreport.h"
+#include "mimosahollow/scheduling/limitstatement.h"
 #include "mimosahollow/scheduling/poolstate.h"
 #include "mimosahollow/scheduling/poolsummary.h"
 #include "mimosahollow/scheduling/release.h"
@@ -37,6 +38,9 @@
 /** Ends a grant. Unknown grants and earlier grants of the same request are ignored. */
 void release(PoolState &state, const Release &release, TimePoint now, Actions &actions);
 
+/** Applies the limit that a server has named in an answer. Statements of unknown grants and of earlier processes of the server are ignored. */
+void applyLimit(PoolState &state, const LimitStatement &statement, TimePoint now, Actions &actions);
+
 /** Applies the result of an order. @p order is Order::order; numbers that no slot refers to are ignored. */
 void orderFinished(PoolState &state, std::uint64_t order, OrderOutcome outcome, TimePoint now, Actions &actions);
 
--- a/include/mimosahollow/scheduling/serverstate.h
+++ b/include/mimosahollow/scheduling/serverstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/core/ids.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/scheduling/declaration.h"
@@ -53,6 +54,7 @@
     std::uint32_t grants = 0; /**< Grants of this owner, and those of earlier owners that were reported to it. */
     std::uint32_t unknownGrants = 0; /**< Upper bound of unreported grants of earlier owners. */
     SlowStart slowStart;
+    callpermits::PermitBucket permits; /**< Each grant takes one if the server has named a limit. */
     TimePoint ordersAllowedFrom; /**< No order is sent before, as orders of an earlier owner may still arrive. */
     TimePoint grantsAllowedFrom; /**< No grant or load before, after a refused connection. */
     TimePoint lastSeen; /**< Arrival of the last announcement or report. */
--- a/include/mimosahollow/serving/peermessage.h
+++ b/include/mimosahollow/serving/peermessage.h
@@ -6,6 +6,7 @@
 #include "mimosahollow/gateway/backendevents.h"
 #include "mimosahollow/scheduling/actions.h"
 #include "mimosahollow/scheduling/grantreport.h"
+#include "mimosahollow/scheduling/limitstatement.h"
 #include "mimosahollow/scheduling/poolsummary.h"
 #include "mimosahollow/scheduling/release.h"
 #include "mimosahollow/scheduling/request.h"
@@ -26,6 +27,7 @@
                                      scheduling::Refusal,
                                      scheduling::Release,
                                      scheduling::GrantReport,
+                                     scheduling::LimitStatement,
                                      scheduling::PoolSummary>;
 
 /** Message to or from the owner of a pool. */
--- a/include/mimosahollow/serving/serving.h
+++ b/include/mimosahollow/serving/serving.h
@@ -35,6 +35,7 @@
 void handle(ServingState &state, const gateway::ServingResult &result, TimePoint now, Actions &actions);
 void handle(ServingState &state, const gateway::BackendAnnouncement &announcement, TimePoint now, Actions &actions);
 void handle(ServingState &state, const gateway::BackendReport &report, TimePoint now, Actions &actions);
+void handle(ServingState &state, const gateway::BackendLimit &limit, TimePoint now, Actions &actions);
 void handle(ServingState &state, const gateway::BackendOrderResult &result, TimePoint now, Actions &actions);
 void handle(ServingState &state, const CommitResult &result, TimePoint now, Actions &actions);
 
--- a/include/mimosahollow/standin/enginefaults.h
+++ b/include/mimosahollow/standin/enginefaults.h
@@ -3,6 +3,7 @@
 #include "mimosahollow/core/time.h"
 
 #include <cstdint>
+#include <string>
 
 namespace mimosahollow::standin {
 
@@ -16,6 +17,7 @@
     bool closeSilently = false; /**< Closes the connection after each answer without announcing it. */
     bool hang = false; /**< Takes calls and never answers. */
     Duration answerDelay{}; /**< Waits so long before the head of an answer. */
+    std::string namedLimit; /**< Value of the header field that names its limit in calls per second; empty: none is sent. */
     bool refuseLoads = false;
     bool hangLoads = false;
     Duration loadDelay{}; /**< Added to the load time. */
--- a/src/app/servingcodec.cpp
+++ b/src/app/servingcodec.cpp
@@ -26,6 +26,10 @@
     if (const auto *report = std::get_if<scheduling::GrantReport>(&message.body)) {
         return Frame{MessageKind::GrantReport, link::encode(link::PoolMessage(link::PoolGrantReport{message.pool, *report}), now)};
     }
+    if (const auto *limit = std::get_if<scheduling::LimitStatement>(&message.body)) {
+        // Kind of a server report: a new kind of frame would close links to older builds, while they drop an unknown content.
+        return Frame{MessageKind::ServerReport, link::encode(link::PoolMessage(link::PoolLimitStatement{message.pool, *limit}), now)};
+    }
     if (const auto *summary = std::get_if<scheduling::PoolSummary>(&message.body)) {
         return Frame{MessageKind::PoolSummary, link::encode(link::PoolMessage(*summary), now)};
     }
@@ -53,6 +57,9 @@
     if (auto *summary = std::get_if<scheduling::PoolSummary>(&message)) {
         return serving::PoolMessage{summary->pool, std::move(*summary)};
     }
+    if (auto *limit = std::get_if<link::PoolLimitStatement>(&message)) {
+        return serving::PoolMessage{limit->pool, limit->statement};
+    }
     if (auto *announcement = std::get_if<gateway::BackendAnnouncement>(&message)) {
         return std::move(*announcement);
     }
--- a/src/callpermits/permitissuer.cpp
+++ b/src/callpermits/permitissuer.cpp
@@ -4,22 +4,10 @@
 
 namespace mimosahollow::callpermits {
 
-namespace {
-
-void accrue(const PermitIssuer &issuer, PermitBucket &bucket, TimePoint now)
-{
-    const double capacity = std::max(1.0, bucket.callsPerSecond * toSeconds(issuer.options.burst));
-    const double accrued = bucket.callsPerSecond * std::max(0.0, toSeconds(now - bucket.updatedAt));
-    bucket.permits = std::min(capacity, bucket.permits + accrued);
-    bucket.updatedAt = now;
-}
-
-} // namespace
-
 bool applyStatement(PermitIssuer &issuer, const StatedLimit &stated, TimePoint statedAt, TimePoint now)
 {
     const auto [found, isNew] = issuer.buckets.try_emplace(stated.server);
-    PermitBucket &bucket = found->second;
+    ServerPermits &bucket = found->second;
     const bool isOlder = stated.born < bucket.born || (stated.born == bucket.born && statedAt <= bucket.statedAt);
     if (!isNew && isOlder) {
         return false;
@@ -28,10 +16,8 @@
     if (stated.born != bucket.born) {
         bucket = {}; // without permits: what the other incarnation has not got is no credit of this one
         bucket.born = stated.born;
-        bucket.updatedAt = now;
     }
-    accrue(issuer, bucket, now);
-    bucket.callsPerSecond = stated.callsPerSecond;
+    setLimit(bucket, stated.callsPerSecond, now);
     bucket.statedAt = statedAt;
     return isChanged;
 }
@@ -42,17 +28,15 @@
     if (found == issuer.buckets.end() || found->second.callsPerSecond <= 0) {
         return 0;
     }
-    accrue(issuer, found->second, now);
-    const unsigned issued = std::min(wanted, static_cast<unsigned>(found->second.permits));
-    found->second.permits -= issued;
+    const unsigned issued = std::min(wanted, static_cast<unsigned>(permitsAt(found->second, now)));
+    takePermits(found->second, issued, now);
     return issued;
 }
 
 void takeBack(PermitIssuer &issuer, const std::string &server, unsigned permits, TimePoint now)
 {
     if (const auto found = issuer.buckets.find(server); found != issuer.buckets.end()) {
-        found->second.permits += permits;
-        accrue(issuer, found->second, now);
+        takePermits(found->second, -static_cast<double>(permits), now);
     }
 }
 
--- a/src/dispatch/serverlimits.cpp
+++ b/src/dispatch/serverlimits.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/dispatch/serverlimits.h"
 
+#include "mimosahollow/callpermits/permitbucket.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,7 +12,6 @@
 constexpr Duration permitLifetime = milliseconds(300); // two report intervals; unused permits keep other instances waiting
 constexpr Duration ownStatementTime = milliseconds(1000); // until the leader and its digest have followed
 constexpr Duration wishTimeout = milliseconds(500); // an answer of the leader takes a few milliseconds
-constexpr double minimumLimit = 0.1; // calls per second; a server that never got a call could not raise its limit again
 
 } // namespace
 
@@ -26,7 +27,7 @@
         return false;
     }
     ServerView &view = found->second;
-    const double stated = callsPerSecond ? std::max(minimumLimit, *callsPerSecond) : 0;
+    const double stated = callsPerSecond ? std::max(callpermits::minimumLimit, *callsPerSecond) : 0;
     const double before = std::exchange(view.callsPerSecond, stated);
     if (stated > 0 || before > 0) {
         view.statedLimit = stated;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -3,6 +3,8 @@
 #include "answers.h"
 #include "eventstream.h"
 #include "gatewaythread.h"
+#include "httpio/calllimit.h"
+#include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/observability/metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,6 +13,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace mimosahollow::gateway {
 
 namespace asio = boost::asio;
@@ -144,6 +148,19 @@
     return response;
 }
 
+/** Passes the limit on that the answer names, and the end of a limit. A lost one is replaced by that of the next answer. */
+void reportLimit(Attempt &attempt, const AnswerReader &reader)
+{
+    const auto text = reader.head()["X-Server-Limit"];
+    const auto limit = httpio::parseCallLimit({text.data(), text.size()});
+    if (!text.empty() && !limit) {
+        attempt.thread.logRejected("the limit named by backend server " + attempt.grant.address + " is not a number");
+    } else if (limit || attempt.grant.isLimited) {
+        const double callsPerSecond = limit ? std::max(callpermits::minimumLimit, *limit) : 0;
+        static_cast<void>(attempt.thread.forward(BackendLimit{attempt.request.id, attempt.grant.grant, callsPerSecond}));
+    }
+}
+
 } // namespace
 
 void Attempt::fail(AttemptOutcome outcome) noexcept
@@ -240,6 +257,7 @@
     if (!answer.reader) {
         co_return std::move(attempt.end);
     }
+    reportLimit(attempt, *answer.reader);
     const auto &head = answer.reader->head();
     if (head.result_int() == adapterMissingStatus && head["X-Not-Run"] == "adapter-missing") {
         attempt.end.result.outcome = AttemptOutcome::AdapterMissing;
--- a/src/ingress/entrylimits.cpp
+++ b/src/ingress/entrylimits.cpp
@@ -1,12 +1,11 @@
 #include "ingress/entryinternal.h"
 
+#include "httpio/calllimit.h"
 #include "mimosahollow/dispatch/serverlimits.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
 namespace mimosahollow::ingress {
 
@@ -14,20 +13,11 @@
 
 using Clock = std::chrono::steady_clock;
 
-/** The number in @p text; nothing if it is not a finite decimal number above or equal to 0. */
-std::optional<double> parseLimit(std::string_view text)
-{
-    double value = 0;
-    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    const bool isValid = error == std::errc() && rest == text.data() + text.size() && std::isfinite(value) && value >= 0;
-    return isValid ? std::optional(value) : std::nullopt;
-}
-
 } // namespace
 
 void Entry::limitStated(const std::string &server, std::string_view limit)
 {
-    const auto parsed = parseLimit(limit);
+    const auto parsed = httpio::parseCallLimit(limit);
     if (!limit.empty() && !parsed) {
         observability::logWarning("the limit named by backend server " + server + " is not a number");
         return;
--- a/src/link/poolcodec.cpp
+++ b/src/link/poolcodec.cpp
@@ -54,7 +54,7 @@
     Encoded operator()(const PoolAcquireReply &message) const
     {
         if (const auto *grant = std::get_if<scheduling::Grant>(&message)) {
-            const auto result = wire::CreateGrantReply(builder, grant->grant, grant->fencing, number(grant->server), number(grant->adapter));
+            const auto result = wire::CreateGrantReply(builder, grant->grant, grant->fencing, number(grant->server), number(grant->adapter), grant->isLimited);
             return reply(grant->id, grant->entry, wire::AcquireResult_GrantReply, result.Union());
         }
         const auto &refusal = std::get<scheduling::Refusal>(message);
@@ -159,6 +159,14 @@
         return {wire::PoolContent_ServerReport, content.Union()};
     }
 
+    Encoded operator()(const PoolLimitStatement &message) const
+    {
+        const scheduling::LimitStatement &statement = message.statement;
+        const auto content = wire::CreateLimitStatement(
+            builder, statement.id.process, statement.id.sequence, number(message.pool), statement.grant, statement.fencing, statement.callsPerSecond);
+        return {wire::PoolContent_LimitStatement, content.Union()};
+    }
+
 private:
     template<typename Table>
     using OptionalVector = flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>;
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -75,7 +75,8 @@
     const RequestId id = requestId(table);
     const InstanceId entry{table.entry()};
     if (const wire::GrantReply *grant = table.result_as_GrantReply()) {
-        return PoolAcquireReply(scheduling::Grant{id, entry, grant->grant(), grant->fencing(), ServerId{grant->server()}, AdapterId{grant->adapter()}});
+        return PoolAcquireReply(
+            scheduling::Grant{id, entry, grant->grant(), grant->fencing(), ServerId{grant->server()}, AdapterId{grant->adapter()}, grant->is_limited()});
     }
     const wire::RefusalReply *refusal = table.result_as_RefusalReply();
     if (refusal == nullptr) {
@@ -217,6 +218,14 @@
     return gateway::BackendReport{table.name()->str(), table.incarnation(), table.running(), table.queued(), strings(*table.adapters())};
 }
 
+Result convertLimit(const wire::LimitStatement &table)
+{
+    if (!std::isfinite(table.calls_per_second()) || table.calls_per_second() < 0) {
+        return PoolCodecError::ValueOutOfRange;
+    }
+    return PoolLimitStatement{PoolId{table.pool()}, {requestId(table), table.grant(), table.fencing(), table.calls_per_second()}};
+}
+
 } // namespace
 
 Result convert(const wire::PoolMessage &message, TimePoint now)
@@ -236,6 +245,8 @@
         return convertAnnouncement(*message.content_as_ServerAnnouncement());
     case wire::PoolContent_ServerReport:
         return convertReport(*message.content_as_ServerReport());
+    case wire::PoolContent_LimitStatement:
+        return convertLimit(*message.content_as_LimitStatement());
     case wire::PoolContent_NONE:
         break;
     }
--- a/src/scheduling/lookup.h
+++ b/src/scheduling/lookup.h
@@ -23,9 +23,10 @@
     return server.grants + server.unknownGrants;
 }
 
+/** Whether the server may get another request now: a slot is free, and the limit that it has named allows one. */
 [[nodiscard]] inline bool hasFreeSlot(const ServerState &server, TimePoint now) noexcept
 {
-    return usedSlots(server) < server.slowStart.limit && server.grantsAllowedFrom <= now;
+    return usedSlots(server) < server.slowStart.limit && server.grantsAllowedFrom <= now && callpermits::hasPermit(server.permits, now);
 }
 
 [[nodiscard]] inline double loadOf(const ServerState &server) noexcept
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -103,6 +103,7 @@
     const AcquireRequest &request = granted.request;
     ServerState &server = state.servers[choice.server];
     ++server.grants;
+    callpermits::takePermits(server.permits, 1, now);
     if (number(request.adapter) != 0) {
         recordDemand(state, request.adapter, now);
         state.adapters[number(request.adapter)].lastOrganisation = request.organisation;
@@ -125,7 +126,7 @@
     if (request.prefixHash != 0) {
         prefixEntry(state, request.prefixHash) = {request.prefixHash, granted.server};
     }
-    actions.emplace_back(Grant{request.id, request.entry, granted.grant, granted.fencing, server.id, request.adapter});
+    actions.emplace_back(Grant{request.id, request.entry, granted.grant, granted.fencing, server.id, request.adapter, server.permits.callsPerSecond > 0});
     actions.emplace_back(DecisionRecord{request.id, request.organisation, request.adapter, choice.candidates, server.id, choice.reason, {}});
 }
 
--- a/src/scheduling/requests.cpp
+++ b/src/scheduling/requests.cpp
@@ -1,6 +1,7 @@
 #include "mimosahollow/scheduling/pool.h"
 
 #include "crashes.h"
+#include "limits.h"
 #include "loads.h"
 #include "lookup.h"
 #include "placement.h"
@@ -19,7 +20,7 @@
 constexpr double riseWeight = 0.005;
 constexpr Duration overloadedRetry = seconds(1); // about the time in which a full queue advances
 
-/** Refuses the request if the queue of its organisation is full or its adapter would be loaded too late for the deadline. */
+/** Refuses the request if the queue of its organisation is full, or if limits or the load of its adapter let it start too late for the deadline. */
 bool refuseIfTooLate(PoolState &state, const AcquireRequest &request, TimePoint now, Actions &actions)
 {
     const OrganisationState &organisation = organisationState(state, request.organisation);
@@ -27,6 +28,10 @@
         refuse(request, RefusalReason::Overloaded, overloadedRetry, actions);
         return true;
     }
+    if (const Duration wait = limitedWait(state); now + wait + minimumRunTime(state, request) >= request.deadline) {
+        refuse(request, RefusalReason::Overloaded, wait, actions);
+        return true;
+    }
     const AdapterState &adapter = adapterState(state, request.adapter);
     if (number(request.adapter) == 0 || adapter.pendingLoads > 0 || usableHolders(state, adapter) > 0) {
         return false;
@@ -68,6 +73,9 @@
     if (release.outcome == ReleaseOutcome::ConnectionRefused) {
         server.grantsAllowedFrom = now + state.settings.connectionRefusedBackoff;
     }
+    if (release.outcome == ReleaseOutcome::NotSent) {
+        callpermits::takePermits(server.permits, -1, now);
+    }
     if (record.epoch != server.slowStart.epoch) {
         return;
     }
--- a/src/scheduling/servers.cpp
+++ b/src/scheduling/servers.cpp
@@ -27,6 +27,7 @@
     server.slowStart.coldLimit = std::max(1U, announcement.coldLimit);
     server.slowStart.warmLimit = announcement.slots;
     resetSlowStart(server.slowStart);
+    server.permits = {};
     server.ordersAllowedFrom = announcement.checksFencing ? TimePoint{} : state.ordersAllowedFrom;
     if (state.mayHaveUnknownGrants) {
         server.unknownGrants = announcement.slots - std::min(announcement.slots, server.grants);
--- a/src/scheduling/summary.cpp
+++ b/src/scheduling/summary.cpp
@@ -1,5 +1,6 @@
 #include "mimosahollow/scheduling/pool.h"
 
+#include "limits.h"
 #include "loads.h"
 #include "lookup.h"
 
@@ -26,6 +27,13 @@
     });
 }
 
+/** Requests that the server may get at once. */
+std::uint32_t availableSlots(const ServerState &server, TimePoint now) noexcept
+{
+    const std::uint32_t free = server.slowStart.limit - std::min(server.slowStart.limit, usedSlots(server));
+    return server.permits.callsPerSecond > 0 ? std::min(free, static_cast<std::uint32_t>(std::max(0.0, callpermits::permitsAt(server.permits, now)))) : free;
+}
+
 } // namespace
 
 PoolSummary summarise(const PoolState &state, TimePoint now)
@@ -40,7 +48,7 @@
         }
         summary.inService = true;
         summary.totalSlots += server.slowStart.limit;
-        summary.freeSlots += server.slowStart.limit - std::min(server.slowStart.limit, usedSlots(server));
+        summary.freeSlots += availableSlots(server, now);
         for (const AdapterSlot &slot : server.slots) {
             if (slot.phase == SlotPhase::Resident || slot.phase == SlotPhase::Loading) {
                 summary.adapters.push_back(slot.adapter);
@@ -50,7 +58,7 @@
     std::sort(summary.adapters.begin(), summary.adapters.end());
     summary.adapters.erase(std::unique(summary.adapters.begin(), summary.adapters.end()), summary.adapters.end());
     if (summary.totalSlots > 0 && (summary.freeSlots == 0 || state.waiting > summary.freeSlots)) {
-        summary.expectedWait = fromSeconds((state.waiting + 1) * state.averageServiceSeconds / summary.totalSlots);
+        summary.expectedWait = std::max(limitedWait(state), fromSeconds((state.waiting + 1) * state.averageServiceSeconds / summary.totalSlots));
     }
     addAdapterWaits(state, summary);
     summary.expectedLoadWait = expectedLoadWait(state, AdapterId{}, OrganisationId{}, now);
--- a/src/serving/attempts.cpp
+++ b/src/serving/attempts.cpp
@@ -125,4 +125,17 @@
     returnGrant(state, pool, release, now, actions);
 }
 
+void handle(ServingState &state, const gateway::BackendLimit &limit, TimePoint now, Actions &actions)
+{
+    const auto found = state.calls.find(limit.id);
+    if (found == state.calls.end() || found->second.stage != CallStage::Running || found->second.grant != limit.grant) {
+        return;
+    }
+    const Call &call = found->second;
+    const routing::PoolSummary *summary = findSummary(state, call.pool);
+    if (summary != nullptr) {
+        sendToOwner(state, call.pool, summary->owner, scheduling::LimitStatement{limit.id, limit.grant, call.fencing, limit.callsPerSecond}, now, actions);
+    }
+}
+
 } // namespace mimosahollow::serving
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -253,6 +253,7 @@
     reply.fencing = grant.fencing;
     reply.deadline = call.deadline;
     reply.repeatable = call.repeatable;
+    reply.isLimited = grant.isLimited;
     actions.push_back(ReplyToCall{call.request.gatewayThread, {grant.id, std::move(reply)}});
 }
 
--- a/src/serving/pools.cpp
+++ b/src/serving/pools.cpp
@@ -18,6 +18,9 @@
         return "load";
     case scheduling::DecisionReason::EvictLeastUseful:
         return "evict";
+    case scheduling::DecisionReason::LimitNamed:
+    case scheduling::DecisionReason::LimitEnded:
+        return "server-limit";
     case scheduling::DecisionReason::Refused:
         return "refuse";
     }
@@ -37,6 +40,10 @@
         return "replica";
     case scheduling::DecisionReason::EvictLeastUseful:
         return "least-useful";
+    case scheduling::DecisionReason::LimitNamed:
+        return "named";
+    case scheduling::DecisionReason::LimitEnded:
+        return "ended";
     case scheduling::DecisionReason::Refused:
         return toString(record.refusal);
     }
@@ -288,6 +295,8 @@
         scheduling::cancel(pool, cancel->id, now, decided);
     } else if (const auto *release = std::get_if<scheduling::Release>(&message.body)) {
         scheduling::release(pool, *release, now, decided);
+    } else if (const auto *limit = std::get_if<scheduling::LimitStatement>(&message.body)) {
+        scheduling::applyLimit(pool, *limit, now, decided);
     } else if (const auto *report = std::get_if<scheduling::GrantReport>(&message.body)) {
         scheduling::GrantReport checked = *report;
         checked.entry = from;
--- a/src/standin/inspection.cpp
+++ b/src/standin/inspection.cpp
@@ -64,6 +64,7 @@
     faults.closeSilently = flag("close_silently");
     faults.hang = flag("hang");
     faults.answerDelay = milliseconds(numberField(object, "answer_delay_ms"));
+    faults.namedLimit = textField(object, "named_limit");
     faults.refuseLoads = flag("refuse_loads");
     faults.hangLoads = flag("hang_loads");
     faults.loadDelay = milliseconds(numberField(object, "load_delay_ms"));
--- a/src/standin/modelcalls.cpp
+++ b/src/standin/modelcalls.cpp
@@ -161,6 +161,14 @@
     co_return !error;
 }
 
+template<typename Message>
+void nameLimit(const EngineState &state, Message &answer)
+{
+    if (!state.options.faults.namedLimit.empty()) {
+        answer.set("X-Server-Limit", state.options.faults.namedLimit);
+    }
+}
+
 asio::awaitable<bool> writeStreamHead(const EngineState &state, EngineConnection &connection, const Generation &generation, const EngineCall &call)
 {
     http::response<http::empty_body> head(http::status::ok, 11);
@@ -172,6 +180,7 @@
     if (call.firstToken > 0) {
         head.set("X-Resume-From", std::to_string(call.firstToken));
     }
+    nameLimit(state, head);
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
     connection.stream.expires_never();
@@ -220,6 +229,7 @@
     }
     HttpResponse response = respond(request, 200, wholeAnswer(generation));
     response.set("X-Request-Id", generation.requestId);
+    nameLimit(state, response);
     call.tokens = generation.tokens;
     call.state = EngineCallState::Completed;
     co_return co_await gateway::sendResponse(connection.stream, std::move(response)) == gateway::ConnectionState::KeepAlive;
@@ -290,6 +300,7 @@
         200,
         {{"service", state.options.kind}, {"server", state.options.name}, {"path", request.target()}, {"calls", call->number}, {"echo", request.body()}});
     response.set("X-Request-Id", requestId);
+    nameLimit(state, response);
     call->state = EngineCallState::Completed;
     ++state.completed;
     co_return co_await gateway::sendResponse(connection.stream, std::move(response)) == gateway::ConnectionState::KeepAlive;
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -39,7 +39,7 @@
     }
     SECTION("a grant and a refusal")
     {
-        const PoolAcquireReply grant = scheduling::Grant{{1, 2}, InstanceId{3}, 4, 5, ServerId{6}, AdapterId{7}};
+        const PoolAcquireReply grant = scheduling::Grant{{1, 2}, InstanceId{3}, 4, 5, ServerId{6}, AdapterId{7}, true};
         const PoolAcquireReply refusal = scheduling::Refusal{{1, 2}, InstanceId{3}, RefusalReason::NoCapacity, milliseconds(250)};
         REQUIRE(passOn(grant) == grant);
         REQUIRE(passOn(refusal) == refusal);
@@ -49,6 +49,11 @@
         const PoolRelease release{PoolId{1}, {{2, 3}, 4, 5, scheduling::ReleaseOutcome::ConnectionReset, 6, milliseconds(7)}};
         REQUIRE(passOn(release) == release);
     }
+    SECTION("a limit that a server names")
+    {
+        const PoolLimitStatement limit{PoolId{1}, {{2, 3}, 4, 5, 6.5}};
+        REQUIRE(passOn(limit) == limit);
+    }
     SECTION("a report of held grants")
     {
         PoolGrantReport report{PoolId{1}, {InstanceId{2}, {{{3, 4}, 5, 6, ServerId{7}, OrganisationId{8}, AdapterId{9}, 10, sent + seconds(1)}}}};
--- a/tests/serving/fleet.h
+++ b/tests/serving/fleet.h
@@ -35,6 +35,8 @@
     std::map<RequestId, TrackedCall> calls;
     std::map<std::string, std::set<std::string>> resident; /**< Names of loaded adapters by server address. */
     std::array<std::uint64_t, 4> incarnations{1, 1, 1, 1}; /**< Of the processes of the servers. */
+    std::map<std::string, double> namedLimits; /**< Calls per second, by server address; answers begin at once and name them. */
+    std::map<std::string, std::vector<TimePoint>> sends; /**< Times of grants by server address. */
     std::vector<std::uint64_t> promptParts; /**< Of the next model calls. */
     std::map<std::string, unsigned> runsByKey; /**< Runs by idempotency key. */
     std::set<std::size_t> down; /**< Stopped instances. */
@@ -310,6 +312,8 @@
             check(grant->adapter == call.expectedAdapter, "P1 or P3: a call got a grant for another adapter, or without permission");
             call.grant = *grant;
             call.servers.push_back(grant->address);
+            sends[grant->address].push_back(now);
+            nameLimit(call, *grant);
             if (!grant->adapter.empty() && !resident[grant->address].contains(grant->adapter)) {
                 queue.emplace_back([this, id = reply.reply.id] {
                     finish(id, Outcome::AdapterMissing);
@@ -326,6 +330,20 @@
         }
     }
 
+    void nameLimit(const TrackedCall &call, const gateway::ServingGrant &grant)
+    {
+        const auto named = namedLimits.find(grant.address);
+        if (named == namedLimits.end() && !grant.isLimited) {
+            return;
+        }
+        const gateway::BackendLimit limit{call.request.id, grant.grant, named == namedLimits.end() ? 0 : named->second};
+        queue.emplace_back([this, entry = call.entry, limit] {
+            dispatch(entry, [&](Actions &actions) {
+                handle(states[entry], limit, now, actions);
+            });
+        });
+    }
+
     void execute(std::size_t instance, const SendToPeer &send)
     {
         const std::size_t to = number(send.to) - 1;
--- a/tests/support/fakedispatch.h
+++ b/tests/support/fakedispatch.h
@@ -75,6 +75,12 @@
         return arrived ? std::optional(results()[count - 1]) : std::nullopt;
     }
 
+    [[nodiscard]] std::vector<gateway::BackendLimit> limits() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_limits;
+    }
+
 private:
     void handle(gateway::Gateway &gateway, gateway::ServingEvent &event)
     {
@@ -102,6 +108,9 @@
             if (again) {
                 answer(gateway, *again, attempts + 1);
             }
+        } else if (const auto *limit = std::get_if<gateway::BackendLimit>(&event)) {
+            const std::scoped_lock lock(m_mutex);
+            m_limits.push_back(*limit);
         }
     }
 
@@ -120,6 +129,7 @@
     mutable std::mutex m_mutex;
     std::vector<gateway::ServingRequest> m_requests;
     std::vector<gateway::ServingResult> m_results;
+    std::vector<gateway::BackendLimit> m_limits;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
