scheduling: a server that announces slots after none gets requests

An announcement with slots starts such a server at its cold limit.

The new test failed before (limit 0 where the cold limit 2 is expected) and passes.

--- a/src/scheduling/servers.cpp
+++ b/src/scheduling/servers.cpp
@@ -80,6 +80,9 @@
     server.adapterSlots = announcement.adapterSlots;
     server.slowStart.warmLimit = announcement.slots;
     server.slowStart.limit = std::min(server.slowStart.limit, announcement.slots);
+    if (server.slowStart.limit == 0) {
+        resetSlowStart(server.slowStart); // it had no slots before; the limit doubles and would stay 0
+    }
     applyResidentList(state, position, announcement.adapters, now);
     applyAvailability(state, now, actions);
 }
--- a/tests/scheduling/limits.cpp
+++ b/tests/scheduling/limits.cpp
@@ -24,6 +24,19 @@
 
 } // namespace
 
+// Guards against a server that never gets a request again because its first announcement named no slots.
+TEST_CASE("A server that announces slots after none takes requests")
+{
+    PoolFixture pool(1, 0, 2, 2);
+    pool.submitRequest(0);
+    REQUIRE(pool.all<Grant>().empty());
+    pool.slots = 8;
+    pool.announce(1, 1);
+    REQUIRE(limitOf(pool) == 2);
+    pool.submitRequest(0);
+    REQUIRE(pool.only<Grant>());
+}
+
 // Guards against full load on a server that has just started and is cold (P7).
 TEST_CASE("A cold server gets exactly its limit, and the limit doubles with good responses")
 {
