ingress: calls whose caller leaves before they are sent count as ended

All four ways out without a caller go through one function now.

The new test failed before (no call ended, one running) and passes, as do all tests of ingress.

--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -84,6 +84,8 @@
     [[nodiscard]] LocalResponse makeFailureResponse(AttemptEnd end) const;
     void chooseService();
     void judgePrompt(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end);
+    /** Ends the call without an answer. Returns that the connection is not usable. */
+    bool endWithoutCaller(std::string_view when);
     void logEnd(std::string_view outcome, unsigned status, std::string_view reason);
     void logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint startedAt, unsigned status);
 
@@ -130,6 +132,13 @@
     observability::logDecision(line.text());
 }
 
+bool CallRelay::endWithoutCaller(std::string_view when)
+{
+    m_entry.metrics().callEnded(observability::CallEnd::CallerLeft, Clock::now() - m_arrived);
+    logEnd("caller-left", 0, when);
+    return false;
+}
+
 void CallRelay::logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint startedAt, unsigned status)
 {
     const auto &servers = m_entry.dispatchState().servers;
@@ -187,8 +196,7 @@
     }
     const bool hasState = co_await m_entry.waitForState(*m_caller.watch);
     if (m_caller.watch->callerLeft()) {
-        logEnd("caller-left", 0, "while waiting for a confirmed configuration");
-        co_return false;
+        co_return endWithoutCaller("while waiting for a confirmed configuration");
     }
     m_catalog = m_entry.catalog();
     if (!hasState) {
@@ -234,8 +242,7 @@
         }
         if (outcome != TokenOutcome::Acquired) {
             if (m_caller.watch->callerLeft()) {
-                logEnd("caller-left", 0, "while waiting for tokens");
-                co_return false;
+                co_return endWithoutCaller("while waiting for tokens");
             }
             const LocalResponse response{RefusalReason::RateLimited, "over the rate of the organisation", rateRetryAfter, 429};
             co_return co_await refuse(response);
@@ -267,9 +274,7 @@
     for (unsigned round = 0; round < maximumDispatchRounds; ++round) {
         const ServerChoice choice = co_await m_entry.chooseServer(m_call, *m_caller.watch);
         if (std::holds_alternative<CallerDisconnected>(choice)) {
-            logEnd("caller-left", 0, "while waiting for a backend server");
-            m_entry.metrics().callEnded(observability::CallEnd::CallerLeft, Clock::now() - m_arrived);
-            co_return false;
+            co_return endWithoutCaller("while waiting for a backend server");
         }
         if (const auto *refusal = std::get_if<dispatch::Refuse>(&choice)) {
             if (m_headSent) {
@@ -297,9 +302,7 @@
             co_return true;
         }
         if (last == AttemptEnd::CallerLeft) {
-            m_entry.metrics().callEnded(observability::CallEnd::CallerLeft, Clock::now() - m_arrived);
-            logEnd("caller-left", 0, "while its call ran");
-            co_return false;
+            co_return endWithoutCaller("while its call ran");
         }
         if (last == AttemptEnd::Cut || last == AttemptEnd::TimedOut || Clock::now() >= m_call.deadline) {
             break;
--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -269,6 +269,7 @@
     std::list<ConnectionPointer> connections; // of the backend server, newest last
     std::unique_ptr<Entry> entry;
     double grantableTokens = 1e9; /**< Tokens that the leader still grants. */
+    bool leaderAnswers = true;
 
 private:
     static std::string leaderAddress()
@@ -305,7 +306,7 @@
 
     void answer(const fleetlink::Peer &peer, const fleetlink::LinkMessage &message)
     {
-        if (const auto *report = std::get_if<fleetlink::EntryReport>(&message)) {
+        if (const auto *report = std::get_if<fleetlink::EntryReport>(&message); report != nullptr && leaderAnswers) {
             fleetlink::LeaderReply reply{report->stamp, 1, 1, {}, false, true, 300};
             for (const fleetlink::NamedNumber &returned : report->returned) {
                 grantableTokens += returned.value;
--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -45,6 +45,17 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+/** The default routes, for callers with the key of an organisation that has a rate. */
+catalog::Catalog catalogWithRate()
+{
+    catalog::Catalog catalog = EntryFixture::defaultCatalog();
+    for (catalog::CallRoute &route : catalog.routes) {
+        route.isOpen = false;
+    }
+    catalog.organisations = {{"one", {"key"}, -1, true, 1, 1000, 1000}};
+    return catalog;
+}
+
 } // namespace
 
 // Guards against the answer of an earlier call on a kept connection reaching the next caller.
@@ -356,12 +367,7 @@
 // Guards against an organisation that pays for calls which no backend server has run.
 TEST_CASE("Tokens of a call that has certainly not run are returned")
 {
-    catalog::Catalog catalog = EntryFixture::defaultCatalog();
-    for (catalog::CallRoute &route : catalog.routes) {
-        route.isOpen = false;
-    }
-    catalog.organisations = {{"one", {"key"}, -1, true, 1, 1000, 1000}};
-    EntryFixture fixture(catalog);
+    EntryFixture fixture(catalogWithRate());
     const auto caller = fixture.connect();
     bool runs = false;
     fixture.script = [&runs](const ConnectionPointer &connection, const std::string &) {
@@ -374,3 +380,20 @@
     CHECK(fixture.call(caller, text, "done").ends_with("done"));
     CHECK(fixture.call(caller, text, "}\n").find("HTTP/1.1 429 ") == 0);
 }
+
+// Guards against calls that count as running for ever, because their caller left before they were sent.
+TEST_CASE("A call whose caller leaves while it waits for tokens counts as ended")
+{
+    EntryFixture fixture(catalogWithRate());
+    fixture.leaderAnswers = false;
+    const auto caller = fixture.connect();
+    caller->write(EntryFixture::request("/once/x", "c1", "Authorization: Bearer key\r\nTokens: 40,10\r\n"));
+    fixture.runFor(milliseconds(100));
+    caller->close();
+    CHECK(fixture.runUntil(
+        [&fixture] {
+            return fixture.entry->metricsText().find("mimosahollow_call_seconds_count{outcome=\"caller-left\"} 1\n") != std::string::npos;
+        },
+        seconds(3)));
+    CHECK(fixture.entry->metricsText().find("mimosahollow_running_calls 0\n") != std::string::npos);
+}
