--- a/src/coordination/upstream.cpp
+++ b/src/coordination/upstream.cpp
@@ -98,6 +98,13 @@
     send(state, state.upstream, membership::Subscribe{state.self, state.options.incarnation, next}, actions);
 }
 
+/** Reads all from the start, after an update that could not be applied. The reader must not take it for applied when it comes again. */
+void readAgain(CoordinationState &state, Actions &actions)
+{
+    state.reader = {};
+    resubscribe(state, 0, actions);
+}
+
 /** Applies one increment of the feed. Returns false if it does not follow on the current configuration. */
 bool applyIncrement(CoordinationState &state, const membership::Increment &increment, TimePoint now, Actions &actions)
 {
@@ -204,15 +211,14 @@
     membership::ReadResult result = membership::onUpdate(state.reader, std::move(update));
     if (const auto *snapshot = std::get_if<membership::ApplySnapshot>(&result)) {
         if (!applySnapshot(state, *snapshot, now, actions)) {
-            resubscribe(state, 0, actions);
+            readAgain(state, actions);
             return;
         }
         reportApplied(state, snapshot->index, now, actions);
     } else if (auto *increments = std::get_if<membership::ApplyIncrements>(&result)) {
         for (membership::Increment &increment : increments->increments) {
             if (!applyIncrement(state, increment, now, actions)) {
-                state.reader = {};
-                resubscribe(state, 0, actions);
+                readAgain(state, actions);
                 return;
             }
             if (!membership::append(state.feed, increment)) {
