coordinator: a read that outlives its coordinator no longer touches it

The new test failed before with a segmentation fault (freed memory filled by MALLOC_PERTURB_) and passes, as do the other tests of coordinator.

--- a/src/coordinator/coordinatorlog.cpp
+++ b/src/coordinator/coordinatorlog.cpp
@@ -227,7 +227,12 @@
     control::tick(*m_consensus, Clock::now(), actions);
     executeActions(std::move(actions));
     if (!pending->confirmed) {
-        if (const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable)); !error) {
+        const auto alive = m_alive;
+        const auto [error] = co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!*alive) {
+            co_return Unavailable{"the coordinator has stopped"};
+        }
+        if (!error) {
             m_reads.erase(number);
         }
     }
--- a/tests/coordinator/fleet.cpp
+++ b/tests/coordinator/fleet.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <unistd.h>
 
 using namespace mimosahollow;
@@ -274,3 +276,37 @@
         CHECK(fleet.readVersion() == version);
     }
 }
+
+// Guards against a read that resumes in a coordinator that is gone; the address sanitizer reports it.
+TEST_CASE("A read that waits for a majority ends without its coordinator")
+{
+    Fleet fleet;
+    for (unsigned number : {1U, 2U, 3U}) {
+        fleet.start(number, true);
+    }
+    REQUIRE(fleet.commit(catalogOf(5)));
+    const auto leader = std::find_if(fleet.coordinators.begin(), fleet.coordinators.end(), [](const auto &item) {
+        return item.second->metricsText().find("mimosahollow_leads 1\n") != std::string::npos;
+    });
+    REQUIRE(leader != fleet.coordinators.end());
+    const unsigned number = leader->first;
+    for (unsigned other : {1U, 2U, 3U}) {
+        if (other != number) {
+            fleet.stop(other, false);
+        }
+    }
+    std::optional<ReadResult> result;
+    asio::co_spawn(
+        fleet.context,
+        [&result, target = fleet.coordinators.at(number).get()]() -> asio::awaitable<void> {
+            result = co_await target->read();
+        },
+        asio::detached);
+    fleet.context.poll();
+    REQUIRE_FALSE(result);
+    fleet.stop(number, false);
+    CHECK(fleet.runUntil([&result] {
+        return result.has_value();
+    }));
+    CHECK(std::holds_alternative<Unavailable>(*result));
+}
