gateway: an answer to a call that has not run ends no limit

A backend server with a limit got calls at the rate of its free slots again after it had refused one call because an adapter was missing: such an answer names no limit, which counted as its end. A full ring is counted. Found when the change was read again; the new section failed before (one limit reported where none is expected) and passes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -148,7 +148,7 @@
     return response;
 }
 
-/** Passes the limit on that the answer names, and the end of a limit. A lost one is replaced by that of the next answer. */
+/** Passes on the limit that the answer names, or the end of a limit. If the ring is full, the next answer tells it again. */
 void reportLimit(Attempt &attempt, const AnswerReader &reader)
 {
     const auto text = reader.head()["X-Server-Limit"];
@@ -157,7 +157,9 @@
         attempt.thread.logRejected("the limit named by backend server " + attempt.grant.address + " is not a number");
     } else if (limit || attempt.grant.isLimited) {
         const double callsPerSecond = limit ? std::max(callpermits::minimumLimit, *limit) : 0;
-        static_cast<void>(attempt.thread.forward(BackendLimit{attempt.request.id, attempt.grant.grant, callsPerSecond}));
+        if (!attempt.thread.forward(BackendLimit{attempt.request.id, attempt.grant.grant, callsPerSecond})) {
+            attempt.thread.metrics().ringFull();
+        }
     }
 }
 
@@ -257,11 +259,14 @@
     if (!answer.reader) {
         co_return std::move(attempt.end);
     }
-    reportLimit(attempt, *answer.reader);
     const auto &head = answer.reader->head();
     if (head.result_int() == adapterMissingStatus && head["X-Not-Run"] == "adapter-missing") {
         attempt.end.result.outcome = AttemptOutcome::AdapterMissing;
-    } else if (request.stream && head.result() == http::status::ok) {
+        watch.clearInterrupt();
+        co_return std::move(attempt.end);
+    }
+    reportLimit(attempt, *answer.reader);
+    if (request.stream && head.result() == http::status::ok) {
         co_await carryStream(attempt, answer);
     } else {
         co_await carryWhole(attempt, answer);
--- a/tests/gateway/serverlimits.cpp
+++ b/tests/gateway/serverlimits.cpp
@@ -54,6 +54,21 @@
         CHECK(fixture.dispatch.limits()[0].callsPerSecond == 0);
         CHECK(fixture.dispatch.limits()[0].id == fixture.dispatch.results()[1].id);
     }
+    SECTION("nothing from an answer to a call that has not run")
+    {
+        GatewayFixture fixture(options, [&](const gateway::ServingRequest &request, unsigned attempt) -> std::optional<ReplyContent> {
+            if (attempt > 0) {
+                return gateway::ServingRefusal{RefusalReason::NoCapacity, CallOutcome::NotRun, {}};
+            }
+            gateway::ServingGrant grant = grantFor(request, address);
+            grant.isLimited = true;
+            grant.adapter = "missing@1";
+            return grant;
+        });
+        HttpClient client = fixture.client();
+        REQUIRE(client.call(chatCall(2, false)).status == 503);
+        CHECK(fixture.dispatch.limits().empty());
+    }
     SECTION("nothing if it is no number, and the limit stays")
     {
         options.faults.namedLimit = "many";
