scheduling: refuse waiting requests that limits let start too late

Callers of `serve` whose request waited already when all servers of its pool named limits, or that a request of another organisation displaced, were refused at their deadline only.

Cause: the pool owner compared the deadline with the limits once, when a request arrived, and with the length of the whole queue rather than with the turn of the request. So it also refused requests of organisations whose turn comes before the queue of another one, and gave all refused ones the same time to return.

--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
+#include <queue>
 
 namespace mimosahollow::scheduling {
 
@@ -47,6 +49,32 @@
     }
 }
 
+/** Waiting requests of one organisation, and its virtual time while they start one after the other. */
+struct OrganisationQueue
+{
+    double servedTokens = 0;
+    double weight = 1;
+    std::vector<std::uint32_t> records; /**< The next one is the last. */
+};
+
+std::map<std::uint32_t, OrganisationQueue> organisationQueues(const PoolState &state)
+{
+    std::map<std::uint32_t, OrganisationQueue> queues;
+    for (std::uint32_t i = 0; i < state.records.size(); ++i) {
+        if (state.records[i].phase == RequestPhase::Waiting) {
+            queues[number(state.records[i].request.organisation)].records.push_back(i);
+        }
+    }
+    for (auto &[organisation, queue] : queues) {
+        queue.servedTokens = state.organisations[organisation].servedTokens;
+        queue.weight = state.organisations[organisation].weight;
+        std::sort(queue.records.begin(), queue.records.end(), [&state](std::uint32_t left, std::uint32_t right) {
+            return state.records[left].priority > state.records[right].priority;
+        });
+    }
+    return queues;
+}
+
 } // namespace
 
 void activate(PoolState &state, OrganisationState &organisation) noexcept
@@ -164,4 +192,33 @@
     return best;
 }
 
+std::vector<std::uint32_t> visitInOrder(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts)
+{
+    std::map<std::uint32_t, OrganisationQueue> queues = organisationQueues(state);
+    const auto isLater = [&state](const OrganisationQueue *left, const OrganisationQueue *right) {
+        return left->servedTokens != right->servedTokens ? left->servedTokens > right->servedTokens
+                                                         : state.records[left->records.back()].priority > state.records[right->records.back()].priority;
+    };
+    std::priority_queue<OrganisationQueue *, std::vector<OrganisationQueue *>, decltype(isLater)> next(isLater);
+    for (auto &[organisation, queue] : queues) {
+        next.push(&queue);
+    }
+    std::vector<std::uint32_t> passedOver;
+    while (!next.empty()) {
+        OrganisationQueue &queue = *next.top();
+        next.pop();
+        const std::uint32_t record = queue.records.back();
+        queue.records.pop_back();
+        if (const AcquireRequest &request = state.records[record].request; starts(request)) {
+            queue.servedTokens += estimatedTokens(request) / queue.weight;
+        } else {
+            passedOver.push_back(record);
+        }
+        if (!queue.records.empty()) {
+            next.push(&queue);
+        }
+    }
+    return passedOver;
+}
+
 } // namespace mimosahollow::scheduling
--- a/src/scheduling/queue.h
+++ b/src/scheduling/queue.h
@@ -2,6 +2,9 @@
 
 #include "mimosahollow/scheduling/poolstate.h"
 
+#include <functional>
+#include <vector>
+
 namespace mimosahollow::scheduling {
 
 // Waiting requests: one list per adapter. The organisation with the lowest virtual time (servedTokens) goes first.
@@ -19,6 +22,12 @@
 /** Record of the waiting request that the server should run next, or noIndex. */
 [[nodiscard]] std::uint32_t nextForServer(const PoolState &state, const ServerState &server) noexcept;
 
+/**
+ * Shows the waiting requests to @p starts in the order in which permits for any server would start them. A request for which it returns false
+ * is not charged to its organisation. Returns the records of those, in that order.
+ */
+[[nodiscard]] std::vector<std::uint32_t> visitInOrder(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts);
+
 /** Estimated lower bound of the run time, from fast requests relative to their maximum output. */
 [[nodiscard]] Duration minimumRunTime(const PoolState &state, const AcquireRequest &request) noexcept;
 
--- a/src/scheduling/requests.cpp
+++ b/src/scheduling/requests.cpp
@@ -20,7 +20,7 @@
 constexpr double riseWeight = 0.005;
 constexpr Duration overloadedRetry = seconds(1); // about the time in which a full queue advances
 
-/** Refuses the request if the queue of its organisation is full, or if limits or the load of its adapter let it start too late for the deadline. */
+/** Refuses the request if the queue of its organisation is full, or if the load of its adapter lets it start too late for the deadline. */
 bool refuseIfTooLate(PoolState &state, const AcquireRequest &request, TimePoint now, Actions &actions)
 {
     const OrganisationState &organisation = organisationState(state, request.organisation);
@@ -28,10 +28,6 @@
         refuse(request, RefusalReason::Overloaded, overloadedRetry, actions);
         return true;
     }
-    if (const Duration wait = limitedWait(state); now + wait + minimumRunTime(state, request) >= request.deadline) {
-        refuse(request, RefusalReason::Overloaded, wait, actions);
-        return true;
-    }
     const AdapterState &adapter = adapterState(state, request.adapter);
     if (number(request.adapter) == 0 || adapter.pendingLoads > 0 || usableHolders(state, adapter) > 0) {
         return false;
@@ -137,6 +133,7 @@
         return;
     }
     enqueue(state, newRecord(state, request, now));
+    refuseBeyondLimits(state, now, actions);
     planLoads(state, now, actions);
 }
 
--- a/src/scheduling/summary.cpp
+++ b/src/scheduling/summary.cpp
@@ -58,7 +58,7 @@
     std::sort(summary.adapters.begin(), summary.adapters.end());
     summary.adapters.erase(std::unique(summary.adapters.begin(), summary.adapters.end()), summary.adapters.end());
     if (summary.totalSlots > 0 && (summary.freeSlots == 0 || state.waiting > summary.freeSlots)) {
-        summary.expectedWait = std::max(limitedWait(state), fromSeconds((state.waiting + 1) * state.averageServiceSeconds / summary.totalSlots));
+        summary.expectedWait = std::max(limitedWait(state, now), fromSeconds((state.waiting + 1) * state.averageServiceSeconds / summary.totalSlots));
     }
     addAdapterWaits(state, summary);
     summary.expectedLoadWait = expectedLoadWait(state, AdapterId{}, OrganisationId{}, now);
--- a/src/scheduling/tick.cpp
+++ b/src/scheduling/tick.cpp
@@ -2,6 +2,7 @@
 
 #include "availability.h"
 #include "crashes.h"
+#include "limits.h"
 #include "loads.h"
 #include "lookup.h"
 #include "placement.h"
@@ -51,6 +52,7 @@
     }
     expireOrders(state, now);
     expireRequests(state, now, actions);
+    refuseBeyondLimits(state, now, actions);
     planQuarantine(state, now, actions);
     if (markSilentServers(state, now)) {
         applyAvailability(state, now, actions);
