callpermits: entry instances use their shares of limits while no leader answers

Callers waited, and were refused, while the leader was lost and most backend servers named limits: only the leader issues permits, so these servers got no calls until a new one answered.

An entry instance whose last confirmed report is 0.8 s old now sends an even share of each limit. Shares begin with a random part of a permit, so that 193 instances with a share of one call in 48 s still send at an even rate together. The leader issues the shares of the instances that have not reported for as long no more, so the limit also holds while some reach it and others do not.

--- a/include/mimosahollow/callpermits/permitissuer.h
+++ b/include/mimosahollow/callpermits/permitissuer.h
@@ -9,6 +9,12 @@
 
 namespace mimosahollow::callpermits {
 
+/**
+ * An entry instance without a confirmed report for this long uses its even share of the limits, and the leader issues that share no more. Above the
+ * interval of an idle instance's reports, 500 ms, and the time of an answer.
+ */
+inline constexpr Duration contactTimeout = milliseconds(800);
+
 /** What an incarnation of a backend server has named as its limit. */
 struct StatedLimit
 {
@@ -21,6 +27,7 @@
 struct ServerPermits : PermitBucket
 {
     std::uint64_t born = 0;
+    double statedLimit = 0; /**< Permits accrue at the issued share of it. */
     TimePoint statedAt{};
 };
 
@@ -33,12 +40,16 @@
 struct PermitIssuer
 {
     PermitIssuerOptions options;
+    double share = 1; /**< Issued part of each limit; entry instances that do not reach the leader use the rest. */
     std::map<std::string, ServerPermits> buckets; /**< By server. */
 };
 
 /** Applies a statement made at @p statedAt, unless a newer one is known. Returns whether the limit of the server has changed. */
 bool applyStatement(PermitIssuer &issuer, const StatedLimit &stated, TimePoint statedAt, TimePoint now);
 
+/** Changes the issued part of each limit to @p share, from 0 to 1. */
+void setShare(PermitIssuer &issuer, double share, TimePoint now);
+
 /** Issues up to @p wanted permits; none for a server without a limit, which needs none. */
 [[nodiscard]] unsigned issue(PermitIssuer &issuer, const std::string &server, unsigned wanted, TimePoint now);
 
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosahollow/admission/retrybudget.h"
+#include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/catalog/catalogindex.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/fleetlink/linkmessage.h"
@@ -60,6 +61,7 @@
     bool isLimitReported = false; /**< The leader has been sent the newest statement. */
     unsigned permits = 0; /**< Calls that may be sent under the limit. */
     TimePoint permitsUntil{};
+    callpermits::PermitBucket share; /**< Even share of the limit, while no leader answers; without a limit otherwise. */
     std::set<std::string> permitWishes; /**< Ids of calls that a permit would have brought here since the last report. */
     std::uint64_t wishStamp = 0; /**< Of the report with a request that is not answered yet; 0: none. */
     TimePoint wishedAt{};
@@ -80,6 +82,7 @@
     std::map<std::string, ServerView> servers;
     std::map<std::string, admission::RetryBudget> retryBudgets; /**< By service. */
     Duration expectedLoadTime = milliseconds(300); /**< Expected time to load an adapter without waiting calls, as reported by the leader. */
+    bool isLeaderless = false; /**< No leader answers, so none issues permits. */
     unsigned entryInstances = 1; /**< Entry instances in the fleet; fleet-wide limits are divided by their number. */
     control::Term placementTerm = 0; /**< Leader term of the last applied placement. */
     std::minstd_rand random;
--- a/include/mimosahollow/dispatch/serverlimits.h
+++ b/include/mimosahollow/dispatch/serverlimits.h
@@ -8,8 +8,14 @@
 
 namespace mimosahollow::dispatch {
 
-/** Whether @p server may get another call: it has no limit, or this instance holds a permit of the leader. */
-[[nodiscard]] bool hasPermit(const ServerView &server, TimePoint now);
+/** Whether @p server may get another call: it has no limit, or this instance holds a permit, of the leader or of its share without one. */
+[[nodiscard]] bool hasPermit(DispatchState &state, ServerView &server, TimePoint now);
+
+/** Takes the permit of a call that is sent to @p server. */
+void takePermit(ServerView &server, TimePoint now);
+
+/** Whether the leader answers the reports of this instance. */
+void setLeaderless(DispatchState &state, bool isLeaderless);
 
 /** An answer of @p server names @p callsPerSecond as its limit, or none. Returns whether the limit has changed. */
 bool limitStated(DispatchState &state, const std::string &server, std::optional<double> callsPerSecond, TimePoint now);
--- a/src/callpermits/permitissuer.cpp
+++ b/src/callpermits/permitissuer.cpp
@@ -12,16 +12,28 @@
     if (!isNew && isOlder) {
         return false;
     }
-    const bool isChanged = stated.born != bucket.born || stated.callsPerSecond != bucket.callsPerSecond;
+    const bool isChanged = stated.born != bucket.born || stated.callsPerSecond != bucket.statedLimit;
     if (stated.born != bucket.born) {
         bucket = {}; // without permits: what the other incarnation has not got is no credit of this one
         bucket.born = stated.born;
     }
-    setLimit(bucket, stated.callsPerSecond, now);
+    bucket.statedLimit = stated.callsPerSecond;
+    setLimit(bucket, stated.callsPerSecond * issuer.share, now);
     bucket.statedAt = statedAt;
     return isChanged;
 }
 
+void setShare(PermitIssuer &issuer, double share, TimePoint now)
+{
+    if (share == issuer.share) {
+        return;
+    }
+    issuer.share = share;
+    for (auto &[server, bucket] : issuer.buckets) {
+        setLimit(bucket, bucket.statedLimit * share, now);
+    }
+}
+
 unsigned issue(PermitIssuer &issuer, const std::string &server, unsigned wanted, TimePoint now)
 {
     const auto found = issuer.buckets.find(server);
@@ -43,7 +55,7 @@
 void forgetEnded(PermitIssuer &issuer, TimePoint now)
 {
     std::erase_if(issuer.buckets, [&issuer, now](const auto &item) {
-        return item.second.callsPerSecond <= 0 && now - item.second.statedAt > issuer.options.memory;
+        return item.second.statedLimit <= 0 && now - item.second.statedAt > issuer.options.memory;
     });
 }
 
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -330,6 +330,7 @@
     if (!leads()) {
         return;
     }
+    callpermits::setShare(m_permitIssuer, reachedShare(now), now);
     expireOrders(now);
     planOrderHolders(now);
     if (now >= m_nextVoterPlan) {
@@ -409,7 +410,7 @@
     gauge("catalog_version", m_state.catalogVersion);
     gauge("backend_servers", m_registry.entries.size());
     const auto isLimited = [](const auto &item) {
-        return item.second.callsPerSecond > 0;
+        return item.second.statedLimit > 0;
     };
     gauge("limited_backend_servers", static_cast<std::uint64_t>(std::count_if(m_permitIssuer.buckets.begin(), m_permitIssuer.buckets.end(), isLimited)));
     gauge("suspected_prompt_parts", leads() ? quarantine::suspects(m_crashLedger).size() : 0);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -128,6 +128,8 @@
     void consensusMessage(const fleetlink::Peer &peer, std::span<const std::uint8_t> bytes);
     void linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message);
     void handleReport(const fleetlink::Peer &peer, const fleetlink::EntryReport &report);
+    [[nodiscard]] std::size_t knownEntries() const;
+    [[nodiscard]] double reachedShare(TimePoint now) const;
     void confirmReports();
     void replyToReports(control::LogIndex index);
     void sendState(const fleetlink::Peer &peer);
--- a/src/coordinator/coordinatorfeed.cpp
+++ b/src/coordinator/coordinatorfeed.cpp
@@ -81,8 +81,8 @@
     }
     fleetlink::LoadDigest digest{m_placement.term, {}, now >= m_rateLimiter.grantsStartAt, {}};
     for (const auto &[server, bucket] : m_permitIssuer.buckets) {
-        if (bucket.callsPerSecond > 0) {
-            digest.limits.push_back({registry::serverKey(server), bucket.callsPerSecond});
+        if (bucket.statedLimit > 0) {
+            digest.limits.push_back({registry::serverKey(server), bucket.statedLimit});
         }
     }
     for (const auto &[key, count] : running) {
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -258,7 +258,7 @@
     if (!report.limits.empty()) {
         std::set<std::string> limited;
         for (const auto &[server, bucket] : m_permitIssuer.buckets) {
-            if (bucket.callsPerSecond > 0) {
+            if (bucket.statedLimit > 0) {
                 limited.insert(server);
             }
         }
@@ -272,6 +272,22 @@
     }
 }
 
+std::size_t Coordinator::knownEntries() const
+{
+    // A new leader has received few reports yet, but every entry instance has a connection.
+    return std::max(m_entries.size(), m_hub->entryCount());
+}
+
+/** Part of the entry instances that have reported lately. */
+double Coordinator::reachedShare(TimePoint now) const
+{
+    const auto reached = std::count_if(m_entries.begin(), m_entries.end(), [now](const auto &item) {
+        return now - item.second.lastReportAt < callpermits::contactTimeout;
+    });
+    const std::size_t known = knownEntries();
+    return known == 0 ? 1 : static_cast<double>(reached) / static_cast<double>(known);
+}
+
 /** Confirms the leadership by one round of the log, for all reports that arrived before it. */
 void Coordinator::confirmReports()
 {
@@ -296,8 +312,7 @@
         }
         return isGone;
     });
-    // A new leader has received few reports yet, but every entry instance has a connection.
-    const auto entries = static_cast<unsigned>(std::max(m_entries.size(), m_hub->entryCount()));
+    const auto entries = static_cast<unsigned>(knownEntries());
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoadTime(m_placement, now)).count());
     const std::vector<std::string> suspects = quarantine::suspects(m_crashLedger);
     for (const std::string &name : m_confirmingReports) {
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -223,7 +223,7 @@
             continue;
         }
         const double value = cost(state, server);
-        if (!hasPermit(server, now)) {
+        if (!hasPermit(state, server, now)) {
             cause = std::max(cause, RefusalCause::LimitedServers);
             if (bestLimited == nullptr || value < bestLimitedCost) {
                 bestLimited = &server;
@@ -252,7 +252,7 @@
 {
     if (const auto found = state.servers.find(server); found != state.servers.end()) {
         ++found->second.running;
-        found->second.permits -= found->second.callsPerSecond > 0 && found->second.permits > 0 ? 1 : 0;
+        takePermit(found->second, now);
         if (now < found->second.coldUntil) {
             found->second.coldSends.push_back(now);
         }
--- a/src/dispatch/serverlimits.cpp
+++ b/src/dispatch/serverlimits.cpp
@@ -13,11 +13,53 @@
 constexpr Duration ownStatementTime = milliseconds(1000); // until the leader and its digest have followed
 constexpr Duration wishTimeout = milliseconds(500); // an answer of the leader takes a few milliseconds
 
+bool hasIssuedPermit(const ServerView &server, TimePoint now)
+{
+    return server.permits > 0 && now < server.permitsUntil;
+}
+
+/** Begins the share with a random part of a permit, so that all instances together send at an even rate, also where shares are small. */
+void updateShare(DispatchState &state, ServerView &server, TimePoint now)
+{
+    const double callsPerSecond = server.callsPerSecond / std::max(1U, state.entryInstances);
+    if (server.share.callsPerSecond <= 0) {
+        server.share = {callsPerSecond, std::uniform_real_distribution<double>(0, 1)(state.random), now};
+    } else if (server.share.callsPerSecond != callsPerSecond) {
+        callpermits::setLimit(server.share, callsPerSecond, now);
+    }
+}
+
 } // namespace
 
-bool hasPermit(const ServerView &server, TimePoint now)
+bool hasPermit(DispatchState &state, ServerView &server, TimePoint now)
 {
-    return server.callsPerSecond <= 0 || (server.permits > 0 && now < server.permitsUntil);
+    if (server.callsPerSecond <= 0 || hasIssuedPermit(server, now)) {
+        return true;
+    }
+    if (!state.isLeaderless) {
+        return false;
+    }
+    updateShare(state, server, now);
+    return callpermits::hasPermit(server.share, now);
+}
+
+void takePermit(ServerView &server, TimePoint now)
+{
+    if (server.callsPerSecond > 0 && hasIssuedPermit(server, now)) {
+        --server.permits;
+    } else {
+        callpermits::takePermits(server.share, 1, now);
+    }
+}
+
+void setLeaderless(DispatchState &state, bool isLeaderless)
+{
+    if (!isLeaderless && state.isLeaderless) {
+        for (auto &[id, server] : state.servers) {
+            server.share = {};
+        }
+    }
+    state.isLeaderless = isLeaderless;
 }
 
 bool limitStated(DispatchState &state, const std::string &server, std::optional<double> callsPerSecond, TimePoint now)
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -160,6 +160,7 @@
     void addCrashes(fleetlink::EntryReport &report, TimePoint now);
     void crashesReported(std::uint64_t stamp);
     void addLimits(fleetlink::EntryReport &report, TimePoint now);
+    void updateLeaderContact();
     void permitsIssued(const fleetlink::LeaderReply &reply, TimePoint now);
     void postDispatchWaitingCalls();
     void dispatchWaitingCalls();
--- a/src/ingress/entrylimits.cpp
+++ b/src/ingress/entrylimits.cpp
@@ -1,6 +1,7 @@
 #include "ingress/entryinternal.h"
 
 #include "httpio/calllimit.h"
+#include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/dispatch/serverlimits.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
@@ -47,6 +48,18 @@
     }
 }
 
+void Entry::updateLeaderContact()
+{
+    // Without any reply so far the number of entry instances is unknown, and so is the share.
+    const bool isLeaderless = m_confirmedAt != 0 && stateAge() >= callpermits::contactTimeout;
+    if (isLeaderless != m_dispatch.isLeaderless) {
+        observability::DecisionLine line("leader-contact");
+        line.add("leader", m_leader).add("outcome", isLeaderless ? "lost" : "regained").add("entries", m_dispatch.entryInstances);
+        observability::logDecision(line.text());
+    }
+    dispatch::setLeaderless(m_dispatch, isLeaderless);
+}
+
 void Entry::permitsIssued(const fleetlink::LeaderReply &reply, TimePoint now)
 {
     for (const fleetlink::IssuedPermits &issued : reply.permits) {
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -113,6 +113,7 @@
     limitIdleConnections();
     m_dispatch.expectedLoadTime = milliseconds(reply.loadMilliseconds);
     m_sendsHistory = reply.wantsHistory;
+    updateLeaderContact();
     m_suspectedParts = {reply.suspectedParts.begin(), reply.suspectedParts.end()};
     crashesReported(reply.stamp);
     permitsIssued(reply, now);
@@ -205,6 +206,7 @@
 {
     m_lastReport = now;
     m_reportAt = {};
+    updateLeaderContact();
     bool isBusy = !m_waitingCalls.empty() || !m_tokenWaiters.empty();
     if (const fleetlink::Peer *leader = m_hub->findDialed(m_leader)) {
         fleetlink::EntryReport report;
--- a/tests/callpermits/callpermits.cpp
+++ b/tests/callpermits/callpermits.cpp
@@ -16,6 +16,68 @@
 
 const TimePoint start{seconds(100)};
 
+/** Entry instances that always have calls for one backend server, and a leader that some of them reach. */
+struct LimitedFleet
+{
+    LimitedFleet(unsigned count, double limit, unsigned seed) : entries(count), isReached(count, true)
+    {
+        applyStatement(issuer, {"s1", 1, limit}, start, start);
+        registry::ServerRecord record;
+        record.id = "s1";
+        record.born = 1;
+        for (dispatch::DispatchState &entry : entries) {
+            entry.random.seed(++seed);
+            entry.entryInstances = count;
+            dispatch::updateServer(entry, record, start);
+            dispatch::limitStated(entry, "s1", limit, start);
+        }
+    }
+
+    /** @p reachesLeader decides for each entry instance. */
+    template<typename Reaches>
+    void setContact(Reaches reachesLeader)
+    {
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            isReached[i] = reachesLeader();
+            dispatch::setLeaderless(entries[i], !isReached[i]);
+        }
+        const auto reached = static_cast<double>(std::count(isReached.begin(), isReached.end(), true));
+        setShare(issuer, reached / static_cast<double>(entries.size()), now);
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = now + time; now < end; now += milliseconds(20)) {
+            for (std::size_t i = 0; i < entries.size(); ++i) {
+                dispatch::ServerView &server = entries[i].servers.at("s1");
+                if (isReached[i] && server.permits == 0) {
+                    dispatch::addPermits(entries[i], "s1", issue(issuer, "s1", 1, now), now);
+                }
+                if (dispatch::hasPermit(entries[i], server, now)) {
+                    dispatch::callStarted(entries[i], "s1", now);
+                    sends.push_back(now);
+                }
+            }
+        }
+    }
+
+    /** Largest number of calls in any window of @p window. */
+    [[nodiscard]] std::size_t mostSends(Duration window) const
+    {
+        std::size_t most = 0;
+        for (auto first = sends.begin(); first != sends.end(); ++first) {
+            most = std::max(most, static_cast<std::size_t>(std::upper_bound(first, sends.end(), *first + window) - first));
+        }
+        return most;
+    }
+
+    PermitIssuer issuer;
+    std::vector<dispatch::DispatchState> entries;
+    std::vector<bool> isReached;
+    std::vector<TimePoint> sends;
+    TimePoint now = start;
+};
+
 } // namespace
 
 // Guards against permits above the limit in any window, whatever is asked for, returned, or named in between. The seeds are fixed.
@@ -68,6 +130,31 @@
     }
 }
 
+// Guards against backend servers with a limit that get no calls while no leader answers, and against more calls than they take while only some
+// entry instances reach it. The seeds are fixed.
+TEST_CASE("Entry instances without a leader use their shares of a limit")
+{
+    const unsigned count = GENERATE(2U, 6U, 193U);
+    const double limit = GENERATE(0.5, 4.0);
+    const bool isContactPartial = GENERATE(false, true);
+    constexpr unsigned time = 30; // seconds
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        INFO(count << " entry instances, limit " << limit << ", " << (isContactPartial ? "some reach" : "none reaches") << " the leader, seed " << seed);
+        LimitedFleet fleet(count, limit, 1000 * seed);
+        std::mt19937 random(seed);
+
+        for (unsigned second = 0; second < time; ++second) {
+            const auto reachingTenths = static_cast<unsigned>(isContactPartial ? random() % 11 : 0);
+            fleet.setContact([&random, reachingTenths] {
+                return random() % 10 < reachingTenths;
+            });
+            fleet.run(seconds(1));
+        }
+        CHECK(static_cast<double>(fleet.mostSends(seconds(4))) <= 1.5 * 4 * limit + 5);
+        CHECK(static_cast<double>(fleet.sends.size()) >= 0.5 * limit * time);
+    }
+}
+
 // Guards against wishes that are repeated while the leader's answer is on its way, which would take permits from other instances.
 TEST_CASE("An entry instance asks once for each call and returns what it does not use")
 {
@@ -79,19 +166,19 @@
     CHECK(dispatch::limitStated(state, "s1", 4.0, start));
     CHECK_FALSE(dispatch::limitStated(state, "s1", 4.0, start));
     dispatch::ServerView &server = state.servers.at("s1");
-    CHECK_FALSE(dispatch::hasPermit(server, start));
+    CHECK_FALSE(dispatch::hasPermit(state, server, start));
     server.permitWishes = {"c1", "c2"};
     CHECK(dispatch::takePermitWishes(server, 7, start) == 2);
     server.permitWishes = {"c1", "c2"};
     CHECK(dispatch::takePermitWishes(server, 8, start + milliseconds(5)) == 0);
     dispatch::addPermits(state, "s1", 1, start + milliseconds(10));
     dispatch::permitWishesAnswered(state, 7);
-    CHECK(dispatch::hasPermit(server, start + milliseconds(10)));
+    CHECK(dispatch::hasPermit(state, server, start + milliseconds(10)));
     server.permitWishes = {"c1", "c2"};
     CHECK(dispatch::takePermitWishes(server, 9, start + milliseconds(20)) == 1);
     CHECK(dispatch::takeExpiredPermits(server, start + milliseconds(100)) == 0);
     CHECK(dispatch::takeExpiredPermits(server, start + seconds(1)) == 1);
-    CHECK_FALSE(dispatch::hasPermit(server, start + seconds(1)));
+    CHECK_FALSE(dispatch::hasPermit(state, server, start + seconds(1)));
 
     SECTION("what the server says itself goes before the digest of the leader, which follows")
     {
--- a/tests/serverlimits/serverlimits.cpp
+++ b/tests/serverlimits/serverlimits.cpp
@@ -59,6 +59,20 @@
     CHECK(served >= serverCount * limit * 5 * 0.7);
 }
 
+// Guards against backend servers with a limit that get no calls until the next leader answers.
+TEST_CASE("A backend server that has named a limit gets calls while no leader answers")
+{
+    EngineFleet fleet;
+    fleet.namedLimit = "4.0";
+    sendCalls(fleet, 60, 5, contactTime);
+    const TimePoint from = Clock::now();
+    fleet.heartbeat.cancel(); // announcements go to the coordinator
+    fleet.coordinator.reset();
+    const unsigned served = sendCalls(fleet, 60, 5, window);
+    CHECK(static_cast<double>(mostInWindow(fleet, from)) <= allowed);
+    CHECK(served >= serverCount * limit * toSeconds(window) * 0.5);
+}
+
 // Guards against a limit that binds after the server has stopped naming it.
 TEST_CASE("A limit that a backend server names no more ends")
 {
