dispatch: refuse calls at once that would wait too long for permits

When nearly all engines name limits, callers waited 1.02 s, 1.7 times their objective, and were then refused with the same Retry-After of one second. Those that were served had waited as long, and were late.

Cause: an entry instance let each call wait for permits up to its wait limit, however many calls waited already. The length of the queue and the rate at which the instance sends were known.

A new call that finds more calls waiting for permits than the instance sends until nine tenths of the objective is refused at once. The refused callers return one after the other at the rate at which the instance sends, after 4 s at most, since limits may end at any time. Calls that wait already keep their limit, and one with no call before it is never refused by this rule, so that an instance that sends rarely still asks for permits.

--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -33,8 +33,15 @@
 
 using Decision = std::variant<Send, Wait, Refuse>;
 
+/** Place of a call among the calls of its service that wait for permits. */
+struct QueuePosition
+{
+    unsigned ahead = 0; /**< More urgent calls. */
+    bool isWaiting = false; /**< An earlier decision let the call wait. */
+};
+
 /** Chooses the backend server with the lowest cost for @p call. Counts no call; use callStarted(). */
-[[nodiscard]] Decision decide(DispatchState &state, const Call &call, TimePoint now);
+[[nodiscard]] Decision decide(DispatchState &state, const Call &call, TimePoint now, QueuePosition position = {});
 
 /** Whether @p call may not be sent to any backend server because of its prompt. */
 [[nodiscard]] bool isQuarantined(const DispatchState &state, const Call &call);
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -72,6 +72,14 @@
     std::set<std::string> baseModels;
 };
 
+/** Calls of one service at this instance. */
+struct ServiceLoad
+{
+    double sendsPerSecond = 0; /**< Exponential average at @c updatedAt. */
+    TimePoint updatedAt{};
+    TimePoint nextReturn{}; /**< Callers refused for limits were told to return one after the other, the next one at this time. */
+};
+
 struct DispatchState
 {
     DispatchOptions options;
@@ -81,6 +89,7 @@
     std::map<std::string, std::uint64_t> requiredVersions; /**< Oldest version that calls may use, by "model/adapter". */
     std::map<std::string, ServerView> servers;
     std::map<std::string, admission::RetryBudget> retryBudgets; /**< By service. */
+    std::map<std::string, ServiceLoad> services; /**< By name. */
     Duration expectedLoadTime = milliseconds(300); /**< Expected time to load an adapter without waiting calls, as reported by the leader. */
     bool isLeaderless = false; /**< No leader answers, so none issues permits. */
     unsigned entryInstances = 1; /**< Entry instances in the fleet; fleet-wide limits are divided by their number. */
--- a/include/mimosahollow/dispatch/serverlimits.h
+++ b/include/mimosahollow/dispatch/serverlimits.h
@@ -14,6 +14,18 @@
 /** Takes the permit of a call that is sent to @p server. */
 void takePermit(ServerView &server, TimePoint now);
 
+/** Counts a call of @p service that is sent. */
+void recordSend(DispatchState &state, const std::string &service, TimePoint now);
+
+/**
+ * Time until @p ahead calls of @p service that wait for permits have been sent, at the rate at which this instance sends, or at its even share of
+ * @p callsPerSecond, the limits of the servers together, if that is more.
+ */
+[[nodiscard]] Duration expectedPermitWait(const DispatchState &state, const std::string &service, double callsPerSecond, unsigned ahead, TimePoint now);
+
+/** Retry delay of a call that would wait for @p wait: the refused callers return one after the other, at the same rate. */
+[[nodiscard]] Duration permitRetryDelay(DispatchState &state, const std::string &service, double callsPerSecond, Duration wait, TimePoint now);
+
 /** Whether the leader answers the reports of this instance. */
 void setLeaderless(DispatchState &state, bool isLeaderless);
 
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -135,6 +135,15 @@
     return Wait{RefusalCause::AdapterNotLoaded, std::min(limit, now + recheckInterval)};
 }
 
+/**
+ * Whether a call is refused since those before it use the permits for @p wait. A new call begins to wait only if it may be answered in time: once
+ * the queue is longer, all calls are answered late, and no fewer are refused.
+ */
+bool isTooLateForPermits(const DispatchState &state, const Call &call, QueuePosition position, Duration wait, TimePoint now)
+{
+    return now + wait > waitLimit(call, position.isWaiting ? state.options.adapterWaitShare : state.options.waitShare);
+}
+
 /** Lets a call without a usable backend server wait, or refuses it after its wait limit. */
 Decision waitOrRefuse(const DispatchState &state, const Call &call, RefusalCause cause, TimePoint readyAt, TimePoint now)
 {
@@ -183,7 +192,7 @@
     return {RefusalCause::QuarantinedPrompt, quarantine::retryAfter};
 }
 
-Decision decide(DispatchState &state, const Call &call, TimePoint now)
+Decision decide(DispatchState &state, const Call &call, TimePoint now, QueuePosition position)
 {
     if (isQuarantined(state, call)) {
         return quarantineRefusal();
@@ -196,6 +205,7 @@
     const std::uint64_t version = requiredVersion(state, call);
     std::optional<Candidate> best;
     double bestCost = 0;
+    double commonLimit = 0;
     ServerView *bestLimited = nullptr; // would be chosen with a permit
     double bestLimitedCost = 0;
     TimePoint nextReady{};
@@ -204,6 +214,7 @@
         if (!isUsable(state, server, call, now)) {
             continue;
         }
+        commonLimit += server.callsPerSecond;
         const auto copy = findCopy(server, call, version);
         if (!copy) {
             cause = std::max(cause, RefusalCause::AdapterNotLoaded);
@@ -245,6 +256,12 @@
     if (!call.pinnedServer.empty() && nextReady == TimePoint{}) {
         return Refuse{cause, std::max(adapterRetry, state.expectedLoadTime)};
     }
+    if (cause == RefusalCause::LimitedServers && position.ahead > 0) {
+        const Duration wait = expectedPermitWait(state, call.service, commonLimit, position.ahead, now);
+        if (isTooLateForPermits(state, call, position, wait, now)) {
+            return Refuse{cause, permitRetryDelay(state, call.service, commonLimit, wait, now)};
+        }
+    }
     return waitOrRefuse(state, call, cause, nextReady, now);
 }
 
@@ -252,6 +269,7 @@
 {
     if (const auto found = state.servers.find(server); found != state.servers.end()) {
         ++found->second.running;
+        recordSend(state, found->second.record.service, now);
         takePermit(found->second, now);
         if (now < found->second.coldUntil) {
             found->second.coldSends.push_back(now);
--- a/src/dispatch/serverlimits.cpp
+++ b/src/dispatch/serverlimits.cpp
@@ -3,6 +3,7 @@
 #include "mimosahollow/callpermits/permitbucket.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace mimosahollow::dispatch {
@@ -13,6 +14,21 @@
 constexpr Duration ownStatementTime = milliseconds(1000); // until the leader and its digest have followed
 constexpr Duration wishTimeout = milliseconds(500); // an answer of the leader takes a few milliseconds
 
+constexpr Duration rateTime = seconds(1); // several calls also where an instance sends a few a second
+constexpr Duration longestRetryDelay = seconds(4); // limits may end at any time, and callers should not stay away for long then
+
+double sendsPerSecond(const ServiceLoad &load, TimePoint now)
+{
+    return load.sendsPerSecond * std::exp(-toSeconds(now - load.updatedAt) / toSeconds(rateTime));
+}
+
+double expectedSendRate(const DispatchState &state, const std::string &service, double callsPerSecond, TimePoint now)
+{
+    const auto load = state.services.find(service);
+    const double share = callsPerSecond / std::max(1U, state.entryInstances);
+    return load == state.services.end() ? share : std::max(share, sendsPerSecond(load->second, now));
+}
+
 bool hasIssuedPermit(const ServerView &server, TimePoint now)
 {
     return server.permits > 0 && now < server.permitsUntil;
@@ -52,6 +68,27 @@
     }
 }
 
+void recordSend(DispatchState &state, const std::string &service, TimePoint now)
+{
+    ServiceLoad &load = state.services[service];
+    load.sendsPerSecond = sendsPerSecond(load, now) + 1 / toSeconds(rateTime);
+    load.updatedAt = now;
+}
+
+Duration expectedPermitWait(const DispatchState &state, const std::string &service, double callsPerSecond, unsigned ahead, TimePoint now)
+{
+    return fromSeconds(ahead / expectedSendRate(state, service, callsPerSecond, now));
+}
+
+Duration permitRetryDelay(DispatchState &state, const std::string &service, double callsPerSecond, Duration wait, TimePoint now)
+{
+    ServiceLoad &load = state.services[service];
+    const TimePoint latest = now + longestRetryDelay;
+    const TimePoint returnAt = std::min(latest, std::max(now + wait, load.nextReturn));
+    load.nextReturn = std::min(latest, returnAt + fromSeconds(1 / expectedSendRate(state, service, callsPerSecond, now)));
+    return returnAt - now;
+}
+
 void setLeaderless(DispatchState &state, bool isLeaderless)
 {
     if (!isLeaderless && state.isLeaderless) {
--- a/src/ingress/entrycalls.cpp
+++ b/src/ingress/entrycalls.cpp
@@ -78,7 +78,14 @@
 asio::awaitable<ServerChoice> Entry::chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch)
 {
     const TimePoint now = Clock::now();
-    dispatch::Decision decision = dispatch::decide(m_dispatch, call, now);
+    const auto isLessUrgent = [&call](const WaitingCall *other) {
+        return std::tie(other->call->priority, other->call->arrived) > std::tie(call.priority, call.arrived);
+    };
+    const auto firstLessUrgent = std::find_if(m_waitingCalls.begin(), m_waitingCalls.end(), isLessUrgent);
+    const auto ahead = std::count_if(m_waitingCalls.begin(), firstLessUrgent, [&call](const WaitingCall *other) {
+        return !other->choice && other->cause == dispatch::RefusalCause::LimitedServers && other->call->service == call.service;
+    });
+    dispatch::Decision decision = dispatch::decide(m_dispatch, call, now, {static_cast<unsigned>(ahead), false});
     WaitingCall waiter(m_context);
     if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
         dispatch::callStarted(m_dispatch, send->server, now);
@@ -90,10 +97,8 @@
         waiter.call = &call;
         waiter.until = wait.until;
         waiter.timer.expires_at(TimePoint::max());
-        const auto isLessUrgent = [&call](const WaitingCall *other) {
-            return std::tie(other->call->priority, other->call->arrived) > std::tie(call.priority, call.arrived);
-        };
-        const auto position = m_waitingCalls.insert(std::find_if(m_waitingCalls.begin(), m_waitingCalls.end(), isLessUrgent), &waiter);
+        waiter.cause = wait.cause;
+        const auto position = m_waitingCalls.insert(firstLessUrgent, &waiter);
         metrics().setWaitingCalls(m_waitingCalls.size());
         watch.setInterrupt([&waiter] {
             if (!waiter.choice) {
@@ -164,11 +169,12 @@
 {
     const TimePoint now = Clock::now();
     TimePoint next = TimePoint::max();
+    std::map<std::string, unsigned> ahead; // by service: calls that still wait for permits
     for (WaitingCall *waiter : m_waitingCalls) {
         if (waiter->choice) {
             continue;
         }
-        const dispatch::Decision decision = dispatch::decide(m_dispatch, *waiter->call, now);
+        const dispatch::Decision decision = dispatch::decide(m_dispatch, *waiter->call, now, {ahead[waiter->call->service], true});
         if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
             dispatch::callStarted(m_dispatch, send->server, now);
             waiter->choice = *send;
@@ -177,7 +183,10 @@
             waiter->choice = *refuse;
             waiter->timer.cancel();
         } else {
-            next = std::min(next, std::get<dispatch::Wait>(decision).until);
+            const auto &wait = std::get<dispatch::Wait>(decision);
+            next = std::min(next, wait.until);
+            waiter->cause = wait.cause;
+            ahead[waiter->call->service] += wait.cause == dispatch::RefusalCause::LimitedServers ? 1 : 0;
         }
     }
     if (next != TimePoint::max()) {
--- a/src/ingress/entryinternal.h
+++ b/src/ingress/entryinternal.h
@@ -19,6 +19,7 @@
     boost::asio::steady_timer timer;
     std::optional<ServerChoice> choice;
     TimePoint until{};
+    dispatch::RefusalCause cause{}; /**< Why it waits. */
 };
 
 /** A call that waits for tokens of its organisation. */
