settings: refuse bundles with more base models than adapters can refer to

With 65,537 base models the adapters of the last one would have been served by the first: the encoded configuration numbers base models with 16 bits, and the number wrapped. Nothing checked it before.

A bundle with more than 65,536 base models is refused now. The test passed such a bundle before and sees it refused after.

--- a/src/settings/bundle.cpp
+++ b/src/settings/bundle.cpp
@@ -17,6 +17,9 @@
 
 using control::Configuration;
 
+// Adapters refer to base models by 16-bit numbers in the encoded configuration; a larger number would wrap to another model.
+constexpr std::size_t maximumBaseModels = 65'536;
+
 /** Reads one table of the bundle and reports what is wrong with it. */
 struct TableReader
 {
@@ -128,6 +131,9 @@
             top.report(nullptr, "version", "is required");
         }
         m_configuration.baseModels = top.list("base_models");
+        if (m_configuration.baseModels.size() > maximumBaseModels) {
+            top.report(nullptr, "base_models", "must be at most " + std::to_string(maximumBaseModels) + " names");
+        }
         m_configuration.loadRate = top.number("load_rate", 0.01, 100'000, m_configuration.loadRate);
         m_configuration.loadsInFlight = static_cast<std::uint32_t>(top.number("loads_in_flight", 1, 100'000, m_configuration.loadsInFlight));
         forEach("domain", &BundleParser::addDomain);
