tests: check the last voter, restarted nodes, freshness and evictions

The restarted node is now excused for its first configuration only; without faults each instance is fresh in each step; eleven adapters with waiting calls take the slots of a replicated one.

--- a/tests/control/consensus.cpp
+++ b/tests/control/consensus.cpp
@@ -268,3 +268,29 @@
     REQUIRE(state.commitIndex == 3);
     REQUIRE(messagesOf<AppendReply>(actions).at(0).matchIndex == 5);
 }
+
+// Guards against a log that nobody can continue.
+TEST_CASE("the last voter of a log cannot be removed")
+{
+    ConsensusState state = makeConsensus(one, {}, {}, {{one, "", false}}, 20261204, start);
+    ConsensusActions actions;
+    const TimePoint now = start + milliseconds(700); // after the longest election timeout
+    tick(state, now, actions);
+    for (std::uint64_t write = 0; write != state.lastWrite;) {
+        write = state.lastWrite;
+        logSynced(state, write, now, actions);
+    }
+    REQUIRE(state.role == VoterRole::Leader);
+    const ProposalResult alone = proposeRemoval(state, one, now, actions);
+    REQUIRE(std::holds_alternative<ProposalRejected>(alone));
+    CHECK(std::get<ProposalRejected>(alone).error == ProposalError::LastVoter);
+
+    SECTION("not even beside a learner, which has no vote")
+    {
+        REQUIRE(std::holds_alternative<ProposalAccepted>(proposeMember(state, {two, "", true}, now, actions)));
+        logSynced(state, state.lastWrite, now, actions);
+        const ProposalResult result = proposeRemoval(state, one, now, actions);
+        REQUIRE(std::holds_alternative<ProposalRejected>(result));
+        CHECK(std::get<ProposalRejected>(result).error == ProposalError::LastVoter);
+    }
+}
--- a/tests/coordination/fakefleet.h
+++ b/tests/coordination/fakefleet.h
@@ -27,7 +27,7 @@
         TimePoint freshUntil{};
         std::map<PoolId, LeaseChanged> leases;
         std::vector<CommandDone> done;
-        bool restarted = false; /**< After a restart the configuration may be older than before it. */
+        bool restarted = false; /**< The first configuration after a restart may be older than the one before it. */
     };
 
     explicit FakeFleet(std::shared_ptr<const control::Configuration> bundle)
@@ -237,6 +237,7 @@
             // A configuration that an instance has applied never reverts to an older one (P14).
             REQUIRE((!node.configuration || node.restarted || changed->configuration->logIndex >= node.configuration->logIndex));
             node.configuration = changed->configuration;
+            node.restarted = false;
         } else if (const auto *freshness = std::get_if<FreshnessChanged>(&action)) {
             node.freshUntil = freshness->freshUntil;
         } else if (const auto *lease = std::get_if<LeaseChanged>(&action)) {
--- a/tests/membership/leases.cpp
+++ b/tests/membership/leases.cpp
@@ -71,6 +71,7 @@
     std::size_t doubleOwners = 0;
     std::size_t staleWithLease = 0;
     std::size_t ownedSteps = 0;
+    std::size_t freshSteps = 0;
     Version acknowledged = 0;
 };
 
@@ -94,6 +95,7 @@
         violations.doubleOwners += simulation.doubleOwners;
         violations.staleWithLease += simulation.staleWithLease;
         violations.ownedSteps += simulation.ownedSteps;
+        violations.freshSteps += simulation.freshSteps;
         violations.acknowledged += simulation.acknowledged;
         if (mutation == Mutation::None && simulation.doubleOwners + simulation.staleWithLease > 0) {
             UNSCOPED_INFO("seed " << seed << ": " << simulation.doubleOwners << " double owners, " << simulation.staleWithLease << " stale");
@@ -147,8 +149,9 @@
         const Violations violations = runSeeds(Mutation::None);
         REQUIRE(violations.doubleOwners == 0);
         REQUIRE(violations.staleWithLease == 0);
-        SECTION("although pools are owned and changes are acknowledged during the runs")
+        SECTION("although pools are owned, instances are fresh and changes are acknowledged during the runs")
         {
+            REQUIRE(violations.freshSteps > 10'000);
             REQUIRE(violations.ownedSteps > 10'000);
             REQUIRE(violations.acknowledged > 1'000);
         }
@@ -204,6 +207,13 @@
     }
     const std::size_t victim = owners[1];
 
+    // Guards against freshness leases that are never granted, which would satisfy all other checks.
+    SECTION("without faults all instances stay fresh")
+    {
+        simulation.run(seconds(60));
+        REQUIRE(simulation.freshSteps == 6000 * (simulation.nodes.size() - 1));
+    }
+
     SECTION("a failure domain that is isolated as a whole keeps its owners without interruption")
     {
         for (std::size_t node = 1; node <= 3; ++node) {
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -281,6 +281,19 @@
         fleet.executeOrders();
     }
     CHECK(fleet.copies("a1") == 3);
+
+    // Eleven adapters with waiting calls need all slots but one.
+    for (int step = 0; step < 60; ++step) {
+        fleet.now += seconds(1);
+        for (unsigned i = 0; i < 3 * adapterSlots - 1; ++i) {
+            fleet.demand("b" + std::to_string(i), 1);
+        }
+        fleet.executeOrders();
+    }
+    for (unsigned i = 0; i < 3 * adapterSlots - 1; ++i) {
+        CHECK(fleet.copies("b" + std::to_string(i)) == 1);
+    }
+    CHECK(fleet.copies("a1") <= 1);
 }
 
 // Load pattern: an engine runs 12 calls at once, and one adapter receives 5 calls per second of two seconds each, 10 at once. Guards against a
