--- a/include/mimosahollow/dispatch/serverlimits.h
+++ b/include/mimosahollow/dispatch/serverlimits.h
@@ -26,7 +26,7 @@
 /** Retry delay of a call that would wait for @p wait: the refused callers return one after the other, at the same rate. */
 [[nodiscard]] Duration permitRetryDelay(DispatchState &state, const std::string &service, double callsPerSecond, Duration wait, TimePoint now);
 
-/** Whether the leader answers the reports of this instance. */
+/** Sets whether no leader answers the reports of this instance, so that it uses its shares of limits. */
 void setLeaderless(DispatchState &state, bool isLeaderless);
 
 /** An answer of @p server names @p callsPerSecond as its limit, or none. Returns whether the limit has changed. */
