scheduling: name the simulated order of starts by what it does

visitInOrder() did not say which order, nor what its argument decides. It is simulateStarts() now, with a description that a reader of the header can follow.

--- a/src/scheduling/limits.cpp
+++ b/src/scheduling/limits.cpp
@@ -88,7 +88,7 @@
     if (state.waiting == 0 || permits.isEmpty()) {
         return;
     }
-    const std::vector<std::uint32_t> late = visitInOrder(state, [&](const AcquireRequest &request) {
+    const std::vector<std::uint32_t> late = simulateStarts(state, [&](const AcquireRequest &request) {
         const bool isInTime = now + permits.next() + minimumRunTime(state, request) < request.deadline;
         if (isInTime) {
             permits.take();
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -192,7 +192,7 @@
     return best;
 }
 
-std::vector<std::uint32_t> visitInOrder(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts)
+std::vector<std::uint32_t> simulateStarts(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts)
 {
     std::map<std::uint32_t, OrganisationQueue> queues = organisationQueues(state);
     const auto isLater = [&state](const OrganisationQueue *left, const OrganisationQueue *right) {
--- a/src/scheduling/queue.h
+++ b/src/scheduling/queue.h
@@ -23,10 +23,10 @@
 [[nodiscard]] std::uint32_t nextForServer(const PoolState &state, const ServerState &server) noexcept;
 
 /**
- * Shows the waiting requests to @p starts in the order in which permits for any server would start them. A request for which it returns false
- * is not charged to its organisation. Returns the records of those, in that order.
+ * Goes through the waiting requests in the order in which they would start if any server could run each. @p starts decides for each of them; the
+ * tokens of those that start count for the order of the following ones. Returns the records of the others, in that order.
  */
-[[nodiscard]] std::vector<std::uint32_t> visitInOrder(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts);
+[[nodiscard]] std::vector<std::uint32_t> simulateStarts(const PoolState &state, const std::function<bool(const AcquireRequest &)> &starts);
 
 /** Estimated lower bound of the run time, from fast requests relative to their maximum output. */
 [[nodiscard]] Duration minimumRunTime(const PoolState &state, const AcquireRequest &request) noexcept;
