Keep one copy of decaying rates, of named limits and of the windows in tests

Found when the change was read again: - dispatch computed an exponential average of calls per second as placement does. Both use DecayingRate now. - A refusal for limits computed the expected send rate twice; decide() computes it once and passes it on. - Both front ends clamped the limit that an answer names in the same expression: callpermits::limitInForce(). - `share` meant a part of a limit in the leader and a bucket of permits in an entry instance: issuedShare and ownPermits. - Three tests counted the most calls in any window: tests/support/windows.h.

--- a/include/mimosahollow/callpermits/permitbucket.h
+++ b/include/mimosahollow/callpermits/permitbucket.h
@@ -2,10 +2,9 @@
 
 #include "mimosahollow/core/time.h"
 
-namespace mimosahollow::callpermits {
+#include <optional>
 
-/** Calls per second; a server that never got a call could not raise its limit again. */
-inline constexpr double minimumLimit = 0.1;
+namespace mimosahollow::callpermits {
 
 /** Permits for calls to one backend server that has named a limit; they accrue at the limit. */
 struct PermitBucket
@@ -15,6 +14,9 @@
     TimePoint updatedAt{};
 };
 
+/** Calls per second under the limit that an answer names, 0 if it names none. Never so few that the server could not raise its limit again. */
+[[nodiscard]] double limitInForce(std::optional<double> named) noexcept;
+
 /** Permits at @p now, those of half a second at most, and one at least once it has accrued. */
 [[nodiscard]] double permitsAt(const PermitBucket &bucket, TimePoint now) noexcept;
 
--- a/include/mimosahollow/callpermits/permitissuer.h
+++ b/include/mimosahollow/callpermits/permitissuer.h
@@ -40,7 +40,7 @@
 struct PermitIssuer
 {
     PermitIssuerOptions options;
-    double share = 1; /**< Issued part of each limit; entry instances that do not reach the leader use the rest. */
+    double issuedShare = 1; /**< Issued part of each limit; entry instances that do not reach the leader use the rest. */
     std::map<std::string, ServerPermits> buckets; /**< By server. */
 };
 
@@ -48,7 +48,7 @@
 bool applyStatement(PermitIssuer &issuer, const StatedLimit &stated, TimePoint statedAt, TimePoint now);
 
 /** Changes the issued part of each limit to @p share, from 0 to 1. */
-void setShare(PermitIssuer &issuer, double share, TimePoint now);
+void setIssuedShare(PermitIssuer &issuer, double share, TimePoint now);
 
 /** Issues up to @p wanted permits; none for a server without a limit, which needs none. */
 [[nodiscard]] unsigned issue(PermitIssuer &issuer, const std::string &server, unsigned wanted, TimePoint now);
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -3,6 +3,7 @@
 #include "mimosahollow/admission/retrybudget.h"
 #include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/catalog/catalogindex.h"
+#include "mimosahollow/core/decayingrate.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/fleetlink/linkmessage.h"
 #include "mimosahollow/registry/serverrecord.h"
@@ -61,7 +62,7 @@
     bool isLimitReported = false; /**< The leader has been sent the newest statement. */
     unsigned permits = 0; /**< Calls that may be sent under the limit. */
     TimePoint permitsUntil{};
-    callpermits::PermitBucket share; /**< Even share of the limit, while no leader answers; without a limit otherwise. */
+    callpermits::PermitBucket ownPermits; /**< They accrue at an even share of the limit while no leader answers; without a limit otherwise. */
     std::set<std::string> permitWishes; /**< Ids of calls that a permit would have brought here since the last report. */
     std::uint64_t wishStamp = 0; /**< Of the report with a request that is not answered yet; 0: none. */
     TimePoint wishedAt{};
@@ -75,8 +76,7 @@
 /** Calls of one service at this instance. */
 struct ServiceLoad
 {
-    double sendsPerSecond = 0; /**< Exponential average at @c updatedAt. */
-    TimePoint updatedAt{};
+    DecayingRate sends;
     TimePoint nextReturn{}; /**< Callers refused for limits were told to return one after the other, the next one at this time. */
 };
 
--- a/include/mimosahollow/dispatch/serverlimits.h
+++ b/include/mimosahollow/dispatch/serverlimits.h
@@ -8,7 +8,7 @@
 
 namespace mimosahollow::dispatch {
 
-/** Whether @p server may get another call: it has no limit, or this instance holds a permit, of the leader or of its share without one. */
+/** Whether @p server may get another call: it has no limit, or this instance holds a permit: of the leader, or its own while none answers. */
 [[nodiscard]] bool hasPermit(DispatchState &state, ServerView &server, TimePoint now);
 
 /** Takes the permit of a call that is sent to @p server. */
@@ -18,15 +18,15 @@
 void recordSend(DispatchState &state, const std::string &service, TimePoint now);
 
 /**
- * Time until @p ahead calls of @p service that wait for permits have been sent, at the rate at which this instance sends, or at its even share of
- * @p callsPerSecond, the limits of the servers together, if that is more.
+ * Calls of @p service per second that this instance may expect to send: as many as lately, and at least its even share of @p callsPerSecond, the
+ * limits of the servers together.
  */
-[[nodiscard]] Duration expectedPermitWait(const DispatchState &state, const std::string &service, double callsPerSecond, unsigned ahead, TimePoint now);
+[[nodiscard]] double expectedSendRate(const DispatchState &state, const std::string &service, double callsPerSecond, TimePoint now);
 
-/** Retry delay of a call that would wait for @p wait: the refused callers return one after the other, at the same rate. */
-[[nodiscard]] Duration permitRetryDelay(DispatchState &state, const std::string &service, double callsPerSecond, Duration wait, TimePoint now);
+/** Retry delay of a call that would wait for @p wait: refused callers return one after the other, @p sendRate of them per second. */
+[[nodiscard]] Duration permitRetryDelay(ServiceLoad &load, double sendRate, Duration wait, TimePoint now);
 
-/** Sets whether no leader answers the reports of this instance, so that it uses its shares of limits. */
+/** Sets whether no leader answers the reports of this instance, so that it sends its even share of each limit. */
 void setLeaderless(DispatchState &state, bool isLeaderless);
 
 /** An answer of @p server names @p callsPerSecond as its limit, or none. Returns whether the limit has changed. */
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/core/decayingrate.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/placement/modelorder.h"
 #include "mimosahollow/placement/orderslots.h"
@@ -119,8 +120,7 @@
     };
     std::map<std::string, Wait> waiting; /**< By entry instance. */
     std::map<std::string, unsigned> running; /**< Calls on engines, by entry instance. */
-    double callsPerSecond = 0; /**< Exponential average at rateUpdated. */
-    TimePoint rateUpdated{};
+    DecayingRate calls;
     TimePoint waitingSince{}; /**< First report of a waiting call after a time without any. */
 };
 
--- a/src/callpermits/permitbucket.cpp
+++ b/src/callpermits/permitbucket.cpp
@@ -8,6 +8,8 @@
 
 constexpr Duration burst = milliseconds(500); // longer ones would exceed the limit in the seconds after a pause
 
+constexpr double minimumLimit = 0.1; // calls per second; a server without calls has no answer that could name another limit
+
 double capped(const PermitBucket &bucket, double permits) noexcept
 {
     return std::min(std::max(1.0, bucket.callsPerSecond * toSeconds(burst)), permits);
@@ -15,6 +17,11 @@
 
 } // namespace
 
+double limitInForce(std::optional<double> named) noexcept
+{
+    return named ? std::max(minimumLimit, *named) : 0;
+}
+
 double permitsAt(const PermitBucket &bucket, TimePoint now) noexcept
 {
     return capped(bucket, bucket.permits + bucket.callsPerSecond * std::max(0.0, toSeconds(now - bucket.updatedAt)));
--- a/src/callpermits/permitissuer.cpp
+++ b/src/callpermits/permitissuer.cpp
@@ -18,17 +18,17 @@
         bucket.born = stated.born;
     }
     bucket.statedLimit = stated.callsPerSecond;
-    setLimit(bucket, stated.callsPerSecond * issuer.share, now);
+    setLimit(bucket, stated.callsPerSecond * issuer.issuedShare, now);
     bucket.statedAt = statedAt;
     return isChanged;
 }
 
-void setShare(PermitIssuer &issuer, double share, TimePoint now)
+void setIssuedShare(PermitIssuer &issuer, double share, TimePoint now)
 {
-    if (share == issuer.share) {
+    if (share == issuer.issuedShare) {
         return;
     }
-    issuer.share = share;
+    issuer.issuedShare = share;
     for (auto &[server, bucket] : issuer.buckets) {
         setLimit(bucket, bucket.statedLimit * share, now);
     }
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -330,7 +330,7 @@
     if (!leads()) {
         return;
     }
-    callpermits::setShare(m_permitIssuer, reachedShare(now), now);
+    callpermits::setIssuedShare(m_permitIssuer, reachedShare(now), now);
     expireOrders(now);
     planOrderHolders(now);
     if (now >= m_nextVoterPlan) {
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -205,7 +205,7 @@
     const std::uint64_t version = requiredVersion(state, call);
     std::optional<Candidate> best;
     double bestCost = 0;
-    double commonLimit = 0;
+    double commonLimit = 0; // of all usable servers that have named one
     ServerView *bestLimited = nullptr; // would be chosen with a permit
     double bestLimitedCost = 0;
     TimePoint nextReady{};
@@ -257,9 +257,10 @@
         return Refuse{cause, std::max(adapterRetry, state.expectedLoadTime)};
     }
     if (cause == RefusalCause::LimitedServers && position.ahead > 0) {
-        const Duration wait = expectedPermitWait(state, call.service, commonLimit, position.ahead, now);
+        const double sendRate = expectedSendRate(state, call.service, commonLimit, now);
+        const Duration wait = fromSeconds(position.ahead / sendRate);
         if (isTooLateForPermits(state, call, position, wait, now)) {
-            return Refuse{cause, permitRetryDelay(state, call.service, commonLimit, wait, now)};
+            return Refuse{cause, permitRetryDelay(state.services[call.service], sendRate, wait, now)};
         }
     }
     return waitOrRefuse(state, call, cause, nextReady, now);
--- a/src/dispatch/serverlimits.cpp
+++ b/src/dispatch/serverlimits.cpp
@@ -3,7 +3,6 @@
 #include "mimosahollow/callpermits/permitbucket.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace mimosahollow::dispatch {
@@ -13,20 +12,12 @@
 constexpr Duration permitLifetime = milliseconds(300); // two report intervals; unused permits keep other instances waiting
 constexpr Duration ownStatementTime = milliseconds(1000); // until the leader and its digest have followed
 constexpr Duration wishTimeout = milliseconds(500); // an answer of the leader takes a few milliseconds
-
-constexpr Duration rateTime = seconds(1); // several calls also where an instance sends a few a second
+constexpr Duration sendRateTime = seconds(1); // several calls also where an instance sends a few a second
 constexpr Duration longestRetryDelay = seconds(4); // limits may end at any time, and callers should not stay away for long then
 
-double sendsPerSecond(const ServiceLoad &load, TimePoint now)
-{
-    return load.sendsPerSecond * std::exp(-toSeconds(now - load.updatedAt) / toSeconds(rateTime));
-}
-
-double expectedSendRate(const DispatchState &state, const std::string &service, double callsPerSecond, TimePoint now)
+double evenShare(const DispatchState &state, double callsPerSecond)
 {
-    const auto load = state.services.find(service);
-    const double share = callsPerSecond / std::max(1U, state.entryInstances);
-    return load == state.services.end() ? share : std::max(share, sendsPerSecond(load->second, now));
+    return callsPerSecond / std::max(1U, state.entryInstances);
 }
 
 bool hasIssuedPermit(const ServerView &server, TimePoint now)
@@ -34,14 +25,14 @@
     return server.permits > 0 && now < server.permitsUntil;
 }
 
-/** Begins the share with a random part of a permit, so that all instances together send at an even rate, also where shares are small. */
-void updateShare(DispatchState &state, ServerView &server, TimePoint now)
+/** Begins the own permits with a random part of a permit, so that all instances together send at an even rate, also where shares are small. */
+void updateOwnPermits(DispatchState &state, ServerView &server, TimePoint now)
 {
-    const double callsPerSecond = server.callsPerSecond / std::max(1U, state.entryInstances);
-    if (server.share.callsPerSecond <= 0) {
-        server.share = {callsPerSecond, std::uniform_real_distribution<double>(0, 1)(state.random), now};
-    } else if (server.share.callsPerSecond != callsPerSecond) {
-        callpermits::setLimit(server.share, callsPerSecond, now);
+    const double callsPerSecond = evenShare(state, server.callsPerSecond);
+    if (server.ownPermits.callsPerSecond <= 0) {
+        server.ownPermits = {callsPerSecond, std::uniform_real_distribution<double>(0, 1)(state.random), now};
+    } else if (server.ownPermits.callsPerSecond != callsPerSecond) {
+        callpermits::setLimit(server.ownPermits, callsPerSecond, now);
     }
 }
 
@@ -55,8 +46,8 @@
     if (!state.isLeaderless) {
         return false;
     }
-    updateShare(state, server, now);
-    return callpermits::hasPermit(server.share, now);
+    updateOwnPermits(state, server, now);
+    return callpermits::hasPermit(server.ownPermits, now);
 }
 
 void takePermit(ServerView &server, TimePoint now)
@@ -64,28 +55,27 @@
     if (server.callsPerSecond > 0 && hasIssuedPermit(server, now)) {
         --server.permits;
     } else {
-        callpermits::takePermits(server.share, 1, now);
+        callpermits::takePermits(server.ownPermits, 1, now);
     }
 }
 
 void recordSend(DispatchState &state, const std::string &service, TimePoint now)
 {
-    ServiceLoad &load = state.services[service];
-    load.sendsPerSecond = sendsPerSecond(load, now) + 1 / toSeconds(rateTime);
-    load.updatedAt = now;
+    recordEvents(state.services[service].sends, 1, sendRateTime, now);
 }
 
-Duration expectedPermitWait(const DispatchState &state, const std::string &service, double callsPerSecond, unsigned ahead, TimePoint now)
+double expectedSendRate(const DispatchState &state, const std::string &service, double callsPerSecond, TimePoint now)
 {
-    return fromSeconds(ahead / expectedSendRate(state, service, callsPerSecond, now));
+    const auto load = state.services.find(service);
+    const double recent = load == state.services.end() ? 0 : rateAt(load->second.sends, sendRateTime, now);
+    return std::max(evenShare(state, callsPerSecond), recent);
 }
 
-Duration permitRetryDelay(DispatchState &state, const std::string &service, double callsPerSecond, Duration wait, TimePoint now)
+Duration permitRetryDelay(ServiceLoad &load, double sendRate, Duration wait, TimePoint now)
 {
-    ServiceLoad &load = state.services[service];
     const TimePoint latest = now + longestRetryDelay;
     const TimePoint returnAt = std::min(latest, std::max(now + wait, load.nextReturn));
-    load.nextReturn = std::min(latest, returnAt + fromSeconds(1 / expectedSendRate(state, service, callsPerSecond, now)));
+    load.nextReturn = std::min(latest, returnAt + fromSeconds(1 / sendRate));
     return returnAt - now;
 }
 
@@ -93,7 +83,7 @@
 {
     if (!isLeaderless && state.isLeaderless) {
         for (auto &[id, server] : state.servers) {
-            server.share = {};
+            server.ownPermits = {};
         }
     }
     state.isLeaderless = isLeaderless;
@@ -106,7 +96,7 @@
         return false;
     }
     ServerView &view = found->second;
-    const double stated = callsPerSecond ? std::max(callpermits::minimumLimit, *callsPerSecond) : 0;
+    const double stated = callpermits::limitInForce(callsPerSecond);
     const double before = std::exchange(view.callsPerSecond, stated);
     if (stated > 0 || before > 0) {
         view.statedLimit = stated;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -13,8 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <algorithm>
-
 namespace mimosahollow::gateway {
 
 namespace asio = boost::asio;
@@ -156,8 +154,7 @@
     if (!text.empty() && !limit) {
         attempt.thread.logRejected("the limit named by backend server " + attempt.grant.address + " is not a number");
     } else if (limit || attempt.grant.isLimited) {
-        const double callsPerSecond = limit ? std::max(callpermits::minimumLimit, *limit) : 0;
-        if (!attempt.thread.forward(BackendLimit{attempt.request.id, attempt.grant.grant, callsPerSecond})) {
+        if (!attempt.thread.forward(BackendLimit{attempt.request.id, attempt.grant.grant, callpermits::limitInForce(limit)})) {
             attempt.thread.metrics().ringFull();
         }
     }
--- a/src/ingress/entrycalls.cpp
+++ b/src/ingress/entrycalls.cpp
@@ -174,7 +174,8 @@
         if (waiter->choice) {
             continue;
         }
-        const dispatch::Decision decision = dispatch::decide(m_dispatch, *waiter->call, now, {ahead[waiter->call->service], true});
+        unsigned &callsAhead = ahead[waiter->call->service];
+        const dispatch::Decision decision = dispatch::decide(m_dispatch, *waiter->call, now, {callsAhead, true});
         if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
             dispatch::callStarted(m_dispatch, send->server, now);
             waiter->choice = *send;
@@ -186,7 +187,7 @@
             const auto &wait = std::get<dispatch::Wait>(decision);
             next = std::min(next, wait.until);
             waiter->cause = wait.cause;
-            ahead[waiter->call->service] += wait.cause == dispatch::RefusalCause::LimitedServers ? 1 : 0;
+            callsAhead += wait.cause == dispatch::RefusalCause::LimitedServers ? 1 : 0;
         }
     }
     if (next != TimePoint::max()) {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -3,7 +3,6 @@
 #include "internal.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace mimosahollow::placement {
 
@@ -156,10 +155,7 @@
 {
     DemandState &demand = state.demand[key];
     demand.service = service;
-    const double age = std::max(0.0, toSeconds(now - demand.rateUpdated));
-    const double window = toSeconds(state.options.demandTimeConstant);
-    demand.callsPerSecond = demand.callsPerSecond * std::exp(-age / window) + counts.started / window;
-    demand.rateUpdated = now;
+    recordEvents(demand.calls, counts.started, state.options.demandTimeConstant, now);
     if (counts.waiting == 0) {
         demand.waiting.erase(std::string(entry));
     } else {
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 
 namespace mimosahollow::placement {
@@ -54,8 +53,7 @@
 
     [[nodiscard]] double callsPerSecond(const DemandState &demand) const
     {
-        const double age = std::max(0.0, toSeconds(now - demand.rateUpdated));
-        return demand.callsPerSecond * std::exp(-age / toSeconds(state.options.demandTimeConstant));
+        return rateAt(demand.calls, state.options.demandTimeConstant, now);
     }
 
     [[nodiscard]] unsigned waitingCalls(const DemandState &demand) const
@@ -391,7 +389,7 @@
 void dropIdleDemand(PlacementState &state, TimePoint now)
 {
     std::erase_if(state.demand, [&state, now](const auto &item) {
-        return item.second.running.empty() && now - item.second.rateUpdated > state.options.demandRetention;
+        return item.second.running.empty() && now - item.second.calls.updatedAt > state.options.demandRetention;
     });
 }
 
--- a/tests/callpermits/callpermits.cpp
+++ b/tests/callpermits/callpermits.cpp
@@ -1,6 +1,7 @@
 #include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/dispatch/dispatch.h"
 #include "mimosahollow/dispatch/serverlimits.h"
+#include "support/windows.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,6 +12,7 @@
 
 using namespace mimosahollow;
 using namespace mimosahollow::callpermits;
+using mimosahollow::tests::mostInWindow;
 
 namespace {
 
@@ -42,7 +44,7 @@
             dispatch::setLeaderless(entries[i], !isReached[i]);
         }
         const auto reached = static_cast<double>(std::count(isReached.begin(), isReached.end(), true));
-        setShare(issuer, reached / static_cast<double>(entries.size()), now);
+        setIssuedShare(issuer, reached / static_cast<double>(entries.size()), now);
     }
 
     void run(Duration time)
@@ -61,16 +63,6 @@
         }
     }
 
-    /** Largest number of calls in any window of @p window. */
-    [[nodiscard]] std::size_t mostSends(Duration window) const
-    {
-        std::size_t most = 0;
-        for (auto first = sends.begin(); first != sends.end(); ++first) {
-            most = std::max(most, static_cast<std::size_t>(std::upper_bound(first, sends.end(), *first + window) - first));
-        }
-        return most;
-    }
-
     PermitIssuer issuer;
     std::vector<dispatch::DispatchState> entries;
     std::vector<bool> isReached;
@@ -98,10 +90,7 @@
             }
             applyStatement(issuer, {"s1", 1, limit}, now, now); // each answer names it again
         }
-        for (auto first = used.begin(); first != used.end(); ++first) {
-            const auto last = std::upper_bound(first, used.end(), *first + seconds(4));
-            REQUIRE(static_cast<double>(last - first) <= limit * 4.5 + 1);
-        }
+        REQUIRE(static_cast<double>(mostInWindow(used, seconds(4))) <= limit * 4.5 + 1);
         CHECK(static_cast<double>(used.size()) >= limit * 30 * 0.8 - 1);
     }
 }
@@ -150,7 +139,7 @@
             });
             fleet.run(seconds(1));
         }
-        CHECK(static_cast<double>(fleet.mostSends(seconds(4))) <= 1.5 * 4 * limit + 5);
+        CHECK(static_cast<double>(mostInWindow(fleet.sends, seconds(4))) <= 1.5 * 4 * limit + 5);
         CHECK(static_cast<double>(fleet.sends.size()) >= 0.5 * limit * time);
     }
 }
--- a/tests/serverlimits/serverlimits.cpp
+++ b/tests/serverlimits/serverlimits.cpp
@@ -1,4 +1,5 @@
 #include "support/enginefleet.h"
+#include "support/windows.h"
 
 #include <algorithm>
 
@@ -30,14 +31,11 @@
 }
 
 /** Largest number of calls that one server got in any window beginning at @p from or later. */
-std::size_t mostInWindow(const EngineFleet &fleet, TimePoint from)
+std::size_t mostArrivals(const EngineFleet &fleet, TimePoint from)
 {
     std::size_t most = 0;
     for (const EngineFleet::Server &server : fleet.servers) {
-        for (auto first = server.arrivals.begin(); first != server.arrivals.end(); ++first) {
-            const auto last = std::upper_bound(first, server.arrivals.end(), *first + window);
-            most = *first >= from ? std::max(most, static_cast<std::size_t>(last - first)) : most;
-        }
+        most = std::max(most, mostInWindow(server.arrivals, window, from));
     }
     return most;
 }
@@ -54,7 +52,7 @@
     sendCalls(fleet, 90, firstEntryShare, contactTime);
     const TimePoint from = Clock::now();
     const unsigned served = sendCalls(fleet, 90, firstEntryShare, window + seconds(1));
-    CHECK(static_cast<double>(mostInWindow(fleet, from)) <= allowed);
+    CHECK(static_cast<double>(mostArrivals(fleet, from)) <= allowed);
     // Most of what the servers take is used, though the calls come through the entry instances unevenly.
     CHECK(served >= serverCount * limit * 5 * 0.7);
 }
@@ -69,7 +67,7 @@
     fleet.heartbeat.cancel(); // announcements go to the coordinator
     fleet.coordinator.reset();
     const unsigned served = sendCalls(fleet, 60, 5, window);
-    CHECK(static_cast<double>(mostInWindow(fleet, from)) <= allowed);
+    CHECK(static_cast<double>(mostArrivals(fleet, from)) <= allowed);
     CHECK(served >= serverCount * limit * toSeconds(window) * 0.5);
 }
 
--- a/tests/serving/serverlimits.cpp
+++ b/tests/serving/serverlimits.cpp
@@ -1,9 +1,11 @@
 #include "fleet.h"
+#include "support/windows.h"
 
 #include <catch2/catch.hpp>
 
 using namespace mimosahollow;
 using namespace mimosahollow::serving;
+using mimosahollow::tests::mostInWindow;
 
 namespace {
 
@@ -28,17 +30,6 @@
     return all;
 }
 
-/** Largest number of calls that the server got in a window, from @p since on. */
-std::size_t mostSends(Fleet &fleet, const std::string &server, TimePoint since)
-{
-    const std::vector<TimePoint> &sends = fleet.sends[server];
-    std::size_t most = 0;
-    for (auto first = std::lower_bound(sends.begin(), sends.end(), since); first != sends.end(); ++first) {
-        most = std::max<std::size_t>(most, static_cast<std::size_t>(std::upper_bound(first, sends.end(), *first + window) - first));
-    }
-    return most;
-}
-
 } // namespace
 
 // Guards against pool owners that grant calls to a server as long as slots are free, although it has named a limit.
@@ -51,7 +42,7 @@
     const TimePoint named = fleet.now;
     const std::vector<RequestId> calls = press(fleet, seconds(12), 4);
     for (const std::string &server : {serverOfDomainA, serverOfDomainB}) {
-        CHECK(mostSends(fleet, server, named) <= static_cast<std::size_t>(toSeconds(window) * limit * 1.5 + 5));
+        CHECK(mostInWindow(fleet.sends[server], window, named) <= static_cast<std::size_t>(toSeconds(window) * limit * 1.5 + 5));
         CHECK(static_cast<double>(fleet.sends[server].size()) >= limit * 10); // it is used up to the limit
     }
 
