link: copy the elements of received vectors before reading them

The FlatBuffers verifier doesn't check the alignment of 64-bit elements and of structs with 64-bit fields. The token codec read its structs in the same way; the fleet codec already copied them.

All three now share forEachElement(), which copies each element. Two tests change each byte of a message to each value. With the undefined behaviour sanitizer both failed before the change (misaligned load of `const long unsigned int`; reference binding to a misaligned `LeaseWish`) and pass after it.

--- a/src/link/fleetcodec.cpp
+++ b/src/link/fleetcodec.cpp
@@ -1,8 +1,9 @@
 #include "mimosahollow/link/fleetcodec.h"
 
+#include "wireelements.h"
+
 #include <fleet_generated.h>
 
-#include <cstring>
 #include <string>
 
 namespace mimosahollow::link {
@@ -41,22 +42,17 @@
     return value == nullptr ? std::vector<std::uint8_t>() : std::vector<std::uint8_t>(value->begin(), value->end());
 }
 
-/**
- * Converts each struct of a vector, which may be absent.
- *
- * The verifier does not check the alignment of the elements, so each is copied before its fields are read.
- */
+/** Converts each struct of a vector, which may be absent. */
 template<typename Result, typename Wire, typename Convert>
 std::vector<Result> listOf(const flatbuffers::Vector<const Wire *> *values, Convert convert)
 {
     std::vector<Result> results;
     if (values != nullptr) {
         results.reserve(values->size());
-        for (std::size_t i = 0; i < values->size(); ++i) {
-            Wire value;
-            std::memcpy(&value, values->Data() + i * sizeof(Wire), sizeof(Wire));
+        forEachElement(values, [&](const Wire &value) {
             results.push_back(convert(value));
-        }
+            return true;
+        });
     }
     return results;
 }
--- a/src/link/poolmessagedecoder.cpp
+++ b/src/link/poolmessagedecoder.cpp
@@ -1,5 +1,7 @@
 #include "poolmessagedecoder.h"
 
+#include "wireelements.h"
+
 #include <chrono>
 #include <cmath>
 #include <optional>
@@ -64,9 +66,10 @@
     message.request.prefixHash = table.prefix_hash();
     message.request.deadline = now + *remaining;
     message.request.repeatable = table.repeatable();
-    if (table.prompt_parts() != nullptr) {
-        message.request.promptParts.assign(table.prompt_parts()->begin(), table.prompt_parts()->end());
-    }
+    forEachElement(table.prompt_parts(), [&message](std::uint64_t part) {
+        message.request.promptParts.push_back(part);
+        return true;
+    });
     return message;
 }
 
--- a/src/link/tokencodec.cpp
+++ b/src/link/tokencodec.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/link/tokencodec.h"
 
+#include "wireelements.h"
+
 #include <tokens_generated.h>
 
 #include <cmath>
@@ -156,13 +158,10 @@
         return true;
     }
     target.reserve(source->size());
-    for (const Wire *item : *source) {
-        target.push_back(fromWire(*item));
-        if (!valid(target.back())) {
-            return false;
-        }
-    }
-    return true;
+    return forEachElement(source, [&target](const Wire &item) {
+        target.push_back(fromWire(item));
+        return valid(target.back());
+    });
 }
 
 /** The accessors of the schema need aligned memory; bytes of a received frame may start anywhere. */
--- a/tests/admission/tokencodec.cpp
+++ b/tests/admission/tokencodec.cpp
@@ -44,6 +44,19 @@
             REQUIRE((decoded.index() == 1 || std::get<TokenRequest>(decoded) == request));
         }
     }
+    // Guards against structs that are read in place from a vector that starts at an address for smaller ones.
+    SECTION("any single damaged byte, with aligned access only")
+    {
+        const std::vector<std::uint8_t> whole = link::encode(request);
+        for (std::size_t i = 0; i < whole.size() * 256; ++i) {
+            std::vector<std::uint8_t> damaged = whole;
+            damaged[i / 256] = static_cast<std::uint8_t>(i % 256);
+            const auto decoded = link::decodeTokenRequest(damaged);
+            if (const auto *message = std::get_if<TokenRequest>(&decoded)) {
+                REQUIRE(link::decodeTokenRequest(link::encode(*message)).index() == 0);
+            }
+        }
+    }
     SECTION("negative, infinite and NaN amounts are refused")
     {
         for (const double amount : {-1.0, std::nan(""), std::numeric_limits<double>::infinity()}) {
--- a/tests/poolcodec/roundtrip.cpp
+++ b/tests/poolcodec/roundtrip.cpp
@@ -125,6 +125,19 @@
             }
         }
     }
+    // Guards against numbers that are read in place from a vector that starts at an address for smaller ones.
+    SECTION("any single damaged byte of a request, with aligned access only")
+    {
+        const std::vector<std::uint8_t> whole = bytes;
+        for (std::size_t i = 0; i < whole.size() * 256; ++i) {
+            bytes = whole;
+            bytes[i / 256] = static_cast<std::uint8_t>(i % 256);
+            const auto decoded = decodePoolMessage(bytes, received);
+            if (const auto *message = std::get_if<PoolMessage>(&decoded)) {
+                REQUIRE(std::holds_alternative<PoolMessage>(decodePoolMessage(encode(*message, received), received)));
+            }
+        }
+    }
     SECTION("a weight that is not a positive number, and a deadline that would overflow")
     {
         for (const double weight : {0.0, -1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
