ingress: end a stream whose resumption is answered with an error

Callers got "HTTP/1.1 500", headers and a body where the size of a chunk is due: relayResponse() passed each response without success to relayBody(), which writes a head, also when the head of the stream had already been sent.

Such a response is a failed attempt now. The stream goes on at another backend server if the route allows it, and is closed without its last chunk otherwise.

The gateway ends such streams with an error event; a new fault of the stand-in and a section of its stream test show that.

--- a/include/mimosahollow/standin/enginefaults.h
+++ b/include/mimosahollow/standin/enginefaults.h
@@ -12,6 +12,7 @@
 {
     std::uint32_t dieAfterTokens = 0; /**< Resets the connection of a stream after so many tokens; 0: never. */
     std::uint32_t endAfterTokens = 0; /**< Ends a stream after so many tokens as if it were complete, without the end mark; 0: never. */
+    bool failResumes = false; /**< Answers with an error to a call that resumes a stream. */
     bool wrongRequestId = false; /**< Answers with the id of another request. */
     bool foreignAnswerFirst = false; /**< Sends a whole answer to another request before its own. */
     bool closeSilently = false; /**< Closes the connection after each answer without announcing it. */
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -479,6 +479,9 @@
     }
     co_return co_await relayBody(exchange);
 }
+    if (m_headSent) {
+        co_return AttemptEnd::Failed; // only events can follow in the body of a stream that has begun
+    }
 
 std::string CallRelay::makeResponseHead(const ServerExchange &exchange, std::optional<std::size_t> length) const
 {
--- a/src/standin/inspection.cpp
+++ b/src/standin/inspection.cpp
@@ -59,6 +59,7 @@
     EngineFaults faults;
     faults.dieAfterTokens = numberField(object, "die_after_tokens");
     faults.endAfterTokens = numberField(object, "end_after_tokens");
+    faults.failResumes = flag("fail_resumes");
     faults.wrongRequestId = flag("wrong_request_id");
     faults.foreignAnswerFirst = flag("foreign_answer_first");
     faults.closeSilently = flag("close_silently");
--- a/src/standin/modelcalls.cpp
+++ b/src/standin/modelcalls.cpp
@@ -272,6 +272,12 @@
         const auto from = request["X-Resume-From"];
         std::from_chars(from.data(), from.data() + from.size(), call->firstToken);
     }
+    if (call->firstToken > 0 && state.options.faults.failResumes) {
+        call->state = EngineCallState::Failed;
+        HttpResponse response = respond(request, 500, {{"error", "the stream can't be resumed"}});
+        response.set("X-Request-Id", generation.requestId);
+        co_return co_await gateway::sendResponse(connection.stream, std::move(response)) == gateway::ConnectionState::KeepAlive;
+    }
     bool keepAlive = co_await misbehaveBeforeAnswer(state, connection, request, generation.requestId);
     if (keepAlive) {
         keepAlive =
--- a/tests/gateway/streams.cpp
+++ b/tests/gateway/streams.cpp
@@ -87,6 +87,21 @@
         REQUIRE(fixture.engine.calls().back().firstToken == 4);
     }
 
+    // Guards against the error of the backend server being written into the body of the stream.
+    SECTION("that an engine with support for it fails to resume")
+    {
+        options.supportsResume = true;
+        options.faults.dieAfterTokens = 4;
+        options.faults.failResumes = true;
+        GatewayFixture fixture(options);
+        HttpClient client = fixture.client();
+        const Answer answer = client.call(chatCall(10, true));
+        REQUIRE(count(answer.body(), "\"content\":\"word") == 4);
+        REQUIRE(answer.body().find("can't be resumed") == std::string::npos);
+        REQUIRE(endsWithError(answer, "backend-failed"));
+        REQUIRE(client.awaitEnd());
+    }
+
     SECTION("that passes its deadline")
     {
         options.tokenTime = milliseconds(50);
--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -260,6 +260,16 @@
     }
 
     static std::string serverAddress()
+    /** Announces another backend server, at the address of the first one. */
+    void announceServer(const std::string &id)
+    {
+        registry::ServerRecord record = serverRecord(registry::ServerState::Ready, 1);
+        record.id = id;
+        for (const fleetlink::Peer &peer : m_leader->peers()) {
+            m_leader->send(peer.number, fleetlink::ServerUpdate{{record}, true});
+        }
+    }
+
     {
         return testAddress(2, 42'301);
     }
--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -223,6 +223,45 @@
     REQUIRE(fixture.runUntil([&fixture] {
         return fixture.entry->dispatchState().servers.at("s1").record.state == registry::ServerState::Gone;
     }));
+// Guards against the head and body of an error being written into the chunked body of a stream that has begun.
+TEST_CASE("A stream that is resumed and answered with an error is closed without its end")
+{
+    EntryFixture fixture;
+    const auto caller = fixture.connect();
+    unsigned runs = 0;
+    std::string second;
+    std::string body = "broken";
+    fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
+        ++runs;
+        if (runs > 1) {
+            connection->write(second + body);
+            return;
+        }
+        boost::asio::write(connection->socket, boost::asio::buffer(streamHead("c1") + chunk(event(1))));
+        fixture.announceServer("s2");
+        connection->reset();
+    };
+    SECTION("in one piece")
+    {
+        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    SECTION("that exceeds the buffer and is forwarded in chunks")
+    {
+        body = std::string(200'000, 'x');
+        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 200000\r\n\r\n";
+    }
+    SECTION("that no stream is answered with")
+    {
+        second = "HTTP/1.1 404 Not Found\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    const std::string answer = fixture.call(caller, EntryFixture::request("/resume/x", "c1"), chunkEnd, seconds(3));
+    CHECK(runs == 2);
+    CHECK(answer.find("id: 1") != std::string::npos);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(answer.find(body) == std::string::npos);
+    CHECK(caller->isBroken);
+}
+
     fixture.runFor(milliseconds(300));
     running->write(chunk(event(2)) + std::string(chunkEnd));
     CHECK(fixture.runUntil([&caller] {
