ingress: send a call again only on a connection that has not carried it

A call that a backend server answers with 421 is sent to it again, on the connection used last, which was the one that had carried it. A late second copy of the 421 bears the id of the call and passed for the answer to the second send, which was running. The call was then sent a third time, or, with the retry budget used up, refused with 503 although it ran.

A call keeps the numbers of the connections that it was sent on, and leaves them out when it takes an idle one. Other calls still use them.

The new test failed before: the caller didn't get the answer of the run, as the budget of the fixture allows one repeat. It passes now. The gateway never sends a call again on a connection that has carried it.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -34,16 +34,19 @@
 {
 }
 
-UpstreamPointer UpstreamConnections::takeIdle(const std::string &address)
+UpstreamPointer UpstreamConnections::takeIdle(const std::string &address, std::span<const std::uint64_t> excluded)
 {
     const auto found = m_idle.find(address);
     if (found == m_idle.end()) {
         return nullptr;
     }
     auto &idle = found->second;
-    while (!idle.empty()) {
-        UpstreamPointer connection = std::move(idle.back());
-        idle.pop_back();
+    for (std::size_t i = idle.size(); i > 0; --i) {
+        if (std::find(excluded.begin(), excluded.end(), idle[i - 1]->number) != excluded.end()) {
+            continue;
+        }
+        UpstreamPointer connection = std::move(idle[i - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         const bool isFresh = std::chrono::steady_clock::now() - connection->idleSince < connection->idleLimit;
         if (isFresh && isQuiet(connection->stream)) {
             connection->reused = true;
@@ -55,7 +58,9 @@
 
 UpstreamPointer UpstreamConnections::create()
 {
-    return std::make_unique<UpstreamConnection>(m_context);
+    auto connection = std::make_unique<UpstreamConnection>(m_context);
+    connection->number = ++m_created;
+    return connection;
 }
 
 asio::awaitable<bool> UpstreamConnections::connect(UpstreamConnection &connection, const std::string &address, TimePoint deadline)
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -7,7 +7,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +27,7 @@
     }
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{maximumBufferedBytes};
+    std::uint64_t number = 0; /**< Differs between all connections of a process. */
     bool reused = false; /**< The server may have closed it while it was idle. */
     TimePoint idleSince{};
     Duration idleLimit = seconds(30); /**< Servers that left keep theirs open this long; a server may announce a shorter time. */
@@ -45,8 +48,8 @@
 public:
     explicit UpstreamConnections(boost::asio::io_context &context, const UpstreamOptions &options = {});
 
-    /** An idle connection that the server has neither closed nor written to; null when there is none. */
-    [[nodiscard]] UpstreamPointer takeIdle(const std::string &address);
+    /** An idle connection that the server has neither closed nor written to, and whose number is not in @p excluded; null when there is none. */
+    [[nodiscard]] UpstreamPointer takeIdle(const std::string &address, std::span<const std::uint64_t> excluded = {});
     /** A connection that is not open yet. */
     [[nodiscard]] UpstreamPointer create();
     /** Opens @p connection. After false no byte of a call was sent. */
@@ -65,6 +68,7 @@
     std::size_t m_idleLimit;
     std::unordered_map<std::string, std::vector<UpstreamPointer>> m_idle;
     TimePoint m_nextSweep{};
+    std::uint64_t m_created = 0;
 };
 
 } // namespace mimosahollow::gateway
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace mimosahollow::ingress {
 
@@ -99,6 +100,7 @@
     const catalog::OrganisationSpec *m_organisation = nullptr;
     dispatch::Call m_call;
     std::set<std::string> m_attemptedServers;
+    std::vector<std::uint64_t> m_carriers; // numbers of the connections to backend servers that the call was sent on
     double m_tokens = 0; // charged to the organisation
     unsigned m_sends = 0;
     bool m_mayHaveRun = false;
@@ -398,7 +400,7 @@
     });
     AttemptEnd end = AttemptEnd::CallerLeft;
     if (!m_caller.watch->callerLeft()) {
-        ExchangeError error = co_await exchange.open(m_head.id, m_call.deadline);
+        ExchangeError error = co_await exchange.open(m_head.id, m_carriers, m_call.deadline);
         if (error == ExchangeError::None && !m_caller.watch->callerLeft()) {
             ForwardedHeaders added;
             added.organisation = m_organisation == nullptr ? std::string() : m_organisation->name;
@@ -477,11 +479,11 @@
     if (m_route->kind == catalog::CallKind::Stream && isSuccess) {
         co_return co_await relayEventStream(exchange);
     }
-    co_return co_await relayBody(exchange);
-}
     if (m_headSent) {
         co_return AttemptEnd::Failed; // only events can follow in the body of a stream that has begun
     }
+    co_return co_await relayBody(exchange);
+}
 
 std::string CallRelay::makeResponseHead(const ServerExchange &exchange, std::optional<std::size_t> length) const
 {
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -65,15 +65,21 @@
     abort();
 }
 
-asio::awaitable<ExchangeError> ServerExchange::open(const std::string &callId, TimePoint deadline)
+/**
+ * A late copy of an answer is told from the answer to the call by the id of its call. So a call without an id needs a new connection, and
+ * a call that is sent again must not use one that has carried it: a copy of its first answer would pass for the second one.
+ */
+asio::awaitable<ExchangeError> ServerExchange::open(const std::string &callId, std::vector<std::uint64_t> &carriers, TimePoint deadline)
 {
     if (!callId.empty()) {
-        m_connection = m_entry.upstream().takeIdle(m_address);
+        m_connection = m_entry.upstream().takeIdle(m_address, carriers);
     }
     if (m_connection) {
+        carriers.push_back(m_connection->number);
         co_return ExchangeError::None;
     }
     m_connection = m_entry.upstream().create();
+    carriers.push_back(m_connection->number);
     const bool isOpen = co_await m_entry.upstream().connect(*m_connection, m_address, deadline);
     if (!isOpen) {
         m_connection.reset();
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -31,8 +31,11 @@
     ServerExchange(const ServerExchange &) = delete;
     ServerExchange &operator=(const ServerExchange &) = delete;
 
-    /** Takes an idle connection or opens a new one. A call without an id needs a new one: a late answer to an earlier call would pass for its own. */
-    [[nodiscard]] boost::asio::awaitable<ExchangeError> open(const std::string &callId, TimePoint deadline);
+    /**
+     * Takes an idle connection that is not in @p carriers, the connections that have carried the call before, or opens a new one. Adds its
+     * number to @p carriers.
+     */
+    [[nodiscard]] boost::asio::awaitable<ExchangeError> open(const std::string &callId, std::vector<std::uint64_t> &carriers, TimePoint deadline);
     /** Sends the request and reads the head of the response to the call @p callId. */
     [[nodiscard]] boost::asio::awaitable<ExchangeError> begin(std::string head, const std::string &body, const std::string &callId, TimePoint deadline);
     /** Appends more of the body to @p out. Appending nothing without an error means that the body is complete. */
--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -148,6 +148,7 @@
         settings.headers.organisation = "Organisation";
         settings.headers.lastEventId = "Last-Event-Id";
         settings.headers.tokenCounts = "Tokens";
+        settings.headers.model = "Model";
         settings.lameDuck = milliseconds(150);
         entry = std::make_unique<Entry>(context, settings, [this](std::string_view) {
             return std::variant<catalog::Catalog, catalog::CatalogProblem>(m_catalog);
@@ -259,7 +260,6 @@
         }
     }
 
-    static std::string serverAddress()
     /** Announces another backend server, at the address of the first one. */
     void announceServer(const std::string &id)
     {
@@ -270,6 +270,7 @@
         }
     }
 
+    static std::string serverAddress()
     {
         return testAddress(2, 42'301);
     }
@@ -280,6 +281,7 @@
     std::unique_ptr<Entry> entry;
     double grantableTokens = 1e9; /**< Tokens that the leader still grants. */
     bool leaderAnswers = true;
+    std::vector<registry::HeldModel> held; /**< By the backend server, from its next announcement on. */
 
 private:
     static std::string leaderAddress()
@@ -298,9 +300,9 @@
         return {boost::asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
     }
 
-    static registry::ServerRecord serverRecord(registry::ServerState state, std::uint64_t sequence)
+    [[nodiscard]] registry::ServerRecord serverRecord(registry::ServerState state, std::uint64_t sequence) const
     {
-        return {"s1", "rest", serverAddress(), "a", 8, state, 1, sequence, 0, {}};
+        return {"s1", "rest", serverAddress(), "a", 8, state, 1, sequence, 0, held};
     }
 
     void greet(const fleetlink::Peer &peer)
--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -104,6 +104,58 @@
     }
 }
 
+// Guards against a call that runs twice because a late copy of the answer to its first try says that the second one has not run.
+TEST_CASE("A call that is sent to the same backend server again uses a connection that has not carried it")
+{
+    catalog::Catalog catalog = EntryFixture::defaultCatalog();
+    catalog.services[0].engine = catalog::EngineSpec{};
+    EntryFixture fixture(catalog);
+    fixture.held = {{"m", "a", 1}};
+    fixture.announce(registry::ServerState::Ready, 2);
+    REQUIRE(fixture.runUntil([&fixture] {
+        return !fixture.entry->dispatchState().servers.at("s1").adapters.empty();
+    }));
+    const auto caller = fixture.connect();
+    const std::string missing = "HTTP/1.1 421 Misdirected Request\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n";
+    const std::string text = EntryFixture::request("/once/x", "c1", "Model: m/a\r\n");
+    unsigned runs = 0;
+    unsigned rejections = 0;
+    ConnectionPointer rejecting;
+    fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
+        if (rejections == 0) {
+            ++rejections;
+            rejecting = connection;
+            connection->write(missing);
+            return;
+        }
+        ++runs;
+        connection->write(connection == rejecting ? missing + EntryFixture::response("c1", "done") : EntryFixture::response("c1", "done"));
+    };
+    SECTION("while the first one is idle")
+    {
+        CHECK(fixture.call(caller, text, "done").ends_with("done"));
+    }
+    SECTION("and another call has used the first one in between")
+    {
+        fixture.script = [&, first = fixture.script](const ConnectionPointer &connection, const std::string &head) {
+            if (head.find("Call-Id: c2") != std::string::npos) {
+                connection->write(EntryFixture::response("c2", "other"));
+            } else {
+                first(connection, head);
+            }
+        };
+        caller->write(text);
+        REQUIRE(fixture.runUntil([&rejections] {
+            return rejections == 1;
+        }));
+        CHECK(fixture.call(fixture.connect(), EntryFixture::request("/once/x", "c2"), "other").ends_with("other"));
+        CHECK(fixture.runUntil([&caller] {
+            return caller->received.ends_with("done");
+        }));
+    }
+    CHECK(runs == 1);
+}
+
 // Guards against an answer that broke off and looks complete, and against a false statement on whether its call has run.
 TEST_CASE("An answer that breaks off never looks complete, and its call is not said not to have run")
 {
@@ -171,6 +223,45 @@
     CHECK(runs == 1);
 }
 
+// Guards against the head and body of an error being written into the chunked body of a stream that has begun.
+TEST_CASE("A stream that is resumed and answered with an error is closed without its end")
+{
+    EntryFixture fixture;
+    const auto caller = fixture.connect();
+    unsigned runs = 0;
+    std::string second;
+    std::string body = "broken";
+    fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
+        ++runs;
+        if (runs > 1) {
+            connection->write(second + body);
+            return;
+        }
+        boost::asio::write(connection->socket, boost::asio::buffer(streamHead("c1") + chunk(event(1))));
+        fixture.announceServer("s2");
+        connection->reset();
+    };
+    SECTION("in one piece")
+    {
+        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    SECTION("that exceeds the buffer and is forwarded in chunks")
+    {
+        body = std::string(200'000, 'x');
+        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 200000\r\n\r\n";
+    }
+    SECTION("that no stream is answered with")
+    {
+        second = "HTTP/1.1 404 Not Found\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    const std::string answer = fixture.call(caller, EntryFixture::request("/resume/x", "c1"), chunkEnd, seconds(3));
+    CHECK(runs == 2);
+    CHECK(answer.find("id: 1") != std::string::npos);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(answer.find(body) == std::string::npos);
+    CHECK(caller->isBroken);
+}
+
 // Guards against a stream without a length and chunks, which ends with its connection, being cut or passed on as complete when it has broken off.
 TEST_CASE("A stream that ends with its connection is complete only after whole events")
 {
@@ -223,45 +314,6 @@
     REQUIRE(fixture.runUntil([&fixture] {
         return fixture.entry->dispatchState().servers.at("s1").record.state == registry::ServerState::Gone;
     }));
-// Guards against the head and body of an error being written into the chunked body of a stream that has begun.
-TEST_CASE("A stream that is resumed and answered with an error is closed without its end")
-{
-    EntryFixture fixture;
-    const auto caller = fixture.connect();
-    unsigned runs = 0;
-    std::string second;
-    std::string body = "broken";
-    fixture.script = [&](const ConnectionPointer &connection, const std::string &) {
-        ++runs;
-        if (runs > 1) {
-            connection->write(second + body);
-            return;
-        }
-        boost::asio::write(connection->socket, boost::asio::buffer(streamHead("c1") + chunk(event(1))));
-        fixture.announceServer("s2");
-        connection->reset();
-    };
-    SECTION("in one piece")
-    {
-        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
-    }
-    SECTION("that exceeds the buffer and is forwarded in chunks")
-    {
-        body = std::string(200'000, 'x');
-        second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 200000\r\n\r\n";
-    }
-    SECTION("that no stream is answered with")
-    {
-        second = "HTTP/1.1 404 Not Found\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
-    }
-    const std::string answer = fixture.call(caller, EntryFixture::request("/resume/x", "c1"), chunkEnd, seconds(3));
-    CHECK(runs == 2);
-    CHECK(answer.find("id: 1") != std::string::npos);
-    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
-    CHECK(answer.find(body) == std::string::npos);
-    CHECK(caller->isBroken);
-}
-
     fixture.runFor(milliseconds(300));
     running->write(chunk(event(2)) + std::string(chunkEnd));
     CHECK(fixture.runUntil([&caller] {
