ingress: a configuration with an empty list of organisations lets nobody in

The check of keys was left out if the catalog had no organisations, which was meant for configurations that don't name any.

The catalog keeps whether keys are used at all. A configuration without the field uses none; a list without entries holds no key, so that each call to a route that needs one gets 401.

--- a/include/mimosahollow/catalog/catalog.h
+++ b/include/mimosahollow/catalog/catalog.h
@@ -27,6 +27,7 @@
     std::vector<CallRoute> routes;
     std::vector<ServiceSpec> services;
     std::vector<OrganisationSpec> organisations;
+    bool isKeyless = false; /**< No route needs a key. Not the same as an empty list of organisations, whose keys nobody holds. */
     CallerLimits limits;
 };
 
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -211,7 +211,7 @@
         const LocalResponse response{RefusalReason::UnknownRoute, "no route", std::nullopt, 404};
         co_return co_await refuse(response);
     }
-    if (!m_route->isOpen && !m_catalog->catalog().organisations.empty()) {
+    if (!m_route->isOpen && !m_catalog->catalog().isKeyless) {
         m_organisation = m_catalog->findOrganisation(m_head.key);
         if (m_organisation == nullptr) {
             const LocalResponse response{RefusalReason::InvalidKey, "unknown key", std::nullopt, 401};
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -56,6 +56,22 @@
     CHECK(catalog::findProblem(catalog).empty());
 }
 
+// Guards against a configuration that takes the last organisation away and so lets callers in without a key.
+TEST_CASE("Only a configuration that doesn't name organisations needs no keys")
+{
+    const std::string text = configText;
+    const std::string withoutOrganisations = text.substr(0, text.find(",\n\"tenants\""));
+    const auto isKeyless = [](const std::string &config) {
+        const auto decoded = decodeCatalog(config);
+        REQUIRE(std::holds_alternative<catalog::Catalog>(decoded));
+        return std::get<catalog::Catalog>(decoded).isKeyless;
+    };
+    CHECK_FALSE(isKeyless(text));
+    CHECK_FALSE(isKeyless(withoutOrganisations + R"(,"tenants":[]})"));
+    CHECK(isKeyless(withoutOrganisations + "}"));
+    CHECK(std::holds_alternative<catalog::CatalogProblem>(decodeCatalog(withoutOrganisations + R"(,"tenants":null})")));
+}
+
 // Guards against the acknowledgement of a configuration that cannot be read in full.
 TEST_CASE("A configuration that cannot be read is refused")
 {
