settings: refuse a route with an empty list of organisations

An operator who took the last organisation off a route of a bundle opened it to all of them. A route for all organisations has no such field; a bundle with an empty list is refused.

--- a/src/settings/bundle.cpp
+++ b/src/settings/bundle.cpp
@@ -242,6 +242,9 @@
         route.open = reader.flag("open");
         route.deadline = milliseconds(static_cast<std::int64_t>(reader.number("deadline_ms", 1, 600'000, 30'000)));
         route.organisations = organisations(reader);
+        if (route.organisations.empty() && reader.table.contains("organisations")) {
+            reader.report(reader.table.get("organisations"), "organisations", "must not be empty; a route without the field is for all organisations");
+        }
         if (!route.prefix.starts_with('/')) {
             reader.report(reader.table.get("prefix"), "prefix", "must start with '/'");
         }
--- a/tests/settings/bundle.cpp
+++ b/tests/settings/bundle.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+// Guards against a route that is opened to all organisations when the last one is taken off its list.
+TEST_CASE("A route names at least one organisation, or has no list of them")
+{
+    const std::string bundle = "version = 1\nbase_models = [\"base\"]\n[[domain]]\nname = \"a\"\nshare = 1\n[[route]]\nprefix = \"/r/\"\nservice = \"r\"\n";
+    const auto accepted = parseBundle(bundle);
+    REQUIRE(std::holds_alternative<control::Configuration>(accepted));
+    CHECK(std::get<control::Configuration>(accepted).routes.at(0).organisations.empty());
+
+    const auto refused = parseBundle(bundle + "organisations = []\n");
+    REQUIRE(std::holds_alternative<std::vector<SettingsProblem>>(refused));
+    CHECK(std::get<std::vector<SettingsProblem>>(refused).front().key.ends_with("organisations"));
+}
+
 // Guards against adapters that silently get another base model, since the encoded configuration refers to base models by 16-bit numbers.
 TEST_CASE("A bundle has no more base models than adapters can refer to")
 {
