platform, gateway: drop announcements with values out of range

Reported by other operators: an odd entry of another writer ends the machines that read it, or makes them stop following the list. Here no process ended, but such entries took effect: the largest sequence counted as a server that has left, whose later announcements are ignored; a huge cold time was converted with undefined behaviour; slots above 32 bits were cut; addresses without a usable port became servers that can't be reached.

Both readers of announcements drop them now. Deep nesting and numbers beyond their type were dropped before, which the tests show.

--- a/src/gateway/backendmessages.cpp
+++ b/src/gateway/backendmessages.cpp
@@ -1,5 +1,7 @@
 #include "backendmessages.h"
 
+#include "addresses.h"
+
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
@@ -40,6 +42,15 @@
         return std::string(value->get_string());
     }
 
+    /** An IP address with a port. */
+    std::string address(std::string_view name)
+    {
+        std::string value = text(name);
+        const auto endpoint = parseEndpoint(value);
+        good = good && endpoint && endpoint->port() != 0;
+        return value;
+    }
+
     std::uint64_t number(std::string_view name, std::uint64_t maximum)
     {
         const json::value *value = object.if_contains(name);
@@ -104,7 +115,7 @@
     FieldReader reader{*object};
     BackendAnnouncement announcement;
     announcement.name = reader.text("name");
-    announcement.address = reader.text("address");
+    announcement.address = reader.address("address");
     announcement.failureDomain = reader.text("failure_domain");
     announcement.kind = reader.text("kind");
     announcement.incarnation = reader.number("incarnation", any64);
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -111,6 +111,43 @@
     CHECK_FALSE(decodeAnnouncement("i-1", unknownState));
 }
 
+// Guards against an odd entry of another writer that ends the instances that read it, or lasts longer than the entry of a real backend server.
+TEST_CASE("An announcement with values that no backend server can mean is dropped")
+{
+    const std::string text = R"({"service":"chat","address":"10.0.0.9:80","zone":"north","slots":64,"state":"ready","cold-remaining-ms":0,
+"models":[{"name":"base","version":1,"adapters":["a1@1"]}],"sequence":4,"born":1700000000000})";
+    const auto isDropped = [&text](std::string_view from, const std::string &to) {
+        std::string copy = text;
+        const std::size_t at = copy.find(from);
+        REQUIRE(at != std::string::npos);
+        copy.replace(at, from.size(), to);
+        return !decodeAnnouncement("i-1", copy).has_value();
+    };
+    REQUIRE(decodeAnnouncement("i-1", text));
+    SECTION("nested deeply")
+    {
+        const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+        CHECK(isDropped("[{\"name\":\"base\",\"version\":1,\"adapters\":[\"a1@1\"]}]", nested));
+        CHECK(isDropped("\"sequence\":4", "\"sequence\":4,\"more\":" + nested));
+        CHECK_FALSE(decodeReport(nested));
+    }
+    SECTION("with a port out of range, or without an address")
+    {
+        for (const char *address : {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:99999999999999999999", "10.0.0.9", "front:80", ":"}) {
+            CHECK(isDropped("10.0.0.9:80", address));
+        }
+    }
+    SECTION("with a number too large")
+    {
+        CHECK(isDropped("\"cold-remaining-ms\":0", "\"cold-remaining-ms\":1e300"));
+        CHECK(isDropped("\"cold-remaining-ms\":0", "\"cold-remaining-ms\":18446744073709551615"));
+        CHECK(isDropped("\"slots\":64", "\"slots\":4294967360"));
+        CHECK(isDropped("\"sequence\":4", "\"sequence\":18446744073709551615")); // means elsewhere that the server has left
+        CHECK(isDropped("\"sequence\":4", "\"sequence\":1e30"));
+        CHECK(isDropped("\"born\":1700000000000", "\"born\":1e30"));
+    }
+}
+
 TEST_CASE("Reports and orders of engines keep their meaning")
 {
     const auto report =
