tests: a call late in a planned stop reaches no backend server

Reported by other operators: calls that came late in the grace of a planned stop were passed on and cut at its end.

--- a/tests/ingress/plannedstop.cpp
+++ b/tests/ingress/plannedstop.cpp
@@ -11,6 +11,26 @@
         connection->write(EntryFixture::response("c1", "done"));
     };
     bool isStopped = false;
+    SECTION("a request that comes late in the grace, on a connection that is kept open, is refused at once and reaches no backend server")
+    {
+        const auto caller = fixture.connect();
+        REQUIRE(fixture.call(caller, EntryFixture::request("/once/x", "c1"), "done").ends_with("done"));
+        unsigned passedOn = 0;
+        fixture.script = [&passedOn](const ConnectionPointer &, const std::string &) {
+            ++passedOn;
+        };
+        fixture.entry->stop([&isStopped] {
+            isStopped = true;
+        });
+        fixture.runFor(milliseconds(200)); // beyond the lame-duck period
+        const std::string answer = fixture.call(caller, EntryFixture::request("/once/x", "c1"), "}\n");
+        CHECK(answer.starts_with("HTTP/1.1 503 "));
+        CHECK(answer.find("Retry-After: ") != std::string::npos);
+        CHECK(passedOn == 0);
+        CHECK(fixture.runUntil([&isStopped] {
+            return isStopped;
+        }));
+    }
     SECTION("a connection without a request is closed, and the instance stops")
     {
         const auto caller = fixture.connect();
