ingress: send nothing to servers that leave or ask for silence

A leaving server gets no further call until a new incarnation is known, also when a later announcement calls it ready. A call goes to another server, waits if the silence ends in time, or is refused at once with the time at which the first silence ends.

--- a/include/mimosahollow/dispatch/call.h
+++ b/include/mimosahollow/dispatch/call.h
@@ -33,6 +33,7 @@
     AdapterNotLoaded, /**< No backend server has the adapter, or it cannot be loaded in time. */
     ColdServers, /**< The remaining backend servers are cold and have reached their call rate limit. */
     LimitedServers, /**< The remaining backend servers have named a limit, and no permit is left. */
+    SilentServers, /**< All backend servers have asked for no calls for some time. */
     QuarantinedPrompt, /**< A part of the prompt ends the backend servers that answer it. */
 };
 
--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -15,6 +15,7 @@
     std::string server;
     std::string address;
     std::uint64_t adapterVersion = 0; /**< 0: any version. */
+    std::uint64_t born = 0; /**< Start of its incarnation. */
 };
 
 /** No backend server can take the call now. Decide again at @c until or when the state has changed, whichever is first. */
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -56,6 +56,8 @@
     TimePoint avoidUntil{}; /**< Receives no calls before, after a failed connection. */
     std::deque<TimePoint> coldSends; /**< Send times of recent calls while it was cold. */
     TimePoint firstColdSend{}; /**< Random start of sending while cold, if the share of this instance is below one call per second; unset: not drawn. */
+    bool isLeaving = false; /**< Has said in an answer that it leaves; whatever its later announcements say. */
+    TimePoint silentUntil{}; /**< Has asked for no calls before. */
     double callsPerSecond = 0; /**< Limit in force, named by the backend server, for all entry instances together; 0: none. */
     double statedLimit = 0; /**< In the newest answer to this instance. */
     TimePoint limitStatedAt{}; /**< Unset: no answer to this instance has named or ended a limit. */
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -25,10 +25,10 @@
 constexpr Duration lateLoadLimit = milliseconds(1000); // a copy reported missing this long after its expected time is removed
 constexpr Duration longRetry = milliseconds(1000); // no usable backend server, or limits that last for seconds
 
-/** Whether @p server may receive @p call, regardless of its load and its adapters. */
+/** Whether @p server may receive @p call, regardless of its load, its adapters and its silence. */
 bool isUsable(const DispatchState &state, const ServerView &server, const Call &call, TimePoint now)
 {
-    return server.record.state == registry::ServerState::Ready && server.record.service == call.service
+    return server.record.state == registry::ServerState::Ready && !server.isLeaving && server.record.service == call.service
            && (call.pinnedServer.empty() || call.pinnedServer == server.record.id) && !state.evacuatedDomains.contains(server.record.domain)
            && now >= server.avoidUntil && !call.triedServers.contains(server.record.id);
 }
@@ -144,6 +144,15 @@
     return now + wait > waitLimit(call, position.isWaiting ? state.options.adapterWaitShare : state.options.waitShare);
 }
 
+/** Lets a call wait for the end of a silence after which it can still be served, and otherwise refuses it at once. */
+Decision waitForSilence(const DispatchState &state, const Call &call, TimePoint end, TimePoint now)
+{
+    if (end > waitLimit(call, state.options.adapterWaitShare)) {
+        return Refuse{RefusalCause::SilentServers, end - now};
+    }
+    return Wait{RefusalCause::SilentServers, end};
+}
+
 /** Lets a call without a usable backend server wait, or refuses it after its wait limit. */
 Decision waitOrRefuse(const DispatchState &state, const Call &call, RefusalCause cause, TimePoint readyAt, TimePoint now)
 {
@@ -174,6 +183,8 @@
         return "cold-servers";
     case RefusalCause::LimitedServers:
         return "limited-servers";
+    case RefusalCause::SilentServers:
+        return "silent-servers";
     case RefusalCause::QuarantinedPrompt:
         return "quarantined-prompt";
     }
@@ -209,11 +220,16 @@
     ServerView *bestLimited = nullptr; // would be chosen with a permit
     double bestLimitedCost = 0;
     TimePoint nextReady{};
+    TimePoint silenceEnd = TimePoint::max();
     RefusalCause cause = RefusalCause::NoServer;
     for (auto &[id, server] : state.servers) {
         if (!isUsable(state, server, call, now)) {
             continue;
         }
+        if (now < server.silentUntil) {
+            silenceEnd = std::min(silenceEnd, server.silentUntil);
+            continue;
+        }
         commonLimit += server.callsPerSecond;
         const auto copy = findCopy(server, call, version);
         if (!copy) {
@@ -251,7 +267,10 @@
         bestLimited->permitWishes.insert(call.id);
     }
     if (best) {
-        return Send{best->server->record.id, best->server->record.address, best->version};
+        return Send{best->server->record.id, best->server->record.address, best->version, best->server->record.born};
+    }
+    if (cause == RefusalCause::NoServer && silenceEnd != TimePoint::max()) {
+        return waitForSilence(state, call, silenceEnd, now);
     }
     if (!call.pinnedServer.empty() && nextReady == TimePoint{}) {
         return Refuse{cause, std::max(adapterRetry, state.expectedLoadTime)};
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -3,7 +3,7 @@
 #include "answers.h"
 #include "eventstream.h"
 #include "gatewaythread.h"
-#include "httpio/calllimit.h"
+#include "httpio/decimal.h"
 #include "mimosahollow/callpermits/permitbucket.h"
 #include "mimosahollow/observability/metrics.h"
 
@@ -150,7 +150,7 @@
 void reportLimit(Attempt &attempt, const AnswerReader &reader)
 {
     const auto text = reader.head()["X-Server-Limit"];
-    const auto limit = httpio::parseCallLimit({text.data(), text.size()});
+    const auto limit = httpio::parseDecimal({text.data(), text.size()});
     if (!text.empty() && !limit) {
         attempt.thread.logRejected("the limit named by backend server " + attempt.grant.address + " is not a number");
     } else if (limit || attempt.grant.isLimited) {
--- a/src/httpio/calllimit.cpp
+++ b/src/httpio/decimal.cpp
@@ -1,11 +1,11 @@
-#include "calllimit.h"
+#include "decimal.h"
 
 #include <charconv>
 #include <cmath>
 
 namespace mimosahollow::httpio {
 
-std::optional<double> parseCallLimit(std::string_view text) noexcept
+std::optional<double> parseDecimal(std::string_view text) noexcept
 {
     double value = 0;
     const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -415,6 +415,7 @@
             ++m_sends;
             error = co_await exchange.begin(makeForwardedHead(m_request, m_entry.settings().headers, added), m_request.body(), m_head.id, m_call.deadline);
             if (error == ExchangeError::None) {
+                m_entry.readNotices(target.server, target.born, exchange);
                 if (exchange.status() != 421) { // which another backend server at the same address sends
                     m_entry.limitStated(target.server, exchange.header(m_entry.settings().headers.serverLimit));
                 }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -35,6 +35,8 @@
 
 namespace mimosahollow::ingress {
 
+class ServerExchange;
+
 /** The caller disconnected while its call waited. */
 struct CallerDisconnected
 {
@@ -95,6 +97,8 @@
     void handleMissingModel(const std::string &server, const dispatch::Call &call);
     /** An answer of @p server names @p limit, a decimal number of calls per second; empty: none. */
     void limitStated(const std::string &server, std::string_view limit);
+    /** Takes over what an answer of the incarnation @p born of @p server says about further calls: that it leaves, or wants none for some time. */
+    void readNotices(const std::string &server, std::uint64_t born, const ServerExchange &exchange);
     /** The answer of @p target to @p call ended too early, soon after its beginning. Tells the leader if the backend server has ended. */
     void answerBroke(const dispatch::Send &target, const dispatch::Call &call);
     /** A backend server has answered @p call without ending at its prompt. */
--- a/src/ingress/entrylimits.cpp
+++ b/src/ingress/entrylimits.cpp
@@ -1,8 +1,11 @@
 #include "ingress/entryinternal.h"
 
-#include "httpio/calllimit.h"
+#include "httpio/decimal.h"
+#include "httpio/retryafter.h"
+#include "ingress/serverexchange.h"
 #include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/dispatch/serverlimits.h"
+#include "mimosahollow/dispatch/servernotices.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
@@ -18,7 +21,7 @@
 
 void Entry::limitStated(const std::string &server, std::string_view limit)
 {
-    const auto parsed = httpio::parseCallLimit(limit);
+    const auto parsed = httpio::parseDecimal(limit);
     if (!limit.empty() && !parsed) {
         observability::logWarning("the limit named by backend server " + server + " is not a number");
         return;
@@ -30,6 +33,35 @@
     }
 }
 
+void Entry::readNotices(const std::string &server, std::uint64_t born, const ServerExchange &exchange)
+{
+    const auto [leaving, leavingEnd] = exchange.fields().equal_range(m_settings.headers.serverLeaving);
+    for (auto field = leaving; field != leavingEnd; ++field) {
+        if (field->value() != "1") {
+            observability::logWarning("the header with which backend server " + server + " says that it leaves has an unknown value");
+        } else if (dispatch::leavingStated(m_dispatch, server, born)) {
+            observability::DecisionLine line("server-leaving");
+            line.add("server", server).add("born", born).add("status", exchange.status());
+            observability::logDecision(line.text());
+        }
+    }
+    if (exchange.status() != 503) {
+        return;
+    }
+    // If the field is repeated, the longest time counts.
+    const auto [silence, silenceEnd] = exchange.fields().equal_range(boost::beast::http::field::retry_after);
+    for (auto field = silence; field != silenceEnd; ++field) {
+        const auto parsed = httpio::parseRetryAfter({field->value().data(), field->value().size()});
+        if (!parsed) {
+            observability::logWarning("the Retry-After of backend server " + server + " is not a number of seconds");
+        } else if (dispatch::silenceRequested(m_dispatch, server, born, *parsed, Clock::now())) {
+            observability::DecisionLine line("server-silence");
+            line.add("server", server).add("born", born).add("ms", *parsed);
+            observability::logDecision(line.text());
+        }
+    }
+}
+
 void Entry::addLimits(fleetlink::EntryReport &report, TimePoint now)
 {
     for (auto &[id, server] : m_dispatch.servers) {
--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -143,6 +143,7 @@
         settings.headers.callId = "Call-Id";
         settings.headers.deadline = "Deadline-Ms";
         settings.headers.responseSignature = "Signature";
+        settings.headers.serverLeaving = "Leaving";
         settings.headers.notRun = "Not-Run";
         settings.headers.expectedServer = "Expected-Server";
         settings.headers.organisation = "Organisation";
