control: limit the bytes on their way to a member of the log

At most 4 MiB and one more request are on their way to a member now. For one that hasn't replied to a new leader only entries of the term count, so that the first of them is sent at once.

--- a/src/control/consensusleader.cpp
+++ b/src/control/consensusleader.cpp
@@ -9,6 +9,24 @@
 
 /** Time without a reply after which a snapshot chunk is sent again. A reply takes a few milliseconds between failure domains. */
 constexpr Duration chunkRetryInterval = milliseconds(500);
+/** Payload bytes sent to one member and not yet acknowledged. With one more request they stay below the 8 MiB that a link queues before it is closed. */
+constexpr std::size_t maximumInFlightBytes = 4UL * 1024 * 1024;
+
+std::size_t payloadBytes(const LogEntry &entry)
+{
+    return entry.payload ? entry.payload->size() : 0;
+}
+
+std::size_t bytesInFlight(const ConsensusState &state, const MemberProgress &progress)
+{
+    // A member that has not replied to this leader was sent entries of its term only.
+    const LogIndex acknowledged = progress.matchIndex == 0 ? state.termStart - 1 : progress.matchIndex;
+    std::size_t bytes = 0;
+    for (LogIndex index = std::max(acknowledged, state.logStart) + 1; index < progress.nextIndex; ++index) {
+        bytes += payloadBytes(entryAt(state, index));
+    }
+    return bytes;
+}
 
 bool hasMajorityContact(const ConsensusState &state, TimePoint now)
 {
@@ -59,7 +77,7 @@
     const LogIndex last = lastIndex(state);
     while (next <= last) {
         const LogEntry &entry = entryAt(state, next);
-        size += entry.payload ? entry.payload->size() : 0;
+        size += payloadBytes(entry);
         if (!request.entries.empty() && size > state.options.maximumAppendBytes) {
             return;
         }
@@ -147,7 +165,8 @@
         return;
     }
     const LogIndex last = lastIndex(state);
-    while (progress.nextIndex <= last && progress.nextIndex - progress.matchIndex <= state.options.maximumInFlightEntries) {
+    while (progress.nextIndex <= last && progress.nextIndex - progress.matchIndex <= state.options.maximumInFlightEntries
+           && bytesInFlight(state, progress) < maximumInFlightBytes) {
         if (progress.nextIndex <= state.logStart) {
             startSnapshotTransfer(state, to, progress, now, actions);
             return;
--- a/tests/control/consensus.cpp
+++ b/tests/control/consensus.cpp
@@ -200,6 +200,40 @@
         const std::vector<SharedBytes> large{std::make_shared<const Bytes>(state.options.maximumEntryBytes + 1)};
         REQUIRE(std::get<ProposalRejected>(propose(state, large, now, actions)).error == ProposalError::TooLarge);
     }
+    // Guards against a member that missed many large entries and never catches up, since they fill the send queue of its link, which is then closed.
+    SECTION("sends a silent member no more than its link can queue, and the rest as the member acknowledges it")
+    {
+        constexpr std::size_t linkQueueBytes = 8UL * 1024 * 1024;
+        constexpr LogIndex entries = 20;
+        const auto sentTo = [&actions](VoterId to) {
+            std::size_t bytes = 0;
+            LogIndex newest = 0;
+            for (const SendToVoter &sent : actionsOf<SendToVoter>(actions)) {
+                if (const auto *request = std::get_if<AppendRequest>(&sent.message); request != nullptr && sent.to == to) {
+                    for (const LogEntry &entry : request->entries) {
+                        bytes += entry.payload->size();
+                        newest = std::max(newest, entry.index);
+                    }
+                }
+            }
+            return std::pair(bytes, newest);
+        };
+        for (LogIndex i = 0; i < entries; ++i) {
+            const std::vector<SharedBytes> large{std::make_shared<const Bytes>(state.options.maximumEntryBytes)};
+            REQUIRE(std::holds_alternative<ProposalAccepted>(propose(state, large, now, actions)));
+        }
+        CHECK(sentTo(three).first < linkQueueBytes);
+        LogIndex acknowledged = 1;
+        for (int round = 0; round < 100 && acknowledged <= entries; ++round) {
+            const auto [bytes, newest] = sentTo(two);
+            CHECK(bytes < linkQueueBytes);
+            REQUIRE(newest > acknowledged);
+            acknowledged = newest;
+            actions.clear();
+            receive(state, two, AppendReply{1, state.round, true, acknowledged}, now, actions);
+        }
+        CHECK(acknowledged == entries + 1);
+    }
     // Guards against members that are added twice, and against the removal of members that do not exist.
     SECTION("checks membership changes")
     {
