dispatch: extend a short silence by no more than its own length

Found when the change was read again: the spread with which instances return was up to 250 ms for each silence, so that a Retry-After of 0 kept calls away for that long. It is at most the silence itself now; a new section of the test covers 0.

--- a/src/dispatch/servernotices.cpp
+++ b/src/dispatch/servernotices.cpp
@@ -1,12 +1,13 @@
 #include "mimosahollow/dispatch/servernotices.h"
 
+#include <algorithm>
 #include <random>
 
 namespace mimosahollow::dispatch {
 
 namespace {
 
-/** The instances return to a server at different times within this span after its silence. */
+/** The instances return to a server at different times within this span after its silence, or within its length if that is shorter. */
 constexpr Duration returnSpread = milliseconds(250);
 
 /** Null if another incarnation is known: the answer of an earlier one says nothing about it. */
@@ -34,7 +35,7 @@
     if (view == nullptr || now + silence <= view->silentUntil) {
         return false;
     }
-    const double spread = std::uniform_real_distribution<double>(0, toSeconds(returnSpread))(state.random);
+    const double spread = std::uniform_real_distribution<double>(0, toSeconds(std::min(silence, returnSpread)))(state.random);
     view->silentUntil = now + silence + fromSeconds(spread);
     return true;
 }
--- a/tests/dispatch/servernotices.cpp
+++ b/tests/dispatch/servernotices.cpp
@@ -89,6 +89,11 @@
     CHECK(end >= start + seconds(3));
     CHECK(end <= start + seconds(3) + milliseconds(250));
 
+    SECTION("but a silence of no length is none")
+    {
+        silenceRequested(state, "s2", 1, Duration::zero(), start);
+        CHECK(isSentTo(decide(state, callAt(start), start), "s2"));
+    }
     SECTION("and the other one takes the calls")
     {
         for (int i = 0; i < 20; ++i) {
