ingress: log a name of the request whose attempt broke off

Logs name prompt parts only, so a request that comes again and ends server after server can't be told from unrelated crashes. Lines of attempts that fail or break off now carry a name made of the organisation, method, host, target and body, which is the same whenever the request comes again. Ends before the head of an answer are logged too. Nothing decides by it yet.

--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -6,6 +6,7 @@
 #include "mimosahollow/dispatch/dispatch.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
+#include "mimosahollow/quarantine/requestname.h"
 #include "mimosahollow/quarantine/times.h"
 
 #include <boost/algorithm/string/join.hpp>
@@ -99,6 +100,7 @@
     const catalog::CallRoute *m_route = nullptr;
     const catalog::OrganisationSpec *m_organisation = nullptr;
     dispatch::Call m_call;
+    std::string m_requestName; // the same whenever the request comes again
     std::set<std::string> m_attemptedServers;
     std::vector<std::uint64_t> m_carriers; // numbers of the connections to backend servers that the call was sent on
     double m_tokens = 0; // charged to the organisation
@@ -149,9 +151,10 @@
     line.add("id", m_head.id).add("server", target.server).add("end", endNames.at(static_cast<std::size_t>(end))).add("status", status);
     const TimePoint now = Clock::now();
     line.add("waited-ms", startedAt - m_arrived).add("ms", now - startedAt).add("events", m_events.forwardedEvents);
-    if (m_answerBegan && (end == AttemptEnd::Failed || end == AttemptEnd::Cut)) {
-        // Tells a prompt that ends every backend server from calls that were running beside it.
-        line.add("answering-ms", now - *m_answerBegan).add("parts", boost::algorithm::join(m_head.sharedParts, "+"));
+    if (end == AttemptEnd::Failed || end == AttemptEnd::Cut) {
+        // Tells a request or prompt that ends every backend server from calls that were running beside it.
+        line.add("answering-ms", m_answerBegan ? now - *m_answerBegan : Duration{}).add("parts", boost::algorithm::join(m_head.sharedParts, "+"));
+        line.add("request", m_requestName);
     }
     if (server != servers.end()) {
         line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
@@ -231,6 +234,10 @@
         m_call.adapter = m_head.adapter;
         m_call.promptParts = m_head.sharedParts;
     }
+    const std::string_view method(m_request.method_string().data(), m_request.method_string().size());
+    const std::string_view target(m_request.target().data(), m_request.target().size());
+    const std::string_view organisation = m_organisation == nullptr ? std::string_view() : std::string_view(m_organisation->name);
+    m_requestName = quarantine::requestName({organisation, method, m_head.host, target, m_request.body()});
     if (dispatch::isQuarantined(m_entry.dispatchState(), m_call)) {
         const LocalResponse response = makeRefusal(dispatch::quarantineRefusal());
         co_return co_await refuse(response);
