quarantine: judge whole requests beside the parts of prompts

Cause: the quarantine knew prompt parts only, without the last one, and looked at ends after the head of a success only. A request without a part of its own was never found; with a part that no other call had used lately, the part was quarantined instead, and sound calls were refused with it. Plain services were never judged. Class: a harmful input that is booked on the server it hits.

Change: a call carries the name of its request (organisation, method, host, target, body) beside its prompt parts. Connections that are lost before the head of an answer are judged too, on plain services as well. In the ledger a request is no rival of prompt parts, and a part whose ends are all explained by one request is not quarantined. The names travel in the lists of parts that reports, replies and the replicated state have, so that neither messages nor stored data change. Sound answers of requests are kept apart from those of parts, which they would displace.

The fixture gives each call a path of its own: its calls were all alike, which the calls with a crashing prompt part aren't.

--- a/include/mimosahollow/dispatch/call.h
+++ b/include/mimosahollow/dispatch/call.h
@@ -23,7 +23,7 @@
     TimePoint objectiveEnd{}; /**< Latest time at which the answer, or the first event of a stream, meets the latency objective. */
     TimePoint deadline{}; /**< Set by the caller or the route; an answer after it is useless. */
     std::set<std::string> triedServers; /**< Backend servers to which the call was already sent. */
-    std::vector<std::string> promptParts; /**< Ids of the prompt parts that other calls may have too. */
+    std::vector<std::string> fingerprints; /**< What may end backend servers: ids of prompt parts that other calls may have too, and the name of the request. */
     std::string pinnedServer; /**< The only backend server allowed from now on; empty: any. */
 };
 
--- a/include/mimosahollow/quarantine/crashledger.h
+++ b/include/mimosahollow/quarantine/crashledger.h
@@ -24,8 +24,8 @@
 };
 
 /**
- * Finds the prompt parts that end the backend servers which begin to answer them. A part is quarantined when several servers ended at it at
- * different moments, none has answered it soundly since, and no other part explains these ends as well.
+ * Finds the prompt parts and whole requests (requestName()) that end the backend servers which begin to answer them; both are called parts here. A part
+ * is quarantined when several servers ended at it at different moments, none has answered it soundly since, and no other part explains these ends as well.
  */
 struct CrashLedger
 {
--- a/include/mimosahollow/quarantine/serverend.h
+++ b/include/mimosahollow/quarantine/serverend.h
@@ -11,7 +11,7 @@
 {
     std::string server;
     std::uint64_t born = 0; /**< Incarnation. */
-    std::vector<std::string> parts; /**< Shared prompt parts of the calls that it had just begun to answer. */
+    std::vector<std::string> parts; /**< Names and shared prompt parts of the requests that it may have just begun to answer. */
 
     friend bool operator==(const ServerEnd &, const ServerEnd &) = default;
 };
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -193,8 +193,8 @@
 
 bool isQuarantined(const DispatchState &state, const Call &call)
 {
-    return std::any_of(call.promptParts.begin(), call.promptParts.end(), [&state](const std::string &part) {
-        return state.quarantinedParts.contains(part);
+    return std::any_of(call.fingerprints.begin(), call.fingerprints.end(), [&state](const std::string &fingerprint) {
+        return state.quarantinedParts.contains(fingerprint);
     });
 }
 
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -85,7 +85,7 @@
     [[nodiscard]] bool isRepeatable() const;
     [[nodiscard]] LocalResponse makeFailureResponse(AttemptEnd end) const;
     void chooseService();
-    void judgePrompt(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end);
+    void judgeRequest(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end);
     /** Ends the call without an answer. Returns that the connection is not usable. */
     bool endWithoutCaller(std::string_view when);
     void logEnd(std::string_view outcome, unsigned status, std::string_view reason);
@@ -100,7 +100,6 @@
     const catalog::CallRoute *m_route = nullptr;
     const catalog::OrganisationSpec *m_organisation = nullptr;
     dispatch::Call m_call;
-    std::string m_requestName; // the same whenever the request comes again
     std::set<std::string> m_attemptedServers;
     std::vector<std::uint64_t> m_carriers; // numbers of the connections to backend servers that the call was sent on
     double m_tokens = 0; // charged to the organisation
@@ -153,8 +152,7 @@
     line.add("waited-ms", startedAt - m_arrived).add("ms", now - startedAt).add("events", m_events.forwardedEvents);
     if (end == AttemptEnd::Failed || end == AttemptEnd::Cut) {
         // Tells a request or prompt that ends every backend server from calls that were running beside it.
-        line.add("answering-ms", m_answerBegan ? now - *m_answerBegan : Duration{}).add("parts", boost::algorithm::join(m_head.sharedParts, "+"));
-        line.add("request", m_requestName);
+        line.add("answering-ms", m_answerBegan ? now - *m_answerBegan : Duration{}).add("parts", boost::algorithm::join(m_call.fingerprints, "+"));
     }
     if (server != servers.end()) {
         line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
@@ -232,12 +230,12 @@
     if (service != nullptr && service->engine) {
         m_call.model = m_head.model;
         m_call.adapter = m_head.adapter;
-        m_call.promptParts = m_head.sharedParts;
+        m_call.fingerprints = m_head.sharedParts;
     }
     const std::string_view method(m_request.method_string().data(), m_request.method_string().size());
     const std::string_view target(m_request.target().data(), m_request.target().size());
     const std::string_view organisation = m_organisation == nullptr ? std::string_view() : std::string_view(m_organisation->name);
-    m_requestName = quarantine::requestName({organisation, method, m_head.host, target, m_request.body()});
+    m_call.fingerprints.push_back(quarantine::requestName({organisation, method, m_head.host, target, m_request.body()}));
     if (dispatch::isQuarantined(m_entry.dispatchState(), m_call)) {
         const LocalResponse response = makeRefusal(dispatch::quarantineRefusal());
         co_return co_await refuse(response);
@@ -435,7 +433,7 @@
         }
     }
     m_caller.watch->clearInterrupt();
-    judgePrompt(target, exchange, end);
+    judgeRequest(target, exchange, end);
     const bool hasNotRun = end == AttemptEnd::NotRun || end == AttemptEnd::Missing || end == AttemptEnd::Unreachable;
     m_usedTokens = m_usedTokens || (m_attemptedServers.contains(target.server) && !hasNotRun);
     if (end == AttemptEnd::Failed || end == AttemptEnd::Cut || end == AttemptEnd::TimedOut) {
@@ -448,20 +446,18 @@
     co_return end;
 }
 
-/** Tells what the end of an attempt says about the prompt of its call. */
-void CallRelay::judgePrompt(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end)
+/** Tells what the end of an attempt says about the request and its prompt. */
+void CallRelay::judgeRequest(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end)
 {
-    const bool isSuccess = m_status >= 200 && m_status < 300;
-    if (!m_answerBegan || !isSuccess) {
-        return;
-    }
-    const bool isShort = Clock::now() - *m_answerBegan < quarantine::firstTokensTime;
-    const bool isBroken = end == AttemptEnd::Failed || end == AttemptEnd::Cut;
+    const bool isSuccess = m_answerBegan && m_status >= 200 && m_status < 300;
+    // A call without the head of an answer may have waited for its turn, so it may have ended its server at any time.
+    const bool isShort = !m_answerBegan || Clock::now() - *m_answerBegan < quarantine::firstTokensTime;
+    const bool isBroken = (end == AttemptEnd::Failed || end == AttemptEnd::Cut) && (isSuccess || exchange.isLost());
     // The end of an answer without a length may also be that of its backend server.
-    const bool isOpenEnded = end == AttemptEnd::Answered && exchange.endsWithConnection();
+    const bool isOpenEnded = end == AttemptEnd::Answered && isSuccess && exchange.endsWithConnection();
     if (isShort && (isBroken || isOpenEnded)) {
         m_entry.answerBroke(target, m_call);
-    } else if (end == AttemptEnd::Answered) {
+    } else if (end == AttemptEnd::Answered && isSuccess) {
         m_entry.answeredSoundly(m_call);
     }
 }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -99,11 +99,11 @@
     void limitStated(const std::string &server, std::string_view limit);
     /** Takes over what an answer of the incarnation @p born of @p server says about further calls: that it leaves, or wants none for some time. */
     void readNotices(const std::string &server, std::uint64_t born, const ServerExchange &exchange);
-    /** The answer of @p target to @p call ended too early, soon after its beginning. Tells the leader if the backend server has ended. */
+    /** The answer of @p target to @p call ended before its beginning or soon after it. Tells the leader if the backend server has ended. */
     void answerBroke(const dispatch::Send &target, const dispatch::Call &call);
     /** A backend server has answered @p call without ending at its prompt. */
     void answeredSoundly(const dispatch::Call &call);
-    /** Whether a prompt part of @p call may be what ends backend servers. */
+    /** Whether @p call or a part of its prompt may be what ends backend servers. */
     [[nodiscard]] bool isSuspected(const dispatch::Call &call) const;
 
     void sessionOpened();
@@ -161,6 +161,7 @@
     void addHistory(fleetlink::EntryReport &report, TimePoint now) const;
     void sendReport(TimePoint now);
     boost::asio::awaitable<void> checkServer(Incarnation incarnation);
+    [[nodiscard]] quarantine::SoundParts &soundAnswersOf(std::string_view fingerprint);
     void addCrashes(fleetlink::EntryReport &report, TimePoint now);
     void crashesReported(std::uint64_t stamp);
     void addLimits(fleetlink::EntryReport &report, TimePoint now);
@@ -199,6 +200,7 @@
     std::map<Incarnation, BrokenAnswers> m_brokenAnswers; // of backend servers that are being checked
     std::deque<ObservedEnd> m_observedEnds; // oldest first
     quarantine::SoundParts m_soundParts;
+    quarantine::SoundParts m_soundRequests;
     std::set<std::string> m_suspectedParts; // by the leader
     std::list<WaitingCall *> m_waitingCalls; // most urgent first
     std::list<TokenWaiter *> m_tokenWaiters;
--- a/src/ingress/entrycrashes.cpp
+++ b/src/ingress/entrycrashes.cpp
@@ -2,6 +2,7 @@
 
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
+#include "mimosahollow/quarantine/requestname.h"
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/as_tuple.hpp>
@@ -26,13 +27,9 @@
 
 void Entry::answerBroke(const dispatch::Send &target, const dispatch::Call &call)
 {
-    const auto server = m_dispatch.servers.find(target.server);
-    if (call.promptParts.empty() || server == m_dispatch.servers.end()) {
-        return;
-    }
-    const Incarnation incarnation{target.server, server->second.record.born};
+    const Incarnation incarnation{target.server, target.born};
     const auto [broken, isNew] = m_brokenAnswers.try_emplace(incarnation, BrokenAnswers{target.address, Clock::now(), {}});
-    broken->second.parts.insert(call.promptParts.begin(), call.promptParts.end());
+    broken->second.parts.insert(call.fingerprints.begin(), call.fingerprints.end());
     if (isNew) {
         asio::co_spawn(m_context, checkServer(incarnation), asio::detached);
     }
@@ -62,18 +59,24 @@
     scheduleReport(Clock::now() + m_settings.urgentReportDelay);
 }
 
+/** Few requests come twice, so their names must not displace the prompt parts that many share. */
+quarantine::SoundParts &Entry::soundAnswersOf(std::string_view fingerprint)
+{
+    return quarantine::isRequestName(fingerprint) ? m_soundRequests : m_soundParts;
+}
+
 void Entry::answeredSoundly(const dispatch::Call &call)
 {
     const TimePoint now = Clock::now();
-    for (const std::string &part : call.promptParts) {
-        quarantine::recordSoundAnswer(m_soundParts, part, now);
+    for (const std::string &fingerprint : call.fingerprints) {
+        quarantine::recordSoundAnswer(soundAnswersOf(fingerprint), fingerprint, now);
     }
 }
 
 bool Entry::isSuspected(const dispatch::Call &call) const
 {
-    return std::any_of(call.promptParts.begin(), call.promptParts.end(), [this](const std::string &part) {
-        return m_suspectedParts.contains(part);
+    return std::any_of(call.fingerprints.begin(), call.fingerprints.end(), [this](const std::string &fingerprint) {
+        return m_suspectedParts.contains(fingerprint);
     });
 }
 
@@ -89,7 +92,7 @@
         }
     }
     for (const std::string &part : m_suspectedParts) {
-        if (const auto soundAt = quarantine::lastSoundAnswer(m_soundParts, part)) {
+        if (const auto soundAt = quarantine::lastSoundAnswer(soundAnswersOf(part), part)) {
             report.soundParts.push_back({part, age(*soundAt)});
         }
     }
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -25,11 +25,6 @@
 constexpr std::size_t maximumDiscardedBytes = 65'536; // of a body that nobody needs; a new connection costs less than reading more
 constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 
-ExchangeError toExchangeError(const boost::system::error_code &error)
-{
-    return error == beast::error::timeout ? ExchangeError::TimedOut : ExchangeError::Broken;
-}
-
 /** Idle timeout from the value of a Keep-Alive header, which gives it in seconds; nothing if it is not stated. */
 std::optional<Duration> idleLimit(std::string_view keepAlive)
 {
@@ -128,7 +123,7 @@
         m_parser->body_limit(boost::none);
         m_connection->stream.expires_at(deadline);
         if (const auto [error, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, completionToken); error) {
-            co_return toExchangeError(error);
+            co_return noteError(error);
         }
         if (m_parser->get().result_int() >= 200) {
             co_return ExchangeError::None;
@@ -166,7 +161,7 @@
         const std::size_t filled = m_readBuffer.size() - body.size;
         out.append(m_readBuffer.data(), filled);
         if (error && error != http::error::need_buffer) {
-            co_return toExchangeError(error);
+            co_return noteError(error);
         }
         if (filled > 0) {
             co_return ExchangeError::None;
@@ -197,6 +192,20 @@
     }
 }
 
+ExchangeError ServerExchange::noteError(const boost::system::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return ExchangeError::TimedOut;
+    }
+    m_isLost = true;
+    return ExchangeError::Broken;
+}
+
+bool ServerExchange::isLost() const noexcept
+{
+    return m_isLost;
+}
+
 unsigned ServerExchange::status() const
 {
     return m_parser->get().result_int();
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -47,6 +47,8 @@
     /** Closes the connection, which makes the backend server cancel the call. */
     void abort();
 
+    /** Whether the connection was lost, or brought an invalid response. */
+    [[nodiscard]] bool isLost() const noexcept;
     [[nodiscard]] unsigned status() const;
     /** Whether the response has neither a length nor chunks. */
     [[nodiscard]] bool endsWithConnection() const;
@@ -58,6 +60,7 @@
     struct OutgoingRequest;
 
     boost::asio::awaitable<ExchangeError> readHead(TimePoint deadline);
+    [[nodiscard]] ExchangeError noteError(const boost::system::error_code &error);
 
     Entry &m_entry;
     std::string m_address;
@@ -66,6 +69,7 @@
     std::optional<Parser> m_parser;
     std::vector<char> m_readBuffer;
     bool m_aborted = false;
+    bool m_isLost = false;
 };
 
 } // namespace mimosahollow::ingress
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -1,7 +1,10 @@
 #include "mimosahollow/quarantine/crashledger.h"
 
+#include "mimosahollow/quarantine/requestname.h"
+
 #include <algorithm>
 #include <string_view>
+#include <unordered_map>
 
 namespace mimosahollow::quarantine {
 
@@ -48,13 +51,22 @@
     return end.parts.contains(part) && !isSoundSince;
 }
 
-/** The ends that each part may have caused, oldest first. */
+/** The ends that each part may have caused, oldest first. Parts that matter only at several ends are left out below that number. */
 std::map<std::string, Ends> endsByPart(const CrashLedger &ledger)
 {
+    const Ends ends = unexplainedEnds(ledger);
+    // Most names of requests are present at one end only.
+    std::unordered_map<std::string_view, unsigned> counts;
+    for (const CrashLedger::End *end : ends) {
+        for (const std::string &part : end->parts) {
+            ++counts[part];
+        }
+    }
     std::map<std::string, Ends> byPart;
-    for (const CrashLedger::End *end : unexplainedEnds(ledger)) {
+    for (const CrashLedger::End *end : ends) {
         for (const std::string &part : end->parts) {
-            if (explains(ledger, part, *end)) {
+            const bool isRelevant = counts[part] >= ledger.options.endsOfSuspect || ledger.released.contains(part);
+            if (isRelevant && explains(ledger, part, *end)) {
                 byPart[part].push_back(end);
             }
         }
@@ -76,19 +88,19 @@
     return count;
 }
 
-/** Whether another part may have caused all @p ends of @p part. A part that had sound answers before is no rival of one that never had. */
-bool isAmbiguous(const CrashLedger &ledger, const std::map<std::string, Ends> &byPart, const std::string &part, const Ends &ends)
+/** Whether another part that @p isRival accepts may have caused all @p ends of @p part too. */
+template<typename IsRival>
+bool hasRival(const CrashLedger &ledger, const std::string &part, const Ends &ends, IsRival isRival)
 {
-    const bool isNeverSound = !hadSoundAnswer(ledger, part);
-    return std::any_of(byPart.begin(), byPart.end(), [&](const auto &other) {
-        return other.first != part && !(isNeverSound && hadSoundAnswer(ledger, other.first))
-               && std::all_of(ends.begin(), ends.end(), [&](const CrashLedger::End *end) {
-                      return explains(ledger, other.first, *end);
-                  });
+    const auto &candidates = ends.front()->parts;
+    return std::any_of(candidates.begin(), candidates.end(), [&](const std::string &other) {
+        return other != part && isRival(other) && std::all_of(ends.begin(), ends.end(), [&](const CrashLedger::End *end) {
+                   return explains(ledger, other, *end);
+               });
     });
 }
 
-bool isCulprit(const CrashLedger &ledger, const std::map<std::string, Ends> &byPart, const std::string &part, const Ends &ends)
+bool isCulprit(const CrashLedger &ledger, const std::string &part, const Ends &ends)
 {
     if (ledger.released.contains(part)) {
         return !ends.empty();
@@ -97,9 +109,18 @@
     if (moments < ledger.options.endsOfCulprit) {
         return false;
     }
-    const bool isUnique = !isAmbiguous(ledger, byPart, part, ends);
+    const bool isRequest = isRequestName(part);
+    // If the same request was there each time, its prompt parts may be sound in other requests.
+    if (!isRequest && hasRival(ledger, part, ends, isRequestName)) {
+        return false;
+    }
+    const bool wasSound = hadSoundAnswer(ledger, part);
+    const bool isAmbiguous = hasRival(ledger, part, ends, [&](const std::string &other) {
+        // A part that had sound answers before is no rival of one that never had.
+        return isRequestName(other) == isRequest && (wasSound || !hadSoundAnswer(ledger, other));
+    });
     const bool isCertain = moments >= ledger.options.endsWhenInDoubt;
-    return hadSoundAnswer(ledger, part) ? isUnique && isCertain : isUnique || isCertain;
+    return wasSound ? !isAmbiguous && isCertain : !isAmbiguous || isCertain;
 }
 
 /** Forgets the parts that were present at no end, whose sound answers no longer matter. */
@@ -179,7 +200,7 @@
                 continue;
             }
         }
-        if (isCulprit(ledger, byPart, part, ends)) {
+        if (isCulprit(ledger, part, ends)) {
             culprits.push_back(part);
         }
     }
--- a/tests/crashes/crashes.cpp
+++ b/tests/crashes/crashes.cpp
@@ -47,3 +47,53 @@
     CHECK(EngineFleet::isServed(fleet.call(0, EngineFleet::unique("tenant:5,lost:7"))));
     CHECK(EngineFleet::isServed(fleet.call(1, EngineFleet::unique("tenant:5,lost:7"))));
 }
+
+// Guards against one request that comes again and again and ends server after server, at any instance.
+TEST_CASE("A request under which three servers have ended reaches no more than three others")
+{
+    EngineFleet fleet;
+    SECTION("it ends an engine after the head of its answer")
+    {
+        fleet.deadlyPath = "/stream/deadly";
+    }
+    SECTION("it ends an engine before the head of its answer")
+    {
+        fleet.deadlyPath = "/stream/deadly";
+        fleet.endsBeforeHead = true;
+    }
+    SECTION("it ends a plain backend server before the head of its answer")
+    {
+        fleet.deadlyPath = "/plain/deadly";
+        fleet.endsBeforeHead = true;
+    }
+    const std::string prefix = fleet.deadlyPath.substr(0, fleet.deadlyPath.rfind('/') + 1);
+    fleet.sendDeadlyRequests(3, 20);
+    REQUIRE(fleet.crashes >= 3);
+    fleet.runFor(contactTime);
+    fleet.deadlyArrivals = 0;
+    for (unsigned sent = 0; sent < 8; ++sent) {
+        fleet.call(sent % 2, EngineFleet::unique("tenant:5"), fleet.deadlyPath);
+        fleet.runFor(restartTime);
+    }
+    CHECK(fleet.deadlyArrivals <= 3);
+    for (unsigned sent = 0; sent < 8; ++sent) {
+        CHECK(EngineFleet::isServed(fleet.call(sent % 2, EngineFleet::unique("tenant:5"), prefix + "sound")));
+    }
+}
+
+// Guards against sound requests that were running on the servers which another request ended.
+TEST_CASE("A request that runs beside a deadly one is served afterwards")
+{
+    EngineFleet fleet;
+    fleet.deadlyPath = "/plain/deadly";
+    fleet.endsBeforeHead = true;
+    for (unsigned sent = 0; sent < 6; ++sent) {
+        fleet.call(sent % 2, {}, "/plain/popular");
+        fleet.call(sent % 2, {}, fleet.deadlyPath);
+        fleet.runFor(restartTime);
+    }
+    fleet.runFor(contactTime);
+    for (unsigned sent = 0; sent < 8; ++sent) {
+        CHECK(EngineFleet::isServed(fleet.call(sent % 2, {}, "/plain/popular")));
+    }
+}
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -358,12 +358,12 @@
 {
     DispatchState state = makeState();
     Call call = modelCall("a1");
-    call.promptParts = {"shared", "fatal"};
+    call.fingerprints = {"shared", "fatal"};
     CHECK(sentTo(decide(state, call, start)) == "s1");
     state.quarantinedParts = {"fatal"};
     const Decision decision = decide(state, call, start);
     REQUIRE(std::holds_alternative<Refuse>(decision));
     CHECK(std::get<Refuse>(decision).cause == RefusalCause::QuarantinedPrompt);
-    call.promptParts = {"shared"};
+    call.fingerprints = {"shared"};
     CHECK(sentTo(decide(state, call, start)) == "s1");
 }
--- a/tests/quarantine/crashledger.cpp
+++ b/tests/quarantine/crashledger.cpp
@@ -173,3 +173,41 @@
     CHECK(lastSoundAnswer(sound, "p920") == TimePoint(seconds(920)));
     CHECK_FALSE(lastSoundAnswer(sound, "p1"));
 }
+
+// Guards against one request that ends each server that runs it, while its prompt parts are sound in other requests.
+TEST_CASE("A whole request that is present at each end is quarantined, the parts of its prompt are not")
+{
+    LedgerRun run;
+    run.end("s1", {"organisation", "subject-1", "request:1", "request:7"});
+    CHECK(run.pass(milliseconds(900)).empty());
+    run.end("s2", {"organisation", "subject-1", "request:1"});
+    CHECK(run.pass(milliseconds(900)).empty());
+    run.end("s3", {"organisation", "subject-1", "request:1", "request:8"});
+    CHECK(run.pass(milliseconds(900)) == Parts{"request:1"});
+
+    SECTION("more ends accuse the same request only")
+    {
+        run.end("s4", {"organisation", "subject-1", "request:1"});
+        run.end("s5", {"organisation", "subject-1", "request:1"});
+        CHECK(run.pass(milliseconds(900)) == Parts{"request:1"});
+    }
+    SECTION("an end without the request accuses the part that was there each time")
+    {
+        run.end("s4", {"organisation", "request:9"});
+        CHECK(run.pass(milliseconds(900)) == Parts{"organisation", "request:1"});
+    }
+}
+
+// Guards against the quarantine of a request that many callers send, since it was running on servers that another one ended.
+TEST_CASE("A request that is answered soundly in between is not quarantined beside a deadly one")
+{
+    LedgerRun run;
+    for (unsigned count = 0; count < 6; ++count) {
+        run.end("s" + std::to_string(count), {"request:popular", "request:deadly"});
+        run.now += milliseconds(200);
+        recordSoundAnswer(run.ledger, "request:popular", run.now);
+        const Parts culprits = run.pass(milliseconds(700));
+        CHECK(std::find(culprits.begin(), culprits.end(), "request:popular") == culprits.end());
+    }
+    CHECK(run.pass(milliseconds(100)) == Parts{"request:deadly"});
+}
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -22,7 +22,8 @@
 
 inline constexpr Duration contactTime = seconds(3); // within which all entry instances must know what one of them has learned
 inline constexpr Duration restartTime = milliseconds(150);
-inline constexpr unsigned serverCount = 6;
+inline constexpr unsigned serverCount = 6; // inference engines
+inline constexpr unsigned plainServerCount = 4;
 inline constexpr std::string_view chunkEnd = "0\r\n\r\n";
 
 inline std::string address(unsigned host, unsigned port)
@@ -53,12 +54,16 @@
     route.isOpen = true;
     route.isResumable = true;
     catalog.routes = {route};
+    route.name = "plain";
+    route.pathPrefix = "/plain/";
+    route.split = {{"rest", 1}};
+    catalog.routes.push_back(route);
     catalog::EngineSpec engine;
     engine.models = {{"base", 1000, 10, milliseconds(100)}};
     engine.memoryMb = 2000;
     engine.adapterSlots = 4;
     engine.storeLoadsPerSecond = 4;
-    catalog.services = {{"llm", 0, 0, engine}};
+    catalog.services = {{"llm", 0, 0, engine}, {"rest", 0, 0, std::nullopt}};
     return catalog;
 }
 
@@ -110,8 +115,8 @@
 };
 
 /**
- * Coordinator, two entry instances and inference engines. An engine ends, and comes back, when it begins to answer a prompt with the fatal part, and may
- * name a limit of its calls.
+ * Coordinator, two entry instances, inference engines and plain backend servers. A server ends, and comes back, when it begins to answer a prompt with the
+ * fatal part or a request for the deadly path, and may name a limit of its calls.
  */
 struct EngineFleet
 {
@@ -120,6 +125,7 @@
         explicit Server(asio::io_context &context) : acceptor(context), restart(context)
         {
         }
+        std::string service;
         std::string address;
         std::uint64_t born = 0;
         std::uint64_t announcements = 1;
@@ -139,8 +145,9 @@
             startEntry(number);
         }
         commit(catalog);
-        for (unsigned number = 0; number < serverCount; ++number) {
+        for (unsigned number = 0; number < serverCount + plainServerCount; ++number) {
             Server &server = servers.emplace_back(context);
+            server.service = number < serverCount ? "llm" : "rest";
             server.address = address(20 + number, 42'420);
             start(server);
         }
@@ -267,7 +274,7 @@
     static registry::ServerRecord recordOf(const Server &server)
     {
         const std::string id = server.address + "#" + std::to_string(server.born);
-        return {id, "llm", server.address, "a", 8, registry::ServerState::Ready, server.born, server.announcements, 0, {{"base", "", 1}}};
+        return {id, server.service, server.address, "a", 8, registry::ServerState::Ready, server.born, server.announcements, 0, {{"base", "", 1}}};
     }
 
     void crash(Server &server)
@@ -314,6 +321,14 @@
         const std::string answerHead =
             "HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: " + headerOf(head, "Call-Id") + "\r\n" + limit + "Transfer-Encoding: chunked\r\n\r\n";
         const std::string firstEvent = "f\r\nid: 1\ndata: x\n\n\r\n";
+        if (!deadlyPath.empty() && head.find(" " + deadlyPath + " ") != std::string::npos) {
+            ++deadlyArrivals;
+            if (!endsBeforeHead) {
+                connection.write(answerHead);
+            }
+            crash(server);
+            return;
+        }
         if (!fatalPart.empty() && parts.find(fatalPart) != std::string::npos) {
             ++fatalArrivals;
             connection.write(answerHead + "5\r\nid: 1\r\n"); // ends inside the first event
@@ -335,21 +350,22 @@
     }
 
     /** Sends one call without waiting for its answer. */
-    std::shared_ptr<Connection> startCall(unsigned entry, const std::string &parts)
+    std::shared_ptr<Connection> startCall(unsigned entry, const std::string &parts, const std::string &path = {})
     {
         asio::ip::tcp::socket socket(context);
         socket.connect(endpointOf(address(10 + entry, 42'410)));
         auto caller = std::make_shared<Connection>(std::move(socket));
         caller->read();
         ++calls;
-        caller->write("GET /stream/x HTTP/1.1\r\nHost: host\r\nModel: base\r\nCall-Id: c" + std::to_string(calls) + "\r\nParts: " + parts + "\r\n\r\n");
+        const std::string target = path.empty() ? "/stream/x" + std::to_string(calls) : path; // no two calls are alike
+        caller->write("GET " + target + " HTTP/1.1\r\nHost: host\r\nModel: base\r\nCall-Id: c" + std::to_string(calls) + "\r\nParts: " + parts + "\r\n\r\n");
         return caller;
     }
 
     /** Sends one call and returns the answer when it ends. */
-    std::string call(unsigned entry, const std::string &parts)
+    std::string call(unsigned entry, const std::string &parts, const std::string &path = {})
     {
-        const auto caller = startCall(entry, parts);
+        const auto caller = startCall(entry, parts, path);
         runUntil(
             [&caller] {
                 return caller->isClosed || caller->received.ends_with(chunkEnd) || caller->received.ends_with("}\n");
@@ -373,7 +389,8 @@
 
     bool isServing(unsigned entry)
     {
-        return entries[entry]->isReady() && entries[entry]->dispatchState().servers.size() >= serverCount && isServed(call(entry, unique("tenant:5")));
+        return entries[entry]->isReady() && entries[entry]->dispatchState().servers.size() >= serverCount + plainServerCount
+               && isServed(call(entry, unique("tenant:5")));
     }
 
     /** Runs the event loop until @p isDone returns true; returns false after @p limit. */
@@ -408,6 +425,15 @@
         }
     }
 
+    /** Sends requests for the deadly path until @p count servers have ended or @p limit requests were answered. */
+    void sendDeadlyRequests(unsigned count, unsigned limit)
+    {
+        for (unsigned sent = 0; sent < limit && crashes < count; ++sent) {
+            call(sent % 2, unique("tenant:5"), deadlyPath);
+            runFor(restartTime);
+        }
+    }
+
     std::filesystem::path folder;
     asio::io_context context{1};
     asio::steady_timer heartbeat{context};
@@ -417,8 +443,11 @@
     std::string namedLimit; /**< Calls per second from all callers, as the engines name it in each answer; empty: none. */
     std::string fatalPart;
     bool resetsOnly = false; /**< A call with the part loses its connection, and the server lives on. */
+    std::string deadlyPath;
+    bool endsBeforeHead = false; /**< The deadly path ends a server before the head of its answer. */
     unsigned crashes = 0;
     unsigned fatalArrivals = 0;
+    unsigned deadlyArrivals = 0;
     TimePoint lastCrash{};
     unsigned calls = 0;
 };
