voterplan: add the successor of a silent voter before the voter is removed

Cause: the plan removed a voter after 2.5 s of silence and added its successor in the next step, 250 ms later. In between the log had two members and needed both. If the other one lost its disk then, no majority could exist again, though the silent voter still held the state. Class: a change of membership that lowers the number of copies that may be lost.

Change: the successor is added and gets its vote first, then the silent voter is removed. If it comes back meanwhile, the successor waits again, so that the number of voters is odd between changes.

--- a/include/mimosahollow/voterplan/voterplan.h
+++ b/include/mimosahollow/voterplan/voterplan.h
@@ -45,8 +45,8 @@
  * Next single change of the membership, if one is due.
  *
  * Answers these patterns: a machine that comes back with an empty disk under its old address, a machine that left for good while
- * a successor waits, and more machines than voters. The number of voters stays odd: a fourth voter raises the majority without
- * bearing one more loss.
+ * a successor waits, and more machines than voters. The number of voters is odd between changes: a fourth voter raises the majority without
+ * bearing one more loss. While a silent voter is replaced there is one more.
  */
 [[nodiscard]] std::optional<VoterChange>
 planChange(std::span<const MemberView> members, std::span<const ReachableCoordinator> reachable, control::VoterId self, const VoterPlanOptions &options);
--- a/src/voterplan/voterplan.cpp
+++ b/src/voterplan/voterplan.cpp
@@ -34,6 +34,11 @@
     return lost;
 }
 
+const MemberView &newestOther(std::span<const MemberView> members, control::VoterId self)
+{
+    return members.back().member.id == self ? members[members.size() - 2] : members.back();
+}
+
 std::size_t largestOdd(std::size_t count)
 {
     return count % 2 == 1 ? count : count - 1;
@@ -69,15 +74,20 @@
         }
         waiting.push_back(&coordinator.identity);
     }
-    if (waiting.empty()) {
-        return std::nullopt;
-    }
-    if (lost != nullptr && members.size() > 1 && members.size() % 2 == 1) {
-        return RemoveMember{lost->member.id};
-    }
     const std::size_t voters = members.size();
     const std::size_t wanted = largestOdd(voters + waiting.size());
-    if (voters < wanted) {
+    if (voters % 2 == 0 && voters > 2) {
+        if (lost != nullptr) {
+            return RemoveMember{lost->member.id};
+        }
+        if (wanted < voters) {
+            return RemoveMember{newestOther(members, self).member.id}; // the silent voter has come back
+        }
+    }
+    // The successor of a silent voter comes first. If the voter went first, the loss of another disk would leave too few copies of the log for ever,
+    // though the silent voter still holds one.
+    const bool isReplacement = lost != nullptr && voters > 1 && !waiting.empty();
+    if (voters < wanted || isReplacement) {
         return AddMember{*waiting.front()};
     }
     return std::nullopt;
