--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -419,6 +419,10 @@
         return !member.learner;
     };
     const auto &members = m_consensus->members;
+    const auto isOwnVote = [this, isVoter](const control::Member &member) {
+        return member.id == m_self && isVoter(member);
+    };
+    gauge("log_vote", std::any_of(members.begin(), members.end(), isOwnVote) ? 1 : 0);
     gauge("log_voters", static_cast<std::uint64_t>(std::count_if(members.begin(), members.end(), isVoter)));
     return text.str();
 }
--- a/tests/coordinator/fleet.cpp
+++ b/tests/coordinator/fleet.cpp
@@ -159,6 +159,12 @@
         return coordinators.at(number)->metricsText().find("mimosahollow_log_voters " + std::to_string(count) + "\n") != std::string::npos;
     }
 
+    /** Whether coordinator @p number has a vote itself. */
+    [[nodiscard]] bool hasVote(unsigned number) const
+    {
+        return coordinators.at(number)->metricsText().find("mimosahollow_log_vote 1\n") != std::string::npos;
+    }
+
     /** Whether two coordinators have applied the same log index. */
     [[nodiscard]] bool hasIndexOf(unsigned number, unsigned other) const
     {
@@ -254,7 +260,7 @@
         REQUIRE(fleet.commit(catalogOf(++version)));
         REQUIRE(fleet.runUntil([&fleet, successor, lost] {
             const unsigned other = lost == 3 ? 4 : lost + 1;
-            return fleet.hasVoters(successor, 3) && fleet.hasVoters(other, 3) && fleet.hasIndexOf(successor, other);
+            return fleet.hasVote(successor) && fleet.hasVoters(successor, 3) && fleet.hasVoters(other, 3) && fleet.hasIndexOf(successor, other);
         }));
     }
     CHECK(fleet.readVersion() == version);
