--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -390,7 +390,7 @@
 asio::awaitable<bool> Backend::runCall(Connection &connection, const Request &request, CallRecord &call, std::size_t arrival)
 {
     call.arrivals[arrival].hasRun = true;
-    const bool isFatal = call.isDeadly || (!call.fatalPart.empty() && m_options.isEngine);
+    const bool isFatal = !call.deadlyName.empty() || (!call.fatalPart.empty() && m_options.isEngine);
     if (isFatal) {
         co_await sleepFor(m_context, 20ms);
         const bool endsBeforeHead = chance(0.5);
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -276,7 +276,7 @@
     record.entry = connection.entry;
     record.isOnUsedConnection = connection.calls > 0;
     record.timeLimit = traits.timeLimit;
-    record.isDeadly = variant == CallVariant::Deadly;
+    record.deadlyName = variant == CallVariant::Deadly ? traits.path : "";
     record.isSiblingOfDeadly = variant == CallVariant::DeadlySibling;
     if (variant == CallVariant::FatalPart) {
         record.fatalPart = "fa7a1";
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -163,32 +163,55 @@
     return finding;
 }
 
-/** Calls of one kind that end backend servers: those that still reach one, by instances in touch, well after the end number @p ends. */
-Finding checkFatal(const Record &record, const std::string &clause, bool isDeadly, std::size_t ends)
+/** Adds the calls that still reach a backend server, by instances in touch, well after the end number @p ends under @p calls. */
+void countAfterEnds(Finding &finding, const Record &record, const std::vector<const CallRecord *> &calls, std::size_t ends)
 {
-    Finding finding{clause, 0, 3, 0, {}};
     std::vector<double> endTimes;
-    const auto isOfKind = [isDeadly](const CallRecord &call) {
-        return isDeadly ? call.isDeadly : !call.fatalPart.empty();
-    };
-    for (const CallRecord &call : record.calls) {
-        for (const Arrival &arrival : call.arrivals) {
-            if (isOfKind(call) && arrival.hasRun) {
+    for (const CallRecord *call : calls) {
+        for (const Arrival &arrival : call->arrivals) {
+            if (arrival.hasRun) {
                 endTimes.push_back(arrival.at);
             }
         }
     }
     std::sort(endTimes.begin(), endTimes.end());
-    finding.worst = static_cast<double>(endTimes.size());
+    finding.worst = std::max(finding.worst, static_cast<double>(endTimes.size()));
     if (endTimes.size() < ends) {
-        return finding;
+        return;
     }
     const double from = endTimes[ends - 1] + contactTime;
+    for (const CallRecord *call : calls) {
+        if (call->sentAt > from && !call->arrivals.empty() && isInTouch(record, call->entry, call->sentAt)) {
+            add(finding, describe(*call));
+        }
+    }
+}
+
+Finding checkFatalParts(const Record &record)
+{
+    Finding finding{"BUDGET crashing prompt parts", 0, 3, 0, {}};
+    std::vector<const CallRecord *> calls;
     for (const CallRecord &call : record.calls) {
-        if (isOfKind(call) && call.sentAt > from && !call.arrivals.empty() && isInTouch(record, call.entry, call.sentAt)) {
-            add(finding, describe(call));
+        if (!call.fatalPart.empty()) {
+            calls.push_back(&call);
         }
     }
+    countAfterEnds(finding, record, calls, 5);
+    return finding;
+}
+
+Finding checkDeadlyRequests(const Record &record)
+{
+    Finding finding{"BUDGET deadly requests", 0, 3, 0, {}};
+    std::map<std::string, std::vector<const CallRecord *>> byName;
+    for (const CallRecord &call : record.calls) {
+        if (!call.deadlyName.empty()) {
+            byName[call.deadlyName].push_back(&call);
+        }
+    }
+    for (const auto &[name, calls] : byName) {
+        countAfterEnds(finding, record, calls, 3);
+    }
     return finding;
 }
 
@@ -334,8 +357,8 @@
             checkAttempts(record),
             checkDeadlines(record),
             checkSilences(record),
-            checkFatal(record, "BUDGET crashing prompt parts", false, 5),
-            checkFatal(record, "BUDGET deadly requests", true, 3),
+            checkFatalParts(record),
+            checkDeadlyRequests(record),
             checkSiblings(record),
             checkKeptConnections(record),
             checkPlannedWork(record, "LOST in a planned stop", Disturbance::Stop),
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -114,9 +114,9 @@
 {
     std::ofstream file(path, std::ios::trunc);
     for (const CallRecord &call : record.calls) {
-        file << call.id << ' ' << call.service << " entry-" << call.entry << (call.isDeadly ? " deadly" : "") << (call.isSiblingOfDeadly ? " sibling" : "")
-             << (call.fatalPart.empty() ? "" : " fatal") << " sent " << call.sentAt << " end " << static_cast<unsigned>(call.end) << " status " << call.status
-             << " at " << call.endedAt;
+        file << call.id << ' ' << call.service << " entry-" << call.entry << (call.deadlyName.empty() ? "" : " deadly")
+             << (call.isSiblingOfDeadly ? " sibling" : "") << (call.fatalPart.empty() ? "" : " fatal") << " sent " << call.sentAt << " end "
+             << static_cast<unsigned>(call.end) << " status " << call.status << " at " << call.endedAt;
         for (const Arrival &arrival : call.arrivals) {
             file << " [" << arrival.server << " at " << arrival.at << (arrival.hasRun ? " ran" : "") << (arrival.isBrokenOff ? " broken-off" : "") << " until "
                  << arrival.ranUntil << " deadline " << arrival.deadline.value_or(-1) << ']';
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -45,7 +45,7 @@
     double sentAt = 0;
     double timeLimit = 0; /**< Milliseconds, as the caller named it. */
     std::string fatalPart; /**< Prompt part under which backend servers end; empty: none. */
-    bool isDeadly = false; /**< Ends each backend server that begins to run it. */
+    std::string deadlyName; /**< Of the request that ends each backend server which begins to run it; empty: this one does not. */
     bool isSiblingOfDeadly = false; /**< Differs from the deadly call by one property only. */
     CallEnd end = CallEnd::Open;
     unsigned status = 0;
