--- a/tests/ingress/faultyservers.cpp
+++ b/tests/ingress/faultyservers.cpp
@@ -94,6 +94,28 @@
         CHECK(answer.find("first") == std::string::npos);
         CHECK(answer.find(" 502 ") != std::string::npos); // it may have run
     }
+    SECTION("the copy is that of a refusal, and the next call runs")
+    {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nCall-Id: c2\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        fixture.script = [&refusal](const ConnectionPointer &connection, const std::string &) {
+            connection->write(refusal);
+        };
+        REQUIRE(fixture.call(caller, EntryFixture::request("/once/x", "c2"), "}\n").find(" 503 ") != std::string::npos);
+        unsigned runs = 0;
+        fixture.script = [&refusal, &runs](const ConnectionPointer &connection, const std::string &) {
+            ++runs;
+            connection->write(refusal + EntryFixture::response("c3", "third"));
+        };
+        CHECK(fixture.call(caller, EntryFixture::request("/once/x", "c3"), "third").ends_with("third"));
+        CHECK(runs == 1);
+    }
+    SECTION("the copy is that of a refusal without the id of its call, and the next call may have run")
+    {
+        fixture.script = [](const ConnectionPointer &connection, const std::string &) {
+            connection->write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        };
+        CHECK(fixture.call(caller, EntryFixture::request("/once/x", "c2"), "}\n").find(" 502 ") != std::string::npos);
+    }
     SECTION("the next call has no id itself, so nothing can tell the copy from its answer")
     {
         fixture.script = [&fixture](const ConnectionPointer &connection, const std::string &) {
@@ -185,6 +207,14 @@
     {
         sent = "HTTP/1.1 200 OK\r\nSignat";
     }
+    SECTION("after a whole field of the head")
+    {
+        sent = "HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: c1\r\n";
+    }
+    SECTION("within the line that ends the head")
+    {
+        sent = "HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: c1\r\n\r";
+    }
     SECTION("before its first byte")
     {
         sent = " ";
@@ -196,6 +226,23 @@
     CHECK(runs == 1);
 }
 
+// Guards against an empty stream that looks complete: its backend server closed the connection within the head of the answer.
+TEST_CASE("A stream whose head is cut off is answered as a failure")
+{
+    EntryFixture fixture;
+    const auto caller = fixture.connect();
+    std::string head = streamHead("c1");
+    head.resize(GENERATE(10U, 30U, 50U, 72U, 73U));
+    CAPTURE(head);
+    fixture.script = [&head](const ConnectionPointer &connection, const std::string &) {
+        boost::asio::write(connection->socket, boost::asio::buffer(head));
+        connection->close();
+    };
+    const std::string answer = fixture.call(caller, EntryFixture::request("/stream/x", "c1"), "}\n", seconds(3));
+    CHECK(answer.starts_with("HTTP/1.1 502 "));
+    CHECK(answer.find("200 OK") == std::string::npos);
+}
+
 TEST_CASE("A stream that breaks off is closed without its end")
 {
     EntryFixture fixture;
@@ -250,6 +297,18 @@
         body = std::string(200'000, 'x');
         second = "HTTP/1.1 500 Error\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 200000\r\n\r\n";
     }
+    SECTION("that says that the call has not run")
+    {
+        second = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    SECTION("that has the status of a success and no signature")
+    {
+        second = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
+    SECTION("in the body of a success")
+    {
+        second = "HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
+    }
     SECTION("that no stream is answered with")
     {
         second = "HTTP/1.1 404 Not Found\r\nSignature: s\r\nCall-Id: c1\r\nContent-Length: 6\r\n\r\n";
