allowance: a new leader counts what restarted entry instances may have spent

Cause: only the leader and the entry instances remember what was granted and spent. If they restart together, the new leader starts with an empty window and grants the whole limit again. Class: a limit whose account is lost with the processes that keep it.

Change: an entry instance reports since when it knows its spending, which is its start. For the time before, within the window, its share of the limit counts as spent evenly, unless the known use was higher anyway. The limit then comes back at the rate at which it is granted under sustained load, so that an organisation within its rate is served. A start of the fleet is not affected, since its window passes before traffic comes, and neither is a new leader whose entry instances run on.

Test: "A new leader counts what restarted entry instances may have spent". The field known_ms is added at the end of EntryReport; older senders count as knowing everything.

--- a/include/mimosahollow/allowance/ratelimiter.h
+++ b/include/mimosahollow/allowance/ratelimiter.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -60,6 +61,12 @@
 /** Counts @p tokens that an earlier leader granted and an entry instance spent @p age ago or still holds. */
 void recordPastUse(RateLimiter &limiter, std::string_view organisation, double tokens, Duration age, TimePoint now);
 
+/**
+ * Counts what entry instances may have spent before they started, when nobody remembers it. @p knownSince has, for each entry instance, the time since
+ * when it knows its spending. For the time before, its share of the limit counts as spent evenly, unless the known use was higher anyway.
+ */
+void assumeUnknownUse(RateLimiter &limiter, std::span<const TimePoint> knownSince, TimePoint now);
+
 /** Grants up to @p requested tokens and returns the amount. Returns 0 for an organisation without an account. */
 [[nodiscard]] double grant(RateLimiter &limiter, std::string_view organisation, double requested, TimePoint now);
 
--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -123,7 +123,7 @@
     std::vector<ServerLoad> running; /**< Only counts above 0. */
     std::vector<AdapterDemand> demand;
     std::vector<SpentTokens> spent;
-    bool hasHistory = false; /**< @c spent is complete. */
+    bool hasHistory = false; /**< @c spent is complete since the start of the entry instance. */
     std::vector<std::string> unreachable; /**< Backend servers to which no connection can be opened. */
     std::vector<std::string> suspected; /**< Backend servers that lacked a copy which the leader has placed there. */
     bool wantsFeed = false; /**< It receives no placements and load digests from a coordinator of its failure domain. */
@@ -131,6 +131,7 @@
     std::vector<SoundPart> soundParts; /**< Of the parts that the leader suspects. */
     std::vector<ReportedLimit> limits; /**< Statements that the leader has not got yet. */
     std::vector<PermitRequest> permitRequests;
+    unsigned knownMilliseconds = 3'600'000; /**< Age of what the entry instance knows of its spending: nothing from before its start. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
--- a/src/allowance/ratelimiter.cpp
+++ b/src/allowance/ratelimiter.cpp
@@ -3,11 +3,15 @@
 #include "mimosahollow/catalog/catalog.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace mimosahollow::allowance {
 
 namespace {
 
+constexpr Duration assumedStep = seconds(1); // longer than the steps in which entry instances report what they have spent
+
 double limit(const RateLimiter &limiter, const RateLimitAccount &account)
 {
     return account.ratePerSecond * toSeconds(limiter.options.window) + account.burst;
@@ -76,6 +80,33 @@
     account.granted += tokens;
 }
 
+void assumeUnknownUse(RateLimiter &limiter, std::span<const TimePoint> knownSince, TimePoint now)
+{
+    if (knownSince.empty()) {
+        return;
+    }
+    for (auto &[organisation, account] : limiter.accounts) {
+        const double evenly = limit(limiter, account) * toSeconds(assumedStep) / toSeconds(limiter.options.window);
+        std::vector<std::pair<Duration, double>> assumed; // by age; added at the end, so as not to count as known
+        for (Duration age = limiter.options.window - assumedStep; age >= Duration::zero(); age -= assumedStep) {
+            const TimePoint begin = now - age - assumedStep;
+            const TimePoint end = begin + assumedStep;
+            const auto unknown = std::count_if(knownSince.begin(), knownSince.end(), [begin](TimePoint since) {
+                return since > begin;
+            });
+            double known = 0;
+            for (const GrantSum &sum : account.grants) {
+                known += sum.begin >= begin && sum.begin < end ? sum.tokens : 0;
+            }
+            const double share = static_cast<double>(unknown) / static_cast<double>(knownSince.size());
+            assumed.emplace_back(age, share * std::max(0.0, evenly - known));
+        }
+        for (const auto &[age, tokens] : assumed) {
+            recordPastUse(limiter, organisation, tokens, age, now);
+        }
+    }
+}
+
 double grant(RateLimiter &limiter, std::string_view organisation, double requested, TimePoint now)
 {
     const auto found = limiter.accounts.find(organisation);
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -213,6 +213,7 @@
     observability::logDecision(line.text());
     m_rateLimiter.accounts.clear();
     m_rateLimiter.grantsStartAt = now + m_rateLimiter.options.takeoverDelay;
+    m_hasStartedGrants = false;
     m_entries.clear();
     m_permitIssuer = {};
     m_crashLedger = {};
@@ -249,19 +250,29 @@
     return heard > voters / 2;
 }
 
-/** Starts granting tokens before the takeover delay ends if all connected entry instances have reported what they spent from earlier grants. */
-void Coordinator::startGrantsEarly(TimePoint now)
+/** Starts granting tokens at the end of the takeover delay, or as soon as all connected entry instances have reported what they spent. */
+void Coordinator::startGrants(TimePoint now)
 {
-    if (now >= m_rateLimiter.grantsStartAt || now - m_leadsSince < m_settings.minimumTakeoverDelay) {
+    if (m_hasStartedGrants || now - m_leadsSince < m_settings.minimumTakeoverDelay) {
         return;
     }
-    for (const fleetlink::Peer &peer : m_hub->peers()) {
+    const auto &peers = m_hub->peers();
+    const bool isComplete = std::all_of(peers.begin(), peers.end(), [this](const fleetlink::Peer &peer) {
         const auto entry = m_entries.find(peer.hello.name);
-        if (peer.hello.address.empty() && (entry == m_entries.end() || !entry->second.hasHistory)) {
-            return;
+        return !peer.hello.address.empty() || (entry != m_entries.end() && entry->second.hasHistory);
+    });
+    if (!isComplete && now < m_rateLimiter.grantsStartAt) {
+        return;
+    }
+    m_hasStartedGrants = true;
+    m_rateLimiter.grantsStartAt = std::min(m_rateLimiter.grantsStartAt, now);
+    std::vector<TimePoint> knownSince;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.hasHistory) {
+            knownSince.push_back(entry.historySince);
         }
     }
-    m_rateLimiter.grantsStartAt = now;
+    allowance::assumeUnknownUse(m_rateLimiter, knownSince, now);
 }
 
 void Coordinator::loseLeadership()
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -121,7 +121,7 @@
     void tick(TimePoint now);
     void planVoters(TimePoint now);
     [[nodiscard]] bool hasMajorityContact(TimePoint now) const;
-    void startGrantsEarly(TimePoint now);
+    void startGrants(TimePoint now);
 
     void linkOpened(const fleetlink::Peer &peer);
     void linkClosed(const fleetlink::Peer &peer);
@@ -188,6 +188,7 @@
     bool m_isLeading = false; // set once the first entry of the own term as leader is applied
     TimePoint m_leadsSince{};
     allowance::RateLimiter m_rateLimiter;
+    bool m_hasStartedGrants = false; // in this term
     placement::PlacementState m_placement;
     struct HolderCandidate
     {
--- a/src/coordinator/coordinatorinternal.h
+++ b/src/coordinator/coordinatorinternal.h
@@ -38,6 +38,7 @@
     fleetlink::PeerNumber peer = 0;
     TimePoint lastReportAt{};
     bool hasHistory = false; /**< It has reported the tokens that it spent from the grants of an earlier leader. */
+    TimePoint historySince{}; /**< Before, it did not run, so that its spending is unknown. */
     std::uint64_t stamp = 0; /**< Of its last report. */
     std::vector<fleetlink::ServerLoad> running; /**< Its running calls. */
     bool wantsFeed = false; /**< It receives no feed from a coordinator of its failure domain. */
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -201,11 +201,12 @@
     entry.wantsFeed = report.wantsFeed;
     if (report.hasHistory && !entry.hasHistory) {
         entry.hasHistory = true;
+        entry.historySince = now - milliseconds(report.knownMilliseconds);
         for (const fleetlink::SpentTokens &spent : report.spent) {
             allowance::recordPastUse(m_rateLimiter, spent.organisation, spent.tokens, milliseconds(spent.ageMilliseconds), now);
         }
     }
-    startGrantsEarly(now);
+    startGrants(now);
     recordCrashes(peer, report, now);
     handlePermitRequests(report, entry, now);
     for (const fleetlink::NamedNumber &returned : report.returned) {
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -284,6 +284,7 @@
     table.sound_parts = converted<std::unique_ptr<wire::SoundPartT>>(report.soundParts, itemToWire);
     table.limits = converted<std::unique_ptr<wire::ReportedLimitT>>(report.limits, itemToWire);
     table.permit_requests = converted<std::unique_ptr<wire::PermitRequestT>>(report.permitRequests, itemToWire);
+    table.known_ms = report.knownMilliseconds;
     body.Set(std::move(table));
 }
 
@@ -469,7 +470,8 @@
                            converted<ReportedEnd>(report->ends, itemFromWire),
                            converted<SoundPart>(report->sound_parts, itemFromWire),
                            converted<ReportedLimit>(report->limits, itemFromWire),
-                           converted<PermitRequest>(report->permit_requests, itemFromWire)};
+                           converted<PermitRequest>(report->permit_requests, itemFromWire),
+                           report->known_ms};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -211,6 +211,7 @@
     bool m_stopping = false;
     TimePoint m_stopSince{};
     std::function<void()> m_stopped;
+    TimePoint m_startedAt = std::chrono::steady_clock::now();
 };
 
 } // namespace mimosahollow::ingress
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -194,6 +194,7 @@
 void Entry::addHistory(fleetlink::EntryReport &report, TimePoint now) const
 {
     report.hasHistory = true;
+    report.knownMilliseconds = static_cast<unsigned>(std::chrono::duration_cast<milliseconds>(std::min<Duration>(now - m_startedAt, seconds(3600))).count());
     for (const auto &[organisation, quota] : m_quotaCache.quotas) {
         for (const allowance::Spending &spending : allowance::spendingHistory(m_quotaCache, quota, now)) {
             const auto age = std::chrono::duration_cast<milliseconds>(now - spending.begin).count();
--- a/tests/allowance/tokens.cpp
+++ b/tests/allowance/tokens.cpp
@@ -114,3 +114,64 @@
         CHECK(tokensToRequest(cache, cache.quotas.at("one"), start) > 300);
     }
 }
+
+// Guards against a limit that is granted twice within a window when the leader and the entry instances, which alone know what was spent, restart together.
+TEST_CASE("A new leader counts what restarted entry instances may have spent")
+{
+    constexpr double rate = 1000;
+    constexpr double burst = 2000;
+    TimePoint now{seconds(100)};
+    RateLimiter limiter;
+    configure(limiter, catalogOf(rate, burst));
+    const double limit = rate * toSeconds(limiter.options.window) + burst;
+    const auto grantAll = [&limiter, &now] {
+        return grant(limiter, "one", 1e9, now);
+    };
+
+    SECTION("all have restarted: the limit comes back as evenly as it may have been spent")
+    {
+        const TimePoint restart = now;
+        std::deque<std::pair<TimePoint, double>> grants;
+        for (Duration age = limiter.options.window; age > seconds(1); age -= milliseconds(100)) {
+            grants.emplace_back(restart - age, limit / 80); // as the leader before granted to an organisation above its rate
+        }
+        assumeUnknownUse(limiter, std::vector<TimePoint>(3, restart - milliseconds(300)), now);
+        double worst = 0;
+        double total = 0;
+        for (; now < restart + limiter.options.window; now += milliseconds(100)) {
+            const double granted = grantAll();
+            total += granted;
+            grants.emplace_back(now, granted);
+            while (now - grants.front().first >= limiter.options.window) {
+                grants.pop_front();
+            }
+            double sum = 0;
+            for (const auto &[time, tokens] : grants) {
+                sum += tokens;
+            }
+            worst = std::max(worst, sum);
+        }
+        CHECK(worst <= 1.1 * limit);
+        CHECK(total >= 0.8 * limit); // an organisation within its rate is served
+    }
+    SECTION("one of four has restarted: its share counts as spent")
+    {
+        const TimePoint longAgo = now - seconds(60);
+        assumeUnknownUse(limiter, std::vector<TimePoint>{longAgo, longAgo, longAgo, now}, now);
+        CHECK(grantAll() == Approx(0.75 * limit));
+    }
+    SECTION("one has restarted, and the others have spent the whole limit: nothing more counts as spent")
+    {
+        for (Duration age = limiter.options.window - milliseconds(50); age > Duration::zero(); age -= milliseconds(250)) {
+            recordPastUse(limiter, "one", limit / 32, age, now);
+        }
+        assumeUnknownUse(limiter, std::vector<TimePoint>{now - seconds(60), now}, now);
+        now += limiter.options.window + limiter.options.step - milliseconds(40);
+        CHECK(grantAll() == Approx(limit).epsilon(0.05));
+    }
+    SECTION("none has restarted")
+    {
+        assumeUnknownUse(limiter, std::vector<TimePoint>(3, now - seconds(60)), now);
+        CHECK(grantAll() == Approx(limit));
+    }
+}
