--- a/src/allowance/ratelimiter.cpp
+++ b/src/allowance/ratelimiter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Duration assumedStep = seconds(1); // longer than the steps in which entry instances report what they have spent
+constexpr Duration assumedStep = milliseconds(250); // the step in which entry instances report what they have spent
 
 double limit(const RateLimiter &limiter, const RateLimitAccount &account)
 {
