--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -54,6 +54,7 @@
     , m_callers(callers)
     , m_backends(backends)
     , m_random(static_cast<std::minstd_rand::result_type>(options.seed + 1))
+    , m_nextFatalKind(static_cast<unsigned>(options.seed / 3))
 {
 }
 
@@ -246,8 +247,8 @@
 void Disturbances::sendFatalCalls()
 {
     constexpr std::array<CallClass, 3> kinds{CallClass::Chat, CallClass::Lookup, CallClass::Submit};
-    const unsigned kind = draw(4);
-    if (kind == 3) {
+    const unsigned kind = m_nextFatalKind++ % (kinds.size() + 1);
+    if (kind == kinds.size()) {
         m_callers.sendSpecial(CallVariant::FatalPart, CallClass::Chat, fatalSeconds, fatalPerSecond);
         return;
     }
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -61,6 +61,7 @@
     Callers &m_callers;
     std::span<const std::unique_ptr<Backend>> m_backends;
     std::minstd_rand m_random;
+    unsigned m_nextFatalKind;
     unsigned m_disturbedCoordinators = 0;
     double m_until = 0;
 };
