serving: judge whole requests in the pools of serve too

Same fault as at the entry instances: a request without a message of its own was never quarantined, plain services were never judged, and the messages of a deadly request were refused to other organisations as well. The hash of the request (organisation, method, kind of server, target, body) goes to the pool owner with the hashes of its messages, marked by its highest bit, so that no message changes.

--- a/include/mimosahollow/gateway/servingrequest.h
+++ b/include/mimosahollow/gateway/servingrequest.h
@@ -30,7 +30,7 @@
     std::uint64_t prefixHash = 0; /**< Hash of the start of the prompt, for prefix-cache affinity; 0: none. */
     std::vector<std::uint64_t> promptParts; /**< Hashes of the messages of the prompt. */
     std::string idempotencyKey;
-    std::uint64_t bodyHash = 0; /**< Detects another request under the same idempotency key. */
+    std::uint64_t bodyHash = 0; /**< Detects another request under the same idempotency key, and a request that comes again. */
     TimePoint arrival{};
     TimePoint deadline{};
 };
--- a/include/mimosahollow/quarantine/requestname.h
+++ b/include/mimosahollow/quarantine/requestname.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,7 +16,15 @@
     std::string_view body;
 };
 
-/** Name under which a whole request is judged beside the parts of prompts. */
+/** Set in the hashes of whole requests, and not in those of prompt parts. */
+inline constexpr std::uint64_t requestHashBit = 1ULL << 63U;
+
+[[nodiscard]] std::uint64_t requestHash(const RequestIdentity &identity);
+
+/** Name under which a whole request or, by its hash, a prompt part is judged. */
+[[nodiscard]] std::string nameOfHash(std::uint64_t hash);
+
+/** The name of its hash. */
 [[nodiscard]] std::string requestName(const RequestIdentity &identity);
 
 /** Whether @p name is that of a whole request, not of a prompt part. */
--- a/include/mimosahollow/scheduling/request.h
+++ b/include/mimosahollow/scheduling/request.h
@@ -19,7 +19,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maximumOutputTokens = 0;
     std::uint64_t prefixHash = 0; /**< Hash of organisation and conversation; 0: none. */
-    std::vector<std::uint64_t> promptParts = {}; /**< Hashes of the messages of the prompt. */
+    std::vector<std::uint64_t> promptParts = {}; /**< Hashes of the messages of the prompt, and of the whole request. */
     TimePoint deadline;
     bool repeatable = true;
 
--- a/src/gateway/calls.cpp
+++ b/src/gateway/calls.cpp
@@ -232,6 +232,7 @@
     call.serving.maximumOutputTokens = model.maximumOutputTokens;
     call.serving.prefixHash = model.prefixHash;
     call.serving.promptParts = model.promptParts;
+    call.serving.bodyHash = XXH3_64bits(model.upstreamBody.data(), model.upstreamBody.size());
     call.attempt.contentType = "application/json";
     call.attempt.stream = model.stream;
     call.attempt.target = endpoint == ModelEndpoint::ChatCompletions ? "/v1/chat/completions" : "/v1/completions";
--- a/src/gateway/modelcall.cpp
+++ b/src/gateway/modelcall.cpp
@@ -1,5 +1,7 @@
 #include "modelcall.h"
 
+#include "mimosahollow/quarantine/requestname.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <xxhash.h>
@@ -82,7 +84,7 @@
 std::vector<std::uint64_t> hashParts(const json::value &prompt, const std::string &promptText)
 {
     const auto hash = [](const std::string &text) {
-        return XXH3_64bits(text.data(), text.size());
+        return XXH3_64bits(text.data(), text.size()) & ~quarantine::requestHashBit;
     };
     const json::array *messages = prompt.if_array();
     if (messages == nullptr) {
--- a/src/quarantine/requestname.cpp
+++ b/src/quarantine/requestname.cpp
@@ -22,17 +22,30 @@
 
 } // namespace
 
-std::string requestName(const RequestIdentity &identity)
+std::uint64_t requestHash(const RequestIdentity &identity)
 {
     std::uint64_t hash = 0;
     for (const std::string_view field : {identity.organisation, identity.method, identity.host, identity.target, identity.body}) {
         hash = hashField(field, hash);
     }
+    return hash | requestHashBit;
+}
+
+std::string nameOfHash(std::uint64_t hash)
+{
+    if ((hash & requestHashBit) == 0) {
+        return std::to_string(hash);
+    }
     std::array<char, 17> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(hash));
     return std::string(prefix) + digits.data();
 }
 
+std::string requestName(const RequestIdentity &identity)
+{
+    return nameOfHash(requestHash(identity));
+}
+
 bool isRequestName(std::string_view name) noexcept
 {
     return name.starts_with(prefix);
--- a/src/scheduling/crashes.cpp
+++ b/src/scheduling/crashes.cpp
@@ -2,6 +2,7 @@
 
 #include "placement.h"
 
+#include "mimosahollow/quarantine/requestname.h"
 #include "mimosahollow/quarantine/times.h"
 #include "mimosahollow/scheduling/pool.h"
 
@@ -14,11 +15,6 @@
 constexpr Duration resetMemory = seconds(30); // within which the next process of a server announces itself
 constexpr std::size_t maximumSharedEnds = 32; // bounds the messages to other owners; a verdict needs five ends at most
 
-std::string nameOf(std::uint64_t part)
-{
-    return std::to_string(part);
-}
-
 /** Tells the ledger and the other owners of the newest sound answers to calls with @p parts. */
 template<typename Parts>
 void copySoundAnswers(PoolState &state, const Parts &parts)
@@ -69,7 +65,7 @@
 bool isQuarantined(const PoolState &state, const AcquireRequest &request)
 {
     return !state.crashEvidence.quarantinedSince.empty() && std::any_of(request.promptParts.begin(), request.promptParts.end(), [&state](std::uint64_t part) {
-        return state.crashEvidence.quarantinedSince.contains(nameOf(part));
+        return state.crashEvidence.quarantinedSince.contains(quarantine::nameOfHash(part));
     });
 }
 
@@ -85,7 +81,7 @@
     }
     if (release.outcome == ReleaseOutcome::Completed) {
         for (const std::uint64_t part : record.request.promptParts) {
-            quarantine::recordSoundAnswer(state.soundParts, nameOf(part), now);
+            quarantine::recordSoundAnswer(state.soundParts, quarantine::nameOfHash(part), now);
         }
         return;
     }
@@ -96,7 +92,7 @@
     PoolState::BrokenAnswers &broken = state.brokenAnswers[{number(state.servers[record.server].id), record.incarnation}];
     broken.since = broken.parts.empty() ? now : broken.since;
     for (const std::uint64_t part : record.request.promptParts) {
-        broken.parts.insert(nameOf(part));
+        broken.parts.insert(quarantine::nameOfHash(part));
     }
 }
 
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -1,6 +1,7 @@
 #include "internal.h"
 
 #include "mimosahollow/control/configuration.h"
+#include "mimosahollow/quarantine/requestname.h"
 
 #include <algorithm>
 
@@ -8,6 +9,15 @@
 
 namespace {
 
+/** The same whenever the request comes again, at any instance. */
+std::uint64_t hashOf(const Call &call)
+{
+    const std::string organisation = std::to_string(number(call.organisation));
+    const std::string body = std::to_string(call.request.bodyHash);
+    const std::string_view method = call.request.safeMethod ? "safe" : "";
+    return quarantine::requestHash({organisation, method, call.kind, call.request.target, body});
+}
+
 // Longer than a change of ownership takes, so that calls are delayed and not refused when the owner of a pool crashes.
 constexpr Duration maximumPoolWait = seconds(5);
 constexpr Duration retryAfterNoCapacity = seconds(1);
@@ -218,6 +228,7 @@
     request.maximumOutputTokens = call.request.maximumOutputTokens;
     request.prefixHash = call.request.prefixHash;
     request.promptParts = call.request.promptParts;
+    request.promptParts.push_back(hashOf(call));
     request.deadline = call.deadline;
     request.repeatable = call.repeatable;
     sendToOwner(state, pool.pool, pool.owner, request, now, actions);
--- a/tests/scheduling/crashes.cpp
+++ b/tests/scheduling/crashes.cpp
@@ -1,5 +1,7 @@
 #include "poolfixture.h"
 
+#include "mimosahollow/quarantine/requestname.h"
+
 #include <catch2/catch.hpp>
 
 using namespace mimosahollow;
@@ -103,3 +105,34 @@
     fixture.submitRequest(0);
     CHECK(fixture.only<Grant>());
 }
+
+// Guards against one request that comes again and again and ends server after server, and against the refusal of sound ones with the same messages.
+TEST_CASE("A whole request under which three servers have ended is refused at once, its messages are not")
+{
+    CrashingPool fixture;
+    constexpr std::uint64_t deadly = quarantine::requestHashBit | 5;
+    constexpr std::uint64_t ofAnotherOrganisation = quarantine::requestHashBit | 6;
+    const std::vector<std::uint64_t> messages = GENERATE(std::vector<std::uint64_t>{}, std::vector<std::uint64_t>{systemPrompt, 77});
+    unsigned ends = 0;
+    for (unsigned call = 0; call < 8; ++call) {
+        fixture.promptParts = messages;
+        fixture.promptParts.push_back(deadly);
+        fixture.submitRequest(0);
+        const auto granted = fixture.only<Grant>();
+        if (!granted) {
+            continue;
+        }
+        ++ends;
+        fixture.pass(milliseconds(100));
+        fixture.returnGrant(*granted, ReleaseOutcome::ConnectionReset, Duration{});
+        fixture.pass(seconds(1));
+        ++fixture.incarnations[number(granted->server) - 1];
+        fixture.pass(seconds(1));
+        fixture.pass(milliseconds(200)); // the owner hears of the new process, and decides after that
+    }
+    CHECK(ends == 3);
+    fixture.promptParts = messages;
+    fixture.promptParts.push_back(ofAnotherOrganisation);
+    fixture.submitRequest(0);
+    CHECK(fixture.only<Grant>());
+}
