dispatch: an address belongs to the youngest backend server that has announced it

Cause: coordinators know that an address belongs to its youngest holder, entry instances did not, and used the earlier one until it was declared gone. Class: two owners of one address.

Change: the announcement of a younger server at an address ends the earlier ones there, as in the registry of the coordinators. Late announcements of earlier ones are ignored until the younger one has left.

Test: "An address belongs to the youngest backend server that has announced it"; without the change its first check of the earlier holder fails, since nothing but its own departure ended it.

--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -97,6 +97,24 @@
     return found == state.requiredVersions.end() ? 0 : found->second;
 }
 
+/** An address belongs to its youngest holder; earlier ones have ended. Returns whether that is @p record. */
+bool takeAddress(DispatchState &state, const registry::ServerRecord &record)
+{
+    for (auto &[id, server] : state.servers) {
+        registry::ServerRecord &other = server.record;
+        if (id == record.id || other.address != record.address || other.state == registry::ServerState::Gone) {
+            continue;
+        }
+        if (other.born > record.born) {
+            return false;
+        }
+        if (other.born < record.born) {
+            other.state = registry::ServerState::Gone;
+        }
+    }
+    return true;
+}
+
 /** Cost of sending a call to @p server, in batches; the server with the lowest cost is chosen. */
 double cost(DispatchState &state, const ServerView &server)
 {
@@ -330,6 +348,9 @@
 
 bool updateServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now)
 {
+    if (record.state != registry::ServerState::Gone && !takeAddress(state, record)) {
+        return false;
+    }
     ServerView &view = state.servers[record.id];
     const bool isKnown = !view.record.id.empty();
     if (isKnown) {
--- a/tests/dispatch/dispatch.cpp
+++ b/tests/dispatch/dispatch.cpp
@@ -367,3 +367,41 @@
     call.fingerprints = {"shared"};
     CHECK(sentTo(decide(state, call, start)) == "s1");
 }
+
+// Guards against calls to the earlier holder of an address: they reach its successor, which may have asked for silence.
+TEST_CASE("An address belongs to the youngest backend server that has announced it")
+{
+    DispatchState state = makeState();
+    registry::ServerRecord successor = record("s5", "rest", 6);
+    successor.address = state.servers.at("s3").record.address;
+    successor.born = 2;
+    CHECK(updateServer(state, successor, start));
+    CHECK(state.servers.at("s3").record.state == registry::ServerState::Gone);
+    CHECK(state.servers.at("s4").record.state == registry::ServerState::Ready);
+
+    SECTION("a late announcement of the earlier one changes nothing")
+    {
+        CHECK_FALSE(updateServer(state, record("s3", "rest", 6, 9), start));
+        CHECK(state.servers.at("s3").record.state == registry::ServerState::Gone);
+    }
+    SECTION("an announcement of one that was not known before changes nothing either")
+    {
+        registry::ServerRecord earlier = record("s6", "rest", 6);
+        earlier.address = successor.address;
+        CHECK_FALSE(updateServer(state, earlier, start));
+        CHECK_FALSE(state.servers.contains("s6"));
+    }
+    SECTION("the departure of the earlier one is still taken over")
+    {
+        registry::ServerRecord departed = record("s3", "rest", 6, 9);
+        departed.state = registry::ServerState::Gone;
+        CHECK(updateServer(state, departed, start));
+    }
+    SECTION("when the successor has left, the address is free")
+    {
+        successor.state = registry::ServerState::Gone;
+        ++successor.sequence;
+        CHECK(updateServer(state, successor, start));
+        CHECK(updateServer(state, record("s3", "rest", 6, 9), start));
+    }
+}
