--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -200,6 +200,57 @@
     return finding;
 }
 
+/** Sound calls to the engines that begin less often while others with a fatal part still come, well after the fifth end under it. */
+Finding checkBesideFatalPart(const Record &record)
+{
+    Finding finding{"LOST sound calls beside a crashing prompt part", 0, 0, 0, {}};
+    std::vector<double> endTimes;
+    double firstSent = 0;
+    double lastSent = 0;
+    for (const CallRecord &call : record.calls) {
+        if (call.fatalPart.empty()) {
+            continue;
+        }
+        firstSent = firstSent == 0 ? call.sentAt : firstSent;
+        lastSent = call.sentAt;
+        for (const Arrival &arrival : call.arrivals) {
+            if (arrival.hasRun) {
+                endTimes.push_back(arrival.at);
+            }
+        }
+    }
+    if (endTimes.empty()) {
+        return finding;
+    }
+    std::sort(endTimes.begin(), endTimes.end());
+    const double from = endTimes[std::min<std::size_t>(endTimes.size(), 5) - 1] + 2 * contactTime;
+    std::array<unsigned, 2> sent{}; // outside, beside
+    std::array<unsigned, 2> begun{};
+    for (const CallRecord &call : record.calls) {
+        const bool isBeside = call.sentAt >= from && call.sentAt <= lastSent;
+        const bool isOutside = call.sentAt < firstSent || call.sentAt > lastSent + contactTime;
+        const bool isSpecial = !call.fatalPart.empty() || !call.deadlyName.empty() || call.isSiblingOfDeadly;
+        if (call.service != "llm" || isSpecial || (!isBeside && !isOutside) || !isInTouch(record, call.entry, call.sentAt)) {
+            continue;
+        }
+        const bool hasBegun = std::any_of(call.arrivals.begin(), call.arrivals.end(), [](const Arrival &arrival) {
+            return arrival.hasRun;
+        });
+        ++sent[isBeside ? 1 : 0];
+        begun[isBeside ? 1 : 0] += hasBegun ? 1 : 0;
+    }
+    if (sent[0] < 20 || sent[1] < 20) {
+        return finding;
+    }
+    const double outside = static_cast<double>(begun[0]) / sent[0];
+    const double beside = static_cast<double>(begun[1]) / sent[1];
+    finding.worst = beside;
+    if (beside < outside / 2) {
+        add(finding, std::to_string(beside) + " instead of " + std::to_string(outside));
+    }
+    return finding;
+}
+
 Finding checkDeadlyRequests(const Record &record)
 {
     Finding finding{"BUDGET deadly requests", 0, 3, 0, {}};
@@ -361,6 +412,7 @@
             checkDeadlyRequests(record),
             checkSiblings(record),
             checkKeptConnections(record),
+            checkBesideFatalPart(record),
             checkPlannedWork(record, "LOST in a planned stop", Disturbance::Stop),
             checkPlannedWork(record, "LOST around a reload", Disturbance::Reload),
             checkChanges(record),
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -73,7 +72,7 @@
     m_until = until;
     double nextFatal = now() + 2;
     if (m_plan != Plan::Fatal) {
-        asio::co_spawn(m_context, disturbBackends(), asio::detached);
+        begin(disturbBackends());
     }
     while (now() < until) {
         co_await sleepFor(m_context, between(0.2, m_plan == Plan::Fatal ? 4.0 : 1.5));
@@ -84,22 +83,22 @@
         }
         const unsigned kind = draw(8);
         if (kind < 4) {
-            asio::co_spawn(m_context, disturbEntry(), asio::detached);
+            begin(disturbEntry());
         } else if (kind < 5) {
-            asio::co_spawn(m_context, disturbCoordinator(), asio::detached);
+            begin(disturbCoordinator());
         } else if (kind < 6) {
-            asio::co_spawn(m_context, restartInTurn(), asio::detached);
+            begin(restartInTurn());
         } else {
-            asio::co_spawn(
-                m_context,
-                [this]() -> asio::awaitable<void> {
-                    co_await m_operator.changeConfiguration(m_until);
-                },
-                asio::detached);
+            begin(changeConfiguration());
         }
     }
 }
 
+asio::awaitable<void> Disturbances::changeConfiguration()
+{
+    co_await m_operator.changeConfiguration(m_until);
+}
+
 asio::awaitable<void> Disturbances::disturbBackends()
 {
     while (now() < m_until) {
@@ -221,7 +220,7 @@
     for (unsigned step = 0; step < std::max(1U, count / 3); ++step) {
         Instance &instance = m_fleet.entries()[(first + step) % count];
         if (instance.id != 0 && !instance.isFrozen && !instance.isStopping) {
-            asio::co_spawn(m_context, restartOrderly(instance), asio::detached);
+            begin(restartOrderly(instance));
         }
         co_await sleepFor(m_context, between(0.5, 2));
     }
@@ -256,12 +255,14 @@
     m_callers.sendSpecial(CallVariant::DeadlySibling, kinds.at(kind), fatalSeconds, fatalPerSecond);
 }
 
-void Disturbances::endAll()
+asio::awaitable<void> Disturbances::finish()
 {
+    while (m_underWay > 0) {
+        co_await sleepFor(m_context, 0.05);
+    }
     m_fleet.reap();
     for (auto *instances : {&m_fleet.coordinators(), &m_fleet.entries()}) {
         for (Instance &instance : *instances) {
-            m_fleet.thaw(instance);
             if (instance.id == 0) {
                 m_fleet.start(instance);
             }
@@ -269,4 +270,16 @@
     }
 }
 
+/** Lets @p disturbance run beside the others. */
+void Disturbances::begin(asio::awaitable<void> disturbance)
+{
+    ++m_underWay;
+    asio::co_spawn(m_context, std::move(disturbance), [this](const std::exception_ptr &problem) {
+        --m_underWay;
+        if (problem) {
+            std::rethrow_exception(problem);
+        }
+    });
+}
+
 } // namespace mimosahollow::soak
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -36,10 +36,12 @@
                  std::span<const std::unique_ptr<Backend>> backends);
 
     boost::asio::awaitable<void> run(double until);
-    /** Restarts all that is down, and thaws all that is frozen. */
-    void endAll();
+    /** Waits for the disturbances under way, then restarts all that is down. */
+    boost::asio::awaitable<void> finish();
 
 private:
+    void begin(boost::asio::awaitable<void> disturbance);
+    boost::asio::awaitable<void> changeConfiguration();
     boost::asio::awaitable<void> disturbBackends();
     boost::asio::awaitable<void> disturbEntry();
     boost::asio::awaitable<void> disturbCoordinator();
@@ -62,6 +64,7 @@
     std::span<const std::unique_ptr<Backend>> m_backends;
     std::minstd_rand m_random;
     unsigned m_nextFatalKind;
+    unsigned m_underWay = 0; // disturbances that have begun and not ended
     unsigned m_disturbedCoordinators = 0;
     double m_until = 0;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,12 +10,14 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -104,7 +106,7 @@
         const double until = now() + options.seconds;
         callers.start(options.callers, until);
         co_await disturbances.run(until);
-        disturbances.endAll();
+        co_await disturbances.finish();
         co_await closeRun(fleet, operatorCalls, record);
     }
     context.stop();
@@ -199,9 +201,16 @@
             std::rethrow_exception(problem);
         }
     });
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context, &hasStarted](const boost::system::error_code &error, int) {
+        if (!error) {
+            hasStarted = false;
+            context.stop(); // the fleet ends its processes
+        }
+    });
     context.run();
     if (!hasStarted) {
-        std::cerr << "the fleet was not ready in time\n";
+        std::cerr << "the fleet was not ready in time, or the run was stopped\n";
         return 2;
     }
     if (!chosen.record.empty()) {
