--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -1,8 +1,9 @@
 #include "backend.h"
 
+#include "async.h"
+
 #include "platform/names.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -26,40 +27,21 @@
 
 namespace {
 
-constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 constexpr double loadSeconds = 0.15; // of an adapter
 constexpr double restartSeconds = 2.5; // after an end by a call
 constexpr double silenceSeconds = 2.0; // asked for with each rejection
-constexpr auto workTime = 15ms; // of a plain call
-constexpr auto eventInterval = 20ms;
-constexpr auto announceInterval = 1200ms;
+constexpr double workSeconds = 0.015; // of a plain call
+constexpr double eventSeconds = 0.02;
+constexpr double announceSeconds = 1.2;
 constexpr const char *baseModel = "m0";
 
-asio::ip::tcp::endpoint endpointOf(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    return {asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
-}
-
 std::string fieldOf(const http::fields &fields, std::string_view name)
 {
     return std::string(fields[{name.data(), name.size()}]);
 }
 
-asio::awaitable<void> sleepFor(asio::io_context &context, std::chrono::steady_clock::duration time)
-{
-    asio::steady_timer timer(context, time);
-    co_await timer.async_wait(completionToken);
-}
-
 } // namespace
 
-double now()
-{
-    static const auto start = std::chrono::steady_clock::now();
-    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-}
-
 struct Backend::Connection
 {
     Connection(asio::ip::tcp::socket opened, unsigned number) : stream(std::move(opened)), incarnation(number)
@@ -136,7 +118,7 @@
     for (const auto &connection : m_connections) {
         connection->reset();
     }
-    m_restart.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(seconds)));
+    m_restart.expires_after(durationOf(seconds));
     m_restart.async_wait([this](boost::system::error_code error) {
         if (!error) {
             start();
@@ -154,7 +136,7 @@
     m_fault = fault;
     m_faultUntil = now() + seconds;
     if (fault == BackendFault::Leaving) {
-        m_restart.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(seconds)));
+        m_restart.expires_after(durationOf(seconds));
         m_restart.async_wait([this, incarnation = m_incarnation](boost::system::error_code error) {
             if (!error && m_isRunning && m_incarnation == incarnation) {
                 crash(0.5);
@@ -193,7 +175,7 @@
             break;
         }
         while (now() < m_frozenUntil) {
-            co_await sleepFor(m_context, 10ms);
+            co_await sleepFor(m_context, 0.01);
         }
         const bool isCurrent = m_isRunning && connection->incarnation == m_incarnation;
         if (!isCurrent) {
@@ -276,7 +258,7 @@
                 co_return;
             }
         }
-        co_await sleepFor(m_context, isTaken ? announceInterval : 100ms);
+        co_await sleepFor(m_context, isTaken ? announceSeconds : 0.1);
     }
 }
 
@@ -392,12 +374,12 @@
     call.arrivals[arrival].hasRun = true;
     const bool isFatal = !call.deadlyName.empty() || (!call.fatalPart.empty() && m_options.isEngine);
     if (isFatal) {
-        co_await sleepFor(m_context, 20ms);
+        co_await sleepFor(m_context, 0.02);
         const bool endsBeforeHead = chance(0.5);
         if (!endsBeforeHead) {
             const std::string head = "HTTP/1.1 200 OK\r\n" + commonFields(call) + "Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
             const bool isWritten = co_await write(connection, head);
-            co_await sleepFor(m_context, isWritten ? 20ms : 1ms);
+            co_await sleepFor(m_context, isWritten ? 0.02 : 0.001);
         }
         call.arrivals[arrival].isBrokenOff = true;
         endAfterFatalCall();
@@ -424,7 +406,7 @@
 
 asio::awaitable<bool> Backend::runPlain(Connection &connection, CallRecord &call, std::size_t arrival)
 {
-    co_await sleepFor(m_context, workTime);
+    co_await sleepFor(m_context, workSeconds);
     const std::string body = "done " + call.id;
     const std::string text =
         "HTTP/1.1 200 OK\r\n" + commonFields(call) + "Response-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -445,7 +427,7 @@
                              + "Response-Signature: s\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     bool isWritten = co_await write(connection, head);
     for (unsigned event = last.empty() ? 1 : static_cast<unsigned>(std::stoul(last)) + 1; isWritten && event <= events; ++event) {
-        co_await sleepFor(m_context, eventInterval);
+        co_await sleepFor(m_context, eventSeconds);
         if (!m_isRunning || m_incarnation != incarnation) {
             co_return false;
         }
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,8 +1,9 @@
 #include "callers.h"
 
+#include "async.h"
+
 #include "platform/names.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,7 +31,6 @@
 
 namespace {
 
-constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned adapterCount = 12;
 constexpr unsigned missesUntilOut = 2;
 
@@ -53,18 +53,6 @@
     return classes.at(static_cast<std::size_t>(kind));
 }
 
-asio::ip::tcp::endpoint endpointOf(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    return {asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
-}
-
-asio::awaitable<void> sleepFor(asio::io_context &context, double seconds)
-{
-    asio::steady_timer timer(context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(seconds)));
-    co_await timer.async_wait(completionToken);
-}
-
 /** Whether @p body is the whole stream of the call @p id: each event once, in order, up to the last. */
 bool isWholeStream(const std::string &body, const std::string &id)
 {
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -1,6 +1,7 @@
 #include "disturbances.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include "async.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,12 +21,6 @@
 constexpr double fatalSeconds = 14; // for which fatal calls come
 constexpr double fatalPerSecond = 3;
 
-asio::awaitable<void> sleepFor(asio::io_context &context, double seconds)
-{
-    asio::steady_timer timer(context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(seconds)));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 } // namespace
 
 Plan planOf(std::uint64_t seed)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "async.h"
 #include "backend.h"
 #include "callers.h"
 #include "checks.h"
@@ -7,7 +8,6 @@
 #include "options.h"
 #include "record.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -36,12 +36,6 @@
 constexpr unsigned plainHosts = 220;
 constexpr unsigned serverPort = 8300;
 
-asio::awaitable<void> sleepFor(asio::io_context &context, double seconds)
-{
-    asio::steady_timer timer(context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(seconds)));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::vector<std::unique_ptr<Backend>> makeBackends(asio::io_context &context, const Options &options, const Fleet &fleet, Record &record)
 {
     std::vector<std::unique_ptr<Backend>> backends;
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -1,8 +1,9 @@
 #include "operator.h"
 
+#include "async.h"
+
 #include "platform/names.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,8 +24,8 @@
 
 namespace {
 
-constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned maximumRedirections = 2;
+constexpr double retrySeconds = 0.1;
 
 std::string routeText(const std::string &name, const std::string &kind, const std::string &service, unsigned timeoutMs, unsigned attempts, bool isResumable)
 {
@@ -61,10 +62,7 @@
     for (unsigned hop = 0; hop <= maximumRedirections; ++hop) {
         beast::tcp_stream stream(m_context);
         stream.expires_after(1s);
-        const std::size_t colon = address.rfind(':');
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
-                                               static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
-        const auto [connectError] = co_await stream.async_connect(endpoint, completionToken);
+        const auto [connectError] = co_await stream.async_connect(endpointOf(address), completionToken);
         if (connectError) {
             co_return std::string();
         }
@@ -108,8 +106,7 @@
             m_record.configurations[index].acknowledgedAt = now();
             co_return true;
         }
-        asio::steady_timer timer(m_context, 100ms);
-        co_await timer.async_wait(completionToken);
+        co_await sleepFor(m_context, retrySeconds);
     }
     co_return false;
 }
@@ -122,8 +119,7 @@
         if (status == 200) {
             co_return boost::json::parse(answer).at("version").to_number<std::uint64_t>();
         }
-        asio::steady_timer timer(m_context, 100ms);
-        co_await timer.async_wait(completionToken);
+        co_await sleepFor(m_context, retrySeconds);
     }
     co_return 0;
 }
