--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -216,7 +216,9 @@
             if (instance.id == 0 || ::waitpid(instance.id, &status, WNOHANG) != instance.id) {
                 continue;
             }
-            const bool isExpected = instance.isStopping && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+            // A process that is stopped before it has set up its signals ends by SIGTERM itself.
+            const bool isOrderly = (WIFEXITED(status) && WEXITSTATUS(status) == 0) || (WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM);
+            const bool isExpected = instance.isStopping && isOrderly;
             if (!isExpected) {
                 ++m_record.unexpectedExits;
                 std::cout << instance.name << " ended unexpectedly, status " << status << '\n';
