--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -77,11 +77,6 @@
     return m_isRunning;
 }
 
-bool Backend::isEngine() const
-{
-    return m_options.isEngine;
-}
-
 bool Backend::chance(double share)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
@@ -126,11 +121,6 @@
     });
 }
 
-void Backend::endAfterFatalCall()
-{
-    crash(restartSeconds);
-}
-
 void Backend::setFault(BackendFault fault, double seconds)
 {
     m_fault = fault;
@@ -382,7 +372,7 @@
             co_await sleepFor(m_context, isWritten ? 0.02 : 0.001);
         }
         call.arrivals[arrival].isBrokenOff = true;
-        endAfterFatalCall();
+        crash(restartSeconds);
         co_return false;
     }
     if (m_fault == BackendFault::Errors && chance(0.4)) {
--- a/tests/soak/backend.h
+++ b/tests/soak/backend.h
@@ -56,7 +56,6 @@
     void freeze(double seconds);
 
     [[nodiscard]] bool isRunning() const;
-    [[nodiscard]] bool isEngine() const;
 
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -79,7 +78,6 @@
     [[nodiscard]] std::string commonFields(const CallRecord &call) const;
     [[nodiscard]] bool holds(const std::string &model) const;
     [[nodiscard]] bool chance(double share);
-    void endAfterFatalCall();
 
     boost::asio::io_context &m_context;
     const Fleet &m_fleet;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -156,7 +155,7 @@
     co_return !readError && response.result_int() == 200;
 }
 
-asio::awaitable<void> Callers::balance(double until)
+void Callers::startProbes(double until)
 {
     for (unsigned entry = 0; entry < m_rotation.size(); ++entry) {
         asio::co_spawn(
@@ -177,7 +176,6 @@
             },
             asio::detached);
     }
-    co_return;
 }
 
 void Callers::start(unsigned count, double until)
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -33,8 +33,8 @@
     /** Lets calls of @p variant come for @p seconds, on connections of their own. */
     void sendSpecial(CallVariant variant, CallClass kind, double seconds, double perSecond);
     [[nodiscard]] bool allReady() const;
-    /** Probes readiness once a second until @p until. */
-    boost::asio::awaitable<void> balance(double until);
+    /** Probes the readiness of each instance once a second until @p until; new connections go to those that are ready. */
+    void startProbes(double until);
 
 private:
     struct Connection;
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -3,7 +3,6 @@
 #include "async.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -42,7 +41,6 @@
                            std::span<const std::unique_ptr<Backend>> backends)
     : m_context(context)
     , m_plan(planOf(options.seed))
-    , m_disturbsCoordinators(options.disturbsCoordinators)
     , m_fleet(fleet)
     , m_operator(operatorCalls)
     , m_callers(callers)
@@ -132,7 +130,7 @@
     auto &coordinators = m_fleet.coordinators();
     Instance &instance = coordinators[draw(static_cast<unsigned>(coordinators.size()))];
     // One coordinator may be lost at a time.
-    if (!m_disturbsCoordinators || m_plan == Plan::Planned || m_disturbedCoordinators > 0) {
+    if (m_plan == Plan::Planned || m_disturbedCoordinators > 0) {
         co_return;
     }
     ++m_disturbedCoordinators;
--- a/tests/soak/disturbances.h
+++ b/tests/soak/disturbances.h
@@ -57,7 +57,6 @@
 
     boost::asio::io_context &m_context;
     Plan m_plan;
-    bool m_disturbsCoordinators;
     Fleet &m_fleet;
     Operator &m_operator;
     Callers &m_callers;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/program_options.hpp>
 
@@ -90,7 +89,7 @@
     const bool isConfigured = co_await operatorCalls.changeConfiguration(now() + startTimeout);
     const double readyLimit = now() + startTimeout;
     const double end = readyLimit + options.seconds + closingTimeout; // of the probes; they stop with the run
-    co_await callers.balance(end);
+    callers.startProbes(end);
     while (!callers.allReady() && now() < readyLimit) {
         co_await sleepFor(context, 0.1);
     }
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -4,7 +4,6 @@
 
 #include "platform/names.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -14,7 +14,6 @@
     unsigned engines = 9;
     unsigned plainServers = 4;
     unsigned callers = 60; /**< Each keeps one connection and sends one call after the other. */
-    bool disturbsCoordinators = true;
     std::string binary; /**< The program under test. */
     std::string folder; /**< Settings, disks and logs; kept if given. */
     std::string record; /**< File for a line of each call; empty: none. */
