quarantine: three ends of a request at two moments are enough

Cause: ends within 150 ms count as one moment, since servers may crash together. A deadly request that is repeated at once ends two servers at one moment, so three or four ends were two moments only, and the verdict waited for the next arrivals; on a busy machine several came before it was in force. Class: a guard for one kind of evidence that discards another.

Change: a whole request needs three ends at two moments. Unlike a prompt part, which many calls have at once, it can be on two servers only if it was repeated from one to the other. The new test fails on the earlier ledger.

--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -106,10 +106,13 @@
         return !ends.empty();
     }
     const unsigned moments = countMoments(ledger, ends);
-    if (moments < ledger.options.endsOfCulprit) {
+    const bool isRequest = isRequestName(part);
+    // A request that ends a server and, when it is repeated at once, another one has ended both by itself; parts may have been on both anyway.
+    const bool isEnough =
+        isRequest ? ends.size() >= ledger.options.endsOfCulprit && moments >= ledger.options.endsOfSuspect : moments >= ledger.options.endsOfCulprit;
+    if (!isEnough) {
         return false;
     }
-    const bool isRequest = isRequestName(part);
     // If the same request was there each time, its prompt parts may be sound in other requests.
     if (!isRequest && hasRival(ledger, part, ends, isRequestName)) {
         return false;
--- a/tests/quarantine/crashledger.cpp
+++ b/tests/quarantine/crashledger.cpp
@@ -211,3 +211,35 @@
     }
     CHECK(run.pass(milliseconds(100)) == Parts{"request:deadly"});
 }
+
+// Guards against a verdict that waits for more servers to end, since the repeats of a request came at the same moment as its first tries.
+TEST_CASE("A request that has ended three servers at two moments is quarantined")
+{
+    LedgerRun run;
+    run.end("s1", {"organisation", "request:1"});
+    run.now += milliseconds(20);
+    run.end("s2", {"organisation", "request:1"});
+    CHECK(run.pass(seconds(1)).empty());
+    run.end("s3", {"organisation", "request:1"});
+    CHECK(run.pass(milliseconds(900)) == Parts{"request:1"});
+
+    SECTION("a prompt part still needs three moments")
+    {
+        LedgerRun other;
+        other.end("s1", {"fatal", "request:1"});
+        other.now += milliseconds(20);
+        other.end("s2", {"fatal", "request:2"});
+        other.pass(seconds(1));
+        other.end("s3", {"fatal", "request:3"});
+        CHECK(other.pass(milliseconds(900)).empty());
+    }
+    SECTION("servers that crash together accuse no request")
+    {
+        LedgerRun other;
+        for (unsigned server = 0; server < 6; ++server) {
+            other.end("s" + std::to_string(server), {"request:popular"});
+            other.now += milliseconds(5);
+        }
+        CHECK(other.pass(seconds(2)).empty());
+    }
+}
