registry: one rule for the holder of an address

Entry instances had got a copy of the rule in merge(); both call takeAddress() now. Comments that spoke of prompts only name requests too, and the reason for three ends at two moments is told once. Behaviour is unchanged.

--- a/include/mimosahollow/dispatch/call.h
+++ b/include/mimosahollow/dispatch/call.h
@@ -34,7 +34,7 @@
     ColdServers, /**< The remaining backend servers are cold and have reached their call rate limit. */
     LimitedServers, /**< The remaining backend servers have named a limit, and no permit is left. */
     SilentServers, /**< All backend servers have asked for no calls for some time. */
-    QuarantinedPrompt, /**< A part of the prompt ends the backend servers that answer it. */
+    QuarantinedPrompt, /**< The request, or a part of its prompt, ends the backend servers that run it. */
 };
 
 [[nodiscard]] std::string_view toString(RefusalCause cause) noexcept;
--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -44,7 +44,7 @@
 /** Chooses the backend server with the lowest cost for @p call. Counts no call; use callStarted(). */
 [[nodiscard]] Decision decide(DispatchState &state, const Call &call, TimePoint now, QueuePosition position = {});
 
-/** Whether @p call may not be sent to any backend server because of its prompt. */
+/** Whether @p call may not be sent to any backend server since it, or its prompt, ends those that run it. */
 [[nodiscard]] bool isQuarantined(const DispatchState &state, const Call &call);
 
 /** The refusal of such calls. */
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -87,7 +87,7 @@
     DispatchOptions options;
     std::shared_ptr<const catalog::CatalogIndex> catalog; /**< Null until the first catalog is received. */
     std::set<std::string> evacuatedDomains;
-    std::set<std::string> quarantinedParts; /**< Prompt parts that end backend servers. */
+    std::set<std::string> quarantinedParts; /**< Prompt parts and names of requests that end backend servers. */
     std::map<std::string, std::uint64_t> requiredVersions; /**< Oldest version that calls may use, by "model/adapter". */
     std::map<std::string, ServerView> servers;
     std::map<std::string, admission::RetryBudget> retryBudgets; /**< By service. */
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -256,7 +256,7 @@
     if (m_hasStartedGrants || now - m_leadsSince < m_settings.minimumTakeoverDelay) {
         return;
     }
-    const auto &peers = m_hub->peers();
+    const auto peers = m_hub->peers();
     const bool isComplete = std::all_of(peers.begin(), peers.end(), [this](const fleetlink::Peer &peer) {
         const auto entry = m_entries.find(peer.hello.name);
         return !peer.hello.address.empty() || (entry != m_entries.end() && entry->second.hasHistory);
--- a/src/dispatch/dispatch.cpp
+++ b/src/dispatch/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "mimosahollow/dispatch/serverlimits.h"
 #include "mimosahollow/quarantine/times.h"
+#include "mimosahollow/registry/addressholder.h"
 
 #include <algorithm>
 #include <optional>
@@ -97,24 +98,6 @@
     return found == state.requiredVersions.end() ? 0 : found->second;
 }
 
-/** An address belongs to its youngest holder; earlier ones have ended. Returns whether that is @p record. */
-bool takeAddress(DispatchState &state, const registry::ServerRecord &record)
-{
-    for (auto &[id, server] : state.servers) {
-        registry::ServerRecord &other = server.record;
-        if (id == record.id || other.address != record.address || other.state == registry::ServerState::Gone) {
-            continue;
-        }
-        if (other.born > record.born) {
-            return false;
-        }
-        if (other.born < record.born) {
-            other.state = registry::ServerState::Gone;
-        }
-    }
-    return true;
-}
-
 /** Cost of sending a call to @p server, in batches; the server with the lowest cost is chosen. */
 double cost(DispatchState &state, const ServerView &server)
 {
@@ -348,7 +331,7 @@
 
 bool updateServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now)
 {
-    if (record.state != registry::ServerState::Gone && !takeAddress(state, record)) {
+    if (record.state != registry::ServerState::Gone && !registry::takeAddress(state.servers, record)) {
         return false;
     }
     ServerView &view = state.servers[record.id];
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -51,7 +51,7 @@
     return end.parts.contains(part) && !isSoundSince;
 }
 
-/** The ends that each part may have caused, oldest first. Parts that matter only at several ends are left out below that number. */
+/** The ends that each part may have caused, oldest first. Leaves out parts at too few ends for a suspicion, unless they were released. */
 std::map<std::string, Ends> endsByPart(const CrashLedger &ledger)
 {
     const Ends ends = unexplainedEnds(ledger);
@@ -107,7 +107,7 @@
     }
     const unsigned moments = countMoments(ledger, ends);
     const bool isRequest = isRequestName(part);
-    // A request that ends a server and, when it is repeated at once, another one has ended both by itself; parts may have been on both anyway.
+    // A request that is repeated at once ends two servers at one moment, and is what both have in common; a part may have been on both anyway.
     const bool isEnough =
         isRequest ? ends.size() >= ledger.options.endsOfCulprit && moments >= ledger.options.endsOfSuspect : moments >= ledger.options.endsOfCulprit;
     if (!isEnough) {
--- a/src/registry/serverregistry.cpp
+++ b/src/registry/serverregistry.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/registry/serverregistry.h"
 
+#include "mimosahollow/registry/addressholder.h"
+
 #include <xxhash.h>
 
 #include <utility>
@@ -41,17 +43,8 @@
 
 MergeOutcome merge(ServerRegistry &registry, ServerRecord record, TimePoint now)
 {
-    // An address belongs to its youngest holder: a late announcement of an earlier one must not come back.
-    for (auto &[id, entry] : registry.entries) {
-        if (id == record.id || entry.record.address != record.address || entry.record.state == ServerState::Gone) {
-            continue;
-        }
-        if (entry.record.born > record.born) {
-            return MergeOutcome::Stale;
-        }
-        if (entry.record.born < record.born) {
-            entry.record.state = ServerState::Gone;
-        }
+    if (!takeAddress(registry.entries, record)) {
+        return MergeOutcome::Stale;
     }
     const auto known = registry.entries.find(record.id);
     if (known == registry.entries.end()) {
--- a/src/serving/calls.cpp
+++ b/src/serving/calls.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+// Longer than a change of ownership takes, so that calls are delayed and not refused when the owner of a pool crashes.
+constexpr Duration maximumPoolWait = seconds(5);
+constexpr Duration retryAfterNoCapacity = seconds(1);
+// After this many refusals a call waits for the next tick instead of asking another pool.
+constexpr std::uint32_t maximumPoolRefusals = 3;
+// A running call whose result has not arrived this long after its deadline is removed.
+constexpr Duration resultGracePeriod = seconds(5);
+
 /** The same whenever the request comes again, at any instance. */
 std::uint64_t hashOf(const Call &call)
 {
@@ -18,14 +26,6 @@
     return quarantine::requestHash({organisation, method, call.kind, call.request.target, body});
 }
 
-// Longer than a change of ownership takes, so that calls are delayed and not refused when the owner of a pool crashes.
-constexpr Duration maximumPoolWait = seconds(5);
-constexpr Duration retryAfterNoCapacity = seconds(1);
-// After this many refusals a call waits for the next tick instead of asking another pool.
-constexpr std::uint32_t maximumPoolRefusals = 3;
-// A running call whose result has not arrived this long after its deadline is removed.
-constexpr Duration resultGracePeriod = seconds(5);
-
 struct ResolvedRequest
 {
     routing::Resolution resolution;
