--- a/tests/allowance/tokens.cpp
+++ b/tests/allowance/tokens.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <numeric>
 
 using namespace mimosahollow;
 using namespace mimosahollow::allowance;
@@ -18,6 +19,17 @@
     return catalog;
 }
 
+/** Sum of the @p grants within the @p window that ends at @p now. Drops earlier ones. */
+double sumOfWindow(std::deque<std::pair<TimePoint, double>> &grants, Duration window, TimePoint now)
+{
+    while (now - grants.front().first >= window) {
+        grants.pop_front();
+    }
+    return std::accumulate(grants.begin(), grants.end(), 0.0, [](double sum, const auto &grant) {
+        return sum + grant.second;
+    });
+}
+
 } // namespace
 
 // Guards against a limiter that grants too much or too little when an organisation requests several times its rate for 30 s.
@@ -37,14 +49,7 @@
         const double granted = grant(limiter, "one", 400, now);
         total += granted;
         grants.emplace_back(now, granted);
-        while (now - grants.front().first >= limiter.options.window) {
-            grants.pop_front();
-        }
-        double sum = 0;
-        for (const auto &[time, tokens] : grants) {
-            sum += tokens;
-        }
-        worst = std::max(worst, sum);
+        worst = std::max(worst, sumOfWindow(grants, limiter.options.window, now));
     }
     CHECK(worst <= limit * 1.0001);
     // A token bucket that has run empty would grant only 30 s x 1000 + 2000, which is less.
@@ -142,14 +147,7 @@
             const double granted = grantAll();
             total += granted;
             grants.emplace_back(now, granted);
-            while (now - grants.front().first >= limiter.options.window) {
-                grants.pop_front();
-            }
-            double sum = 0;
-            for (const auto &[time, tokens] : grants) {
-                sum += tokens;
-            }
-            worst = std::max(worst, sum);
+            worst = std::max(worst, sumOfWindow(grants, limiter.options.window, now));
         }
         CHECK(worst <= 1.1 * limit);
         CHECK(total >= 0.8 * limit); // an organisation within its rate is served
--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -12,7 +12,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 
 #include <chrono>
@@ -23,7 +22,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using namespace std::chrono_literals;
 
 namespace {
 
@@ -215,25 +213,8 @@
 
 asio::awaitable<bool> Backend::announce(std::string address)
 {
-    beast::tcp_stream stream(m_context);
-    stream.expires_after(1s);
-    const auto [connectError] = co_await stream.async_connect(endpointOf(address), completionToken);
-    if (connectError) {
-        co_return false;
-    }
-    http::request<http::string_body> request(http::verb::put, platform::instancesPath + m_id, 11);
-    request.set(http::field::host, address);
-    request.set(http::field::content_type, "application/json");
-    request.body() = announcement();
-    request.prepare_payload();
-    const auto [writeError, written] = co_await http::async_write(stream, request, completionToken);
-    if (writeError) {
-        co_return false;
-    }
-    beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    const auto [readError, count] = co_await http::async_read(stream, buffer, response, completionToken);
-    co_return !readError && response.result_int() / 100 == 2;
+    const auto response = co_await exchange(m_context, address, http::verb::put, platform::instancesPath + m_id, announcement(), 1);
+    co_return response && response->result_int() / 100 == 2;
 }
 
 asio::awaitable<void> Backend::announceForever(unsigned incarnation)
--- a/tests/soak/backend.h
+++ b/tests/soak/backend.h
@@ -28,7 +28,7 @@
     bool isEngine = false;
 };
 
-/** What a backend server does wrong, until @c faultUntil. */
+/** What a backend server does wrong for some time. */
 enum class BackendFault : std::uint8_t {
     None,
     Silence, /**< Rejects calls with 503 and Retry-After. */
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -10,11 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -136,23 +134,8 @@
 
 asio::awaitable<bool> Callers::probe(unsigned entry)
 {
-    beast::tcp_stream stream(m_context);
-    stream.expires_after(900ms);
-    const std::string address = m_fleet.readinessAddress(entry);
-    const auto [connectError] = co_await stream.async_connect(endpointOf(address), completionToken);
-    if (connectError) {
-        co_return false;
-    }
-    http::request<http::empty_body> request(http::verb::get, platform::readinessPath, 11);
-    request.set(http::field::host, address);
-    const auto [writeError, written] = co_await http::async_write(stream, request, completionToken);
-    if (writeError) {
-        co_return false;
-    }
-    beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    const auto [readError, count] = co_await http::async_read(stream, buffer, response, completionToken);
-    co_return !readError && response.result_int() == 200;
+    const auto response = co_await exchange(m_context, m_fleet.readinessAddress(entry), http::verb::get, platform::readinessPath, {}, 0.9);
+    co_return response && response->result_int() == 200;
 }
 
 void Callers::startProbes(double until)
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -1,5 +1,7 @@
 #include "checks.h"
 
+#include "bounds.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -9,14 +11,9 @@
 
 namespace {
 
-constexpr double contactTime = 3; // s without a disturbance after which an instance counts as in touch
-constexpr double budgetWindow = 10; // s
-constexpr double budgetRatio = 0.2;
-constexpr double budgetSlack = 54;
 constexpr double deadlineTolerance = 500; // ms
 constexpr double silenceDelay = 0.5; // s until an instance must obey
 constexpr double lossSlack = 0.2; // s
-constexpr double graceSeconds = 8;
 constexpr std::size_t maximumExamples = 4;
 
 void add(Finding &finding, const std::string &example)
@@ -59,7 +56,7 @@
 
 bool isInTouch(const Record &record, unsigned entry, double at)
 {
-    return !isDisturbed(record, false, entry, at - contactTime, at) && !isDisturbed(record, true, 0, at - contactTime, at);
+    return !isDisturbed(record, false, entry, at - contactSeconds, at) && !isDisturbed(record, true, 0, at - contactSeconds, at);
 }
 
 Finding checkRepeats(const Record &record)
@@ -83,10 +80,10 @@
             return static_cast<double>(std::upper_bound(times.begin(), times.end(), to) - std::upper_bound(times.begin(), times.end(), from));
         };
         for (const double end : repeats) {
-            const double most = std::max({count(requests, end - budgetWindow, end),
-                                          count(requests, end - 2 * budgetWindow, end - budgetWindow),
-                                          count(requests, end - 1.5 * budgetWindow, end - 0.5 * budgetWindow)});
-            const double used = count(repeats, end - budgetWindow, end) / (budgetRatio * most + budgetSlack);
+            const double most = std::max({count(requests, end - budgetSeconds, end),
+                                          count(requests, end - 2 * budgetSeconds, end - budgetSeconds),
+                                          count(requests, end - 1.5 * budgetSeconds, end - 0.5 * budgetSeconds)});
+            const double used = count(repeats, end - budgetSeconds, end) / (budgetRatio * most + budgetSlack);
             finding.worst = std::max(finding.worst, used);
             if (used > 1) {
                 add(finding, std::string(service) + " in the 10 s before " + std::to_string(end));
@@ -163,23 +160,49 @@
     return finding;
 }
 
-/** Adds the calls that still reach a backend server, by instances in touch, well after the end number @p ends under @p calls. */
-void countAfterEnds(Finding &finding, const Record &record, const std::vector<const CallRecord *> &calls, std::size_t ends)
+/** Number of backend servers that began to run @p call. */
+std::ptrdiff_t runCount(const CallRecord &call)
+{
+    return std::count_if(call.arrivals.begin(), call.arrivals.end(), [](const Arrival &arrival) {
+        return arrival.hasRun;
+    });
+}
+
+/** When backend servers began to run @p calls, in ascending order; for fatal calls these are their ends. */
+std::vector<double> runTimes(const std::vector<const CallRecord *> &calls)
 {
-    std::vector<double> endTimes;
+    std::vector<double> times;
     for (const CallRecord *call : calls) {
         for (const Arrival &arrival : call->arrivals) {
             if (arrival.hasRun) {
-                endTimes.push_back(arrival.at);
+                times.push_back(arrival.at);
             }
         }
     }
-    std::sort(endTimes.begin(), endTimes.end());
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+std::vector<const CallRecord *> callsWithFatalPart(const Record &record)
+{
+    std::vector<const CallRecord *> calls;
+    for (const CallRecord &call : record.calls) {
+        if (!call.fatalPart.empty()) {
+            calls.push_back(&call);
+        }
+    }
+    return calls;
+}
+
+/** Adds the calls that still reach a backend server, by instances in touch, well after the end number @p ends under @p calls. */
+void countAfterEnds(Finding &finding, const Record &record, const std::vector<const CallRecord *> &calls, std::size_t ends)
+{
+    const std::vector<double> endTimes = runTimes(calls);
     finding.worst = std::max(finding.worst, static_cast<double>(endTimes.size()));
     if (endTimes.size() < ends) {
         return;
     }
-    const double from = endTimes[ends - 1] + contactTime;
+    const double from = endTimes[ends - 1] + contactSeconds;
     for (const CallRecord *call : calls) {
         if (call->sentAt > from && !call->arrivals.empty() && isInTouch(record, call->entry, call->sentAt)) {
             add(finding, describe(*call));
@@ -190,13 +213,7 @@
 Finding checkFatalParts(const Record &record)
 {
     Finding finding{"BUDGET crashing prompt parts", 0, 3, 0, {}};
-    std::vector<const CallRecord *> calls;
-    for (const CallRecord &call : record.calls) {
-        if (!call.fatalPart.empty()) {
-            calls.push_back(&call);
-        }
-    }
-    countAfterEnds(finding, record, calls, 5);
+    countAfterEnds(finding, record, callsWithFatalPart(record), 5);
     return finding;
 }
 
@@ -204,38 +221,24 @@
 Finding checkBesideFatalPart(const Record &record)
 {
     Finding finding{"LOST sound calls beside a crashing prompt part", 0, 0, 0, {}};
-    std::vector<double> endTimes;
-    double firstSent = 0;
-    double lastSent = 0;
-    for (const CallRecord &call : record.calls) {
-        if (call.fatalPart.empty()) {
-            continue;
-        }
-        firstSent = firstSent == 0 ? call.sentAt : firstSent;
-        lastSent = call.sentAt;
-        for (const Arrival &arrival : call.arrivals) {
-            if (arrival.hasRun) {
-                endTimes.push_back(arrival.at);
-            }
-        }
-    }
+    const std::vector<const CallRecord *> fatalCalls = callsWithFatalPart(record);
+    const std::vector<double> endTimes = runTimes(fatalCalls);
     if (endTimes.empty()) {
         return finding;
     }
-    std::sort(endTimes.begin(), endTimes.end());
-    const double from = endTimes[std::min<std::size_t>(endTimes.size(), 5) - 1] + 2 * contactTime;
+    const double firstSent = fatalCalls.front()->sentAt;
+    const double lastSent = fatalCalls.back()->sentAt;
+    const double from = endTimes[std::min<std::size_t>(endTimes.size(), 5) - 1] + 2 * contactSeconds;
     std::array<unsigned, 2> sent{}; // outside, beside
     std::array<unsigned, 2> begun{};
     for (const CallRecord &call : record.calls) {
         const bool isBeside = call.sentAt >= from && call.sentAt <= lastSent;
-        const bool isOutside = call.sentAt < firstSent || call.sentAt > lastSent + contactTime;
+        const bool isOutside = call.sentAt < firstSent || call.sentAt > lastSent + contactSeconds;
         const bool isSpecial = !call.fatalPart.empty() || !call.deadlyName.empty() || call.isSiblingOfDeadly;
         if (call.service != "llm" || isSpecial || (!isBeside && !isOutside) || !isInTouch(record, call.entry, call.sentAt)) {
             continue;
         }
-        const bool hasBegun = std::any_of(call.arrivals.begin(), call.arrivals.end(), [](const Arrival &arrival) {
-            return arrival.hasRun;
-        });
+        const bool hasBegun = runCount(call) > 0;
         ++sent[isBeside ? 1 : 0];
         begun[isBeside ? 1 : 0] += hasBegun ? 1 : 0;
     }
@@ -325,7 +328,7 @@
             }
             const bool hasUnplanned = std::any_of(record.disturbances.begin(), record.disturbances.end(), [&call](const DisturbanceRecord &other) {
                 return isUnplanned(other) && !other.isCoordinator && other.number == call.entry && other.begin <= call.endedAt
-                       && other.end >= call.sentAt - contactTime;
+                       && other.end >= call.sentAt - contactSeconds;
             });
             const bool isPassedOn = !call.arrivals.empty();
             const double lastWork = isPassedOn ? call.arrivals.back().ranUntil : 0;
@@ -342,7 +345,7 @@
 {
     Finding finding{"LOST around a change of the configuration", 0, 0, 0, {}};
     for (const CallRecord &call : record.calls) {
-        if (!hasNoAnswer(call) || !isSoundlyHandled(call) || isDisturbed(record, false, call.entry, call.sentAt - contactTime, call.endedAt)) {
+        if (!hasNoAnswer(call) || !isSoundlyHandled(call) || isDisturbed(record, false, call.entry, call.sentAt - contactSeconds, call.endedAt)) {
             continue;
         }
         const bool isAround = std::any_of(record.configurations.begin(), record.configurations.end(), [&call](const ConfigurationRecord &change) {
@@ -359,10 +362,7 @@
 {
     Finding finding{"TWICE", 0, 0, 0, {}};
     for (const CallRecord &call : record.calls) {
-        const auto runs = std::count_if(call.arrivals.begin(), call.arrivals.end(), [](const Arrival &arrival) {
-            return arrival.hasRun;
-        });
-        if (!call.mayRunAgain && runs > 1) {
+        if (!call.mayRunAgain && runCount(call) > 1) {
             add(finding, describe(call));
         }
     }
@@ -374,9 +374,7 @@
     Finding finding{"REFUSED", 0, 0, 0, {}};
     for (const CallRecord &call : record.calls) {
         const bool isPromise = call.end == CallEnd::Answered && (call.status == 429 || call.status == 503 || call.status == 408 || call.status == 421);
-        const bool hasRun = std::any_of(call.arrivals.begin(), call.arrivals.end(), [](const Arrival &arrival) {
-            return arrival.hasRun;
-        });
+        const bool hasRun = runCount(call) > 0;
         if (!call.mayRunAgain && isPromise && hasRun) {
             add(finding, describe(call));
         }
--- a/tests/soak/disturbances.cpp
+++ b/tests/soak/disturbances.cpp
@@ -1,6 +1,7 @@
 #include "disturbances.h"
 
 #include "async.h"
+#include "bounds.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,7 +16,6 @@
 
 namespace {
 
-constexpr double graceSeconds = 8; // from SIGTERM to SIGKILL
 constexpr double restartDelay = 0.3;
 constexpr double fatalSeconds = 14; // for which fatal calls come
 constexpr double fatalPerSecond = 3;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "bounds.h"
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -25,19 +27,13 @@
 constexpr unsigned readinessPort = 8224;
 constexpr unsigned domainCount = 4;
 
-constexpr const char *boundsText = R"(
-[bounds]
-contact-ms = 3000
-ack-ms = 4000
-drain-ms = 2000
-grace-s = 8
-revoke-ms = 5000
-retry-budget-ratio = 0.2
-budget-window-s = 10
-retry-slack = 54
-quota-window-s = 8
-lease-ms = 3000
-)";
+/** Table of the settings; the bounds that no check needs have their usual values. */
+void writeBounds(std::ostream &out)
+{
+    out << "[bounds]\ncontact-ms = " << contactSeconds * 1000 << "\ngrace-s = " << graceSeconds << "\nretry-budget-ratio = " << budgetRatio
+        << "\nbudget-window-s = " << budgetSeconds << "\nretry-slack = " << budgetSlack
+        << "\nack-ms = 4000\ndrain-ms = 2000\nrevoke-ms = 5000\nquota-window-s = 8\nlease-ms = 3000\n";
+}
 
 } // namespace
 
@@ -111,7 +107,7 @@
     } else {
         file << "front = \"" << callerAddress(instance.number) << "\"\nready = \"" << readinessAddress(instance.number) << "\"\n";
     }
-    file << boundsText;
+    writeBounds(file);
 }
 
 void Fleet::note(const Instance &instance, Disturbance kind)
--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -5,21 +5,13 @@
 #include "platform/names.h"
 
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 
-#include <chrono>
-
 namespace mimosahollow::soak {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using namespace std::chrono_literals;
 
 namespace {
 
@@ -53,42 +45,20 @@
            + R"(],"services":[{"name":"llm","health-path":"/health","max-connections":360,"protocol":"h1","tls":false,"cold-start-s":0,"cold-per-s":0,"engine":{"slots":32,"kv-capacity":151140,"kv-token-bytes":163840,"link-mbps":550000.0,"models":[{"name":"m0","weights-mb":72700.0,"load-s":2.1,"adapters":3000,"adapter-mb":66.0}],"weights-mb":76100.0,"adapter-slots":29,"loads-per-s":3.2}},{"name":"ledger","health-path":"/health","max-connections":200,"protocol":"h1","tls":false,"cold-start-s":0,"cold-per-s":0}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"first","api-keys":["key-one"],"priority":0,"unit":"token_stream","plain-tokens":1,"rate-per-s":0,"burst":0},{"name":"second","api-keys":["key-two"],"priority":0,"unit":"token_stream","plain-tokens":1,"rate-per-s":0,"burst":0}]})";
 }
 
-/** One call to a coordinator drawn at random, redirections followed. @p status is 0 without an answer. */
-asio::awaitable<std::string> Operator::exchange(std::string method, std::string body, unsigned &status)
+/** One call to a coordinator drawn at random, redirections followed. */
+asio::awaitable<std::optional<HttpResponse>> Operator::callControl(http::verb method, std::string body)
 {
-    status = 0;
     std::string address = m_fleet.controlAddress(static_cast<unsigned>(m_random() % m_fleet.coordinatorCount()));
     for (unsigned hop = 0; hop <= maximumRedirections; ++hop) {
-        beast::tcp_stream stream(m_context);
-        stream.expires_after(1s);
-        const auto [connectError] = co_await stream.async_connect(endpointOf(address), completionToken);
-        if (connectError) {
-            co_return std::string();
-        }
-        http::request<http::string_body> request(method == "PUT" ? http::verb::put : http::verb::get, platform::configPath, 11);
-        request.set(http::field::host, address);
-        request.set(http::field::content_type, "application/json");
-        request.body() = body;
-        request.prepare_payload();
-        const auto [writeError, written] = co_await http::async_write(stream, request, completionToken);
-        if (writeError) {
-            co_return std::string();
-        }
-        beast::flat_buffer buffer;
-        http::response<http::string_body> response;
-        const auto [readError, count] = co_await http::async_read(stream, buffer, response, completionToken);
-        if (readError) {
-            co_return std::string();
-        }
-        status = response.result_int();
-        if (status != 307) {
-            co_return response.body();
+        auto response = co_await exchange(m_context, address, method, platform::configPath, body, 1);
+        if (!response || response->result_int() != 307) {
+            co_return response;
         }
-        const std::string location(response[http::field::location]);
+        const std::string location((*response)[http::field::location]);
         const std::size_t begin = location.find("//") + 2;
         address = location.substr(begin, location.find('/', begin) - begin);
     }
-    co_return std::string();
+    co_return std::nullopt;
 }
 
 asio::awaitable<bool> Operator::changeConfiguration(double until)
@@ -99,9 +69,8 @@
     const std::size_t index = m_record.configurations.size();
     m_record.configurations.push_back({now(), 0, version});
     while (now() < until) {
-        unsigned status = 0;
-        const std::string answer = co_await exchange("PUT", body, status);
-        if (status == 200) {
+        const auto response = co_await callControl(http::verb::put, body);
+        if (response && response->result_int() == 200) {
             m_record.configurations[index].acknowledgedAt = now();
             co_return true;
         }
@@ -113,10 +82,9 @@
 asio::awaitable<std::uint64_t> Operator::readVersion(double until)
 {
     while (now() < until) {
-        unsigned status = 0;
-        const std::string answer = co_await exchange("GET", {}, status);
-        if (status == 200) {
-            co_return boost::json::parse(answer).at("version").to_number<std::uint64_t>();
+        const auto response = co_await callControl(http::verb::get, {});
+        if (response && response->result_int() == 200) {
+            co_return boost::json::parse(response->body()).at("version").to_number<std::uint64_t>();
         }
         co_await sleepFor(m_context, retrySeconds);
     }
--- a/tests/soak/operator.h
+++ b/tests/soak/operator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "async.h"
 #include "fleet.h"
 #include "record.h"
 
@@ -23,7 +24,7 @@
     boost::asio::awaitable<std::uint64_t> readVersion(double until);
 
 private:
-    boost::asio::awaitable<std::string> exchange(std::string method, std::string body, unsigned &status);
+    boost::asio::awaitable<std::optional<HttpResponse>> callControl(boost::beast::http::verb method, std::string body);
     [[nodiscard]] std::string configuration();
 
     boost::asio::io_context &m_context;
