--- a/tools/checklayers.sh
+++ b/tools/checklayers.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folders=()
-for module in core admission scheduling routing control membership serving coordination catalog fleetstate registry allowance placement dispatch voterplan feed quarantine callpermits; do
+for module in core admission scheduling routing control membership serving coordination catalog fleetstate registry allowance placement dispatch voterplan feed quarantine callpermits serverpace duties fleetsize hedging callerlimits staleload controltraffic; do
     for folder in "include/mimosahollow/$module" "src/$module"; do
         [ -d "$folder" ] && folders+=("$folder")
     done
