duties, fleetstate, fleetlink: one holder of a duty, and its messages

Usage reports and numbers of servers must come from one instance at a time, also while a leader changes. The holder and the fixed windows are part of the replicated state; counts of calls, samples of paces and times of loads travel in the reports of entry instances. The registry finds the holder of an address by an index; comparing with all records took the leader's processor at 3,001 servers.

--- a/include/mimosahollow/fleetlink/linkmessage.h
+++ b/include/mimosahollow/fleetlink/linkmessage.h
@@ -114,6 +114,22 @@
     unsigned permits = 0;
 };
 
+/** How long backend servers took, as one entry instance has seen since its last report. */
+struct ServerPaceSample
+{
+    std::uint32_t serverKey = 0; /**< registry::serverKey() of its id. */
+    double milliseconds = 0; /**< Sum over the samples: intervals between events of a stream, or times to the answer of a plain call. */
+    unsigned count = 0;
+};
+
+/** Calls of an organisation that began to run in one reporting window, through one entry instance. */
+struct UsageCount
+{
+    std::uint64_t window = 0;
+    std::string organisation;
+    std::uint32_t calls = 0; /**< Since the window began; a later report replaces it. */
+};
+
 /** What an entry instance tells the leader. */
 struct EntryReport
 {
@@ -132,6 +148,12 @@
     std::vector<ReportedLimit> limits; /**< Statements that the leader has not got yet. */
     std::vector<PermitRequest> permitRequests;
     unsigned knownMilliseconds = 3'600'000; /**< Age of what the entry instance knows of its spending: nothing from before its start. */
+    std::vector<ServerPaceSample> paces = {};
+    unsigned lateLoads = 0; /**< Calls since the last report that did not find their adapter at the expected end of its load. */
+    unsigned promptLoads = 0; /**< Calls since the last report that found it there. */
+    std::uint64_t incarnation = 0; /**< Differs between the starts of an entry instance. */
+    std::int64_t wallMilliseconds = 0; /**< Time of day at the sender, Unix time; 0: not told. */
+    std::vector<UsageCount> usage = {}; /**< Of windows that are not fixed yet. */
 };
 
 /** Answer of the leader to an EntryReport, sent once a majority has confirmed that it still leads. */
@@ -146,6 +168,9 @@
     unsigned loadMilliseconds = 0; /**< After which an adapter is loaded that nobody waits for yet. */
     std::vector<std::string> suspectedParts = {}; /**< Prompt parts that may end backend servers. */
     std::vector<IssuedPermits> permits = {};
+    std::int64_t fleetMilliseconds = 0; /**< Unix time as the leader takes it from the clocks of the fleet; 0: not known yet. */
+    std::uint64_t fixedWindow = 0; /**< Highest reporting window whose usage is fixed. */
+    unsigned adapterLoadMilliseconds = 0; /**< From an order until the adapter is loaded from the weight store; 0: not told. */
 };
 
 struct PlacedAdapter
@@ -179,19 +204,28 @@
     double callsPerSecond = 0;
 };
 
-/** Calls on backend servers from all entry instances together, and limits of backend servers, from the leader. */
+/** Pace of a backend server among those of its service. */
+struct ServerPace
+{
+    std::uint32_t serverKey = 0; /**< registry::serverKey() of its id. */
+    std::uint16_t hundredths = 100; /**< Time that its work takes, 100 for the median of its service. */
+};
+
+/** Calls on backend servers from all entry instances together, and limits and paces of backend servers, from the leader. */
 struct LoadDigest
 {
     control::Term term = 0;
     std::vector<ServerLoad> servers; /**< Only counts above 0. */
     bool knowsLimits = false; /**< False while a new leader collects the limits. */
     std::vector<ServerLimit> limits = {};
+    std::vector<ServerPace> paces = {}; /**< Only those that differ clearly from the median. */
 };
 
 /** A coordinator tells the leader that it can send orders to engines. */
 struct OrderCredit
 {
     std::uint64_t stamp = 0; /**< Milliseconds of its boot clock. */
+    std::int64_t wallMilliseconds = 0; /**< Time of day at the sender, Unix time; 0: not told. */
 };
 
 /** The leader has an order sent by the coordinator that holds the engine. */
--- a/include/mimosahollow/fleetstate/fleetstate.h
+++ b/include/mimosahollow/fleetstate/fleetstate.h
@@ -25,6 +25,25 @@
     friend bool operator==(const OrderHolder &, const OrderHolder &) = default;
 };
 
+/** Who performs a duty. */
+struct DutyHolder
+{
+    std::string name; /**< Coordinator. */
+    std::uint64_t fencingNumber = 0; /**< Log index of the command TakeDuty: it grows with each holder. */
+    std::string previous; /**< The coordinator before it; empty for the first holder. */
+
+    friend bool operator==(const DutyHolder &, const DutyHolder &) = default;
+};
+
+/** Final counts of a reporting window. */
+struct FixedUsage
+{
+    std::map<std::string, std::uint64_t> counts; /**< Calls by organisation. */
+    bool isSent = false; /**< The platform has acknowledged the report. */
+
+    friend bool operator==(const FixedUsage &, const FixedUsage &) = default;
+};
+
 /** What operators and leaders decided for the whole fleet; the same on every voter after the same log index. */
 struct FleetState
 {
@@ -35,6 +54,9 @@
     std::vector<OrderHolder> orderHolders; /**< By slot of engines. */
     std::map<std::string, std::uint64_t> adapterVersions; /**< By "model/adapter"; an adapter without an entry is at any version. */
     std::map<std::string, control::LogIndex> quarantinedParts; /**< Prompt parts that end backend servers, with the index of the decision. */
+    std::map<std::string, DutyHolder> dutyHolders; /**< By duty. */
+    std::map<std::uint64_t, FixedUsage> fixedUsage; /**< By reporting window; only the newest ones. */
+    std::uint64_t fixedWindow = 0; /**< Highest reporting window that was fixed; 0: none. */
 };
 
 /** Bytes that are not a command or a snapshot. */
--- a/include/mimosahollow/registry/serverregistry.h
+++ b/include/mimosahollow/registry/serverregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/registry/addressholder.h"
 #include "mimosahollow/registry/serverrecord.h"
 
 #include <map>
@@ -28,6 +29,7 @@
 {
     RegistryOptions options;
     std::map<std::string, RegistryEntry, std::less<>> entries;
+    AddressIndex addresses; /**< Of @c entries. */
 };
 
 enum class MergeOutcome : std::uint8_t {
--- a/src/fleetlink/bootclock.cpp
+++ b/src/fleetlink/bootclock.cpp
@@ -4,11 +4,25 @@
 
 namespace mimosahollow::fleetlink {
 
-std::int64_t bootMilliseconds() noexcept
+namespace {
+
+std::int64_t millisecondsOf(clockid_t clock) noexcept
 {
     timespec time{};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    ::clock_gettime(clock, &time);
     return static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1'000'000;
 }
 
+} // namespace
+
+std::int64_t bootMilliseconds() noexcept
+{
+    return millisecondsOf(CLOCK_BOOTTIME);
+}
+
+std::int64_t wallMilliseconds() noexcept
+{
+    return millisecondsOf(CLOCK_REALTIME);
+}
+
 } // namespace mimosahollow::fleetlink
--- a/src/fleetlink/linkcodec.cpp
+++ b/src/fleetlink/linkcodec.cpp
@@ -205,13 +205,32 @@
     return placement;
 }
 
+std::unique_ptr<wire::UsageCountT> toWire(const UsageCount &usage)
+{
+    auto table = std::make_unique<wire::UsageCountT>();
+    table->window = usage.window;
+    table->organisation = usage.organisation;
+    table->calls = usage.calls;
+    return table;
+}
+
+UsageCount fromWire(const std::unique_ptr<wire::UsageCountT> &table)
+{
+    return {table->window, table->organisation, table->calls};
+}
+
+std::uint16_t toShort(unsigned count)
+{
+    return static_cast<std::uint16_t>(std::min<unsigned>(count, std::numeric_limits<std::uint16_t>::max()));
+}
+
 /** Writes @p loads into the columns of @p table. */
 template<typename Table>
 void setLoads(Table &table, const std::vector<ServerLoad> &loads)
 {
     for (const ServerLoad &load : loads) {
         table.server_keys.push_back(load.serverKey);
-        table.running.push_back(static_cast<std::uint16_t>(std::min<unsigned>(load.running, std::numeric_limits<std::uint16_t>::max())));
+        table.running.push_back(toShort(load.running));
     }
 }
 
@@ -226,6 +245,17 @@
     return loads;
 }
 
+/** Rows of the columns of @p table; an incomplete row is dropped. */
+std::vector<ServerPaceSample> paceSamplesOf(const wire::EntryReportT &table)
+{
+    std::vector<ServerPaceSample> samples;
+    const std::size_t rows = std::min({table.paced_keys.size(), table.pace_milliseconds.size(), table.pace_counts.size()});
+    for (std::size_t row = 0; row < rows; ++row) {
+        samples.push_back({table.paced_keys[row], table.pace_milliseconds[row], table.pace_counts[row]});
+    }
+    return samples;
+}
+
 constexpr auto itemToWire = [](const auto &item) {
     return toWire(item);
 };
@@ -285,6 +315,16 @@
     table.limits = converted<std::unique_ptr<wire::ReportedLimitT>>(report.limits, itemToWire);
     table.permit_requests = converted<std::unique_ptr<wire::PermitRequestT>>(report.permitRequests, itemToWire);
     table.known_ms = report.knownMilliseconds;
+    for (const ServerPaceSample &sample : report.paces) {
+        table.paced_keys.push_back(sample.serverKey);
+        table.pace_milliseconds.push_back(static_cast<float>(sample.milliseconds));
+        table.pace_counts.push_back(toShort(sample.count));
+    }
+    table.late_loads = report.lateLoads;
+    table.prompt_loads = report.promptLoads;
+    table.incarnation = report.incarnation;
+    table.wall_milliseconds = report.wallMilliseconds;
+    table.usage = converted<std::unique_ptr<wire::UsageCountT>>(report.usage, itemToWire);
     body.Set(std::move(table));
 }
 
@@ -300,6 +340,9 @@
     table.grants_tokens = reply.grantsTokens;
     table.suspected_parts = reply.suspectedParts;
     table.permits = converted<std::unique_ptr<wire::IssuedPermitsT>>(reply.permits, itemToWire);
+    table.fleet_milliseconds = reply.fleetMilliseconds;
+    table.fixed_window = reply.fixedWindow;
+    table.adapter_load_milliseconds = reply.adapterLoadMilliseconds;
     body.Set(std::move(table));
 }
 
@@ -341,6 +384,7 @@
 {
     wire::OrderCreditT table;
     table.stamp = credit.stamp;
+    table.wall_milliseconds = credit.wallMilliseconds;
     body.Set(wire::OrderCreditT(table));
 }
 
@@ -354,6 +398,10 @@
         table.limited_keys.push_back(limit.serverKey);
         table.limits.push_back(static_cast<float>(limit.callsPerSecond));
     }
+    for (const ServerPace &pace : digest.paces) {
+        table.paced_keys.push_back(pace.serverKey);
+        table.paces.push_back(pace.hundredths);
+    }
     body.Set(std::move(table));
 }
 
@@ -471,7 +519,13 @@
                            converted<SoundPart>(report->sound_parts, itemFromWire),
                            converted<ReportedLimit>(report->limits, itemFromWire),
                            converted<PermitRequest>(report->permit_requests, itemFromWire),
-                           report->known_ms};
+                           report->known_ms,
+                           paceSamplesOf(*report),
+                           report->late_loads,
+                           report->prompt_loads,
+                           report->incarnation,
+                           report->wall_milliseconds,
+                           converted<UsageCount>(report->usage, itemFromWire)};
     }
     if (const auto *reply = body.AsLeaderReply()) {
         return LeaderReply{reply->stamp,
@@ -482,7 +536,10 @@
                            reply->grants_tokens,
                            reply->load_milliseconds,
                            reply->suspected_parts,
-                           converted<IssuedPermits>(reply->permits, itemFromWire)};
+                           converted<IssuedPermits>(reply->permits, itemFromWire),
+                           reply->fleet_milliseconds,
+                           reply->fixed_window,
+                           reply->adapter_load_milliseconds};
     }
     if (const auto *placement = body.AsPlacementUpdate()) {
         return PlacementUpdate{placement->term, converted<ServerPlacement>(placement->servers, itemFromWire), placement->number};
@@ -491,13 +548,16 @@
         return stateFromWire(*state);
     }
     if (const auto *credit = body.AsOrderCredit()) {
-        return OrderCredit{credit->stamp};
+        return OrderCredit{credit->stamp, credit->wall_milliseconds};
     }
     if (const auto *digest = body.AsLoadDigest()) {
         LoadDigest copy{digest->term, loadsOf(*digest), digest->knows_limits, {}};
         for (std::size_t row = 0; row < std::min(digest->limited_keys.size(), digest->limits.size()); ++row) {
             copy.limits.push_back({digest->limited_keys[row], digest->limits[row]});
         }
+        for (std::size_t row = 0; row < std::min(digest->paced_keys.size(), digest->paces.size()); ++row) {
+            copy.paces.push_back({digest->paced_keys[row], digest->paces[row]});
+        }
         return copy;
     }
     if (const auto *request = body.AsOrderRequest()) {
--- a/src/fleetstate/fleetcodec.cpp
+++ b/src/fleetstate/fleetcodec.cpp
@@ -28,23 +28,51 @@
     return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(bytes.data()) : nullptr;
 }
 
+using Counts = std::map<std::string, std::uint64_t>;
+using WireCounts = flatbuffers::Vector<flatbuffers::Offset<wire::OrganisationCount>>;
+
+/** Null for no counts: a fleet without duties writes the same bytes as before there were any. */
+flatbuffers::Offset<WireCounts> encodeCounts(flatbuffers::FlatBufferBuilder &builder, const Counts &counts)
+{
+    std::vector<flatbuffers::Offset<wire::OrganisationCount>> items;
+    for (const auto &[organisation, calls] : counts) {
+        items.push_back(wire::CreateOrganisationCountDirect(builder, organisation.c_str(), calls));
+    }
+    return items.empty() ? flatbuffers::Offset<WireCounts>() : builder.CreateVector(items);
+}
+
+Counts countsOf(const WireCounts *items)
+{
+    Counts counts;
+    if (items != nullptr) {
+        for (const wire::OrganisationCount *item : *items) {
+            counts[textOf(item->organisation())] = item->calls();
+        }
+    }
+    return counts;
+}
+
 } // namespace
 
 control::Bytes encodeCommand(const FleetCommand &command)
 {
     flatbuffers::FlatBufferBuilder builder(command.text.size() + 256);
-    builder.Finish(wire::CreateFleetCommandDirect(
-        builder, static_cast<std::uint8_t>(command.kind), command.version, command.subject.c_str(), command.text.c_str(), &command.slots));
+    const auto subject = builder.CreateString(command.subject);
+    const auto text = builder.CreateString(command.text);
+    const auto slots = builder.CreateVector(command.slots);
+    const auto counts = encodeCounts(builder, command.counts);
+    builder.Finish(wire::CreateFleetCommand(builder, static_cast<std::uint8_t>(command.kind), command.version, subject, text, slots, counts));
     return finished(builder);
 }
 
 std::variant<FleetCommand, FleetStateError> decodeCommand(std::span<const std::uint8_t> bytes)
 {
     const auto *table = verified<wire::FleetCommand>(bytes);
-    if (table == nullptr || table->kind() > static_cast<std::uint8_t>(CommandKind::ReleasePart)) {
+    if (table == nullptr || table->kind() > static_cast<std::uint8_t>(CommandKind::UsageSent)) {
         return FleetStateError{"the bytes are not a command of this version"};
     }
-    FleetCommand command{static_cast<CommandKind>(table->kind()), table->version(), textOf(table->subject()), textOf(table->text()), {}};
+    FleetCommand command{
+        static_cast<CommandKind>(table->kind()), table->version(), textOf(table->subject()), textOf(table->text()), {}, countsOf(table->counts())};
     if (table->slots() != nullptr) {
         command.slots.assign(table->slots()->begin(), table->slots()->end());
     }
@@ -70,9 +98,28 @@
     for (const auto &[part, index] : state.quarantinedParts) {
         quarantined.push_back(wire::CreateQuarantinedPartDirect(builder, part.c_str(), index));
     }
+    std::vector<flatbuffers::Offset<wire::DutyHolder>> duties;
+    for (const auto &[duty, holder] : state.dutyHolders) {
+        duties.push_back(wire::CreateDutyHolderDirect(builder, duty.c_str(), holder.name.c_str(), holder.fencingNumber, holder.previous.c_str()));
+    }
+    std::vector<flatbuffers::Offset<wire::FixedUsage>> usage;
+    for (const auto &[window, fixed] : state.fixedUsage) {
+        const auto counts = encodeCounts(builder, fixed.counts);
+        usage.push_back(wire::CreateFixedUsage(builder, window, counts, fixed.isSent));
+    }
     const char *text = state.catalogText ? state.catalogText->c_str() : nullptr;
-    builder.Finish(
-        wire::CreateFleetSnapshotDirect(builder, state.index, state.catalogVersion, text != nullptr, text, &evacuated, &versions, &holders, &quarantined));
+    builder.Finish(wire::CreateFleetSnapshotDirect(builder,
+                                                   state.index,
+                                                   state.catalogVersion,
+                                                   text != nullptr,
+                                                   text,
+                                                   &evacuated,
+                                                   &versions,
+                                                   &holders,
+                                                   &quarantined,
+                                                   duties.empty() ? nullptr : &duties,
+                                                   usage.empty() ? nullptr : &usage,
+                                                   state.fixedWindow));
     return finished(builder);
 }
 
@@ -108,6 +155,17 @@
             state.quarantinedParts[textOf(entry->part())] = entry->index();
         }
     }
+    if (table->duty_holders() != nullptr) {
+        for (const wire::DutyHolder *entry : *table->duty_holders()) {
+            state.dutyHolders[textOf(entry->duty())] = {textOf(entry->holder()), entry->fencing_number(), textOf(entry->previous())};
+        }
+    }
+    if (table->fixed_usage() != nullptr) {
+        for (const wire::FixedUsage *entry : *table->fixed_usage()) {
+            state.fixedUsage[entry->window()] = {countsOf(entry->counts()), entry->is_sent()};
+        }
+    }
+    state.fixedWindow = table->fixed_window();
     return state;
 }
 
--- a/src/fleetstate/fleetstate.cpp
+++ b/src/fleetstate/fleetstate.cpp
@@ -3,12 +3,14 @@
 #include "mimosahollow/fleetstate/fleetcommand.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosahollow::fleetstate {
 
 namespace {
 
 constexpr std::size_t maximumQuarantinedParts = 64; // each is compared with every call; the oldest is released first
+constexpr std::size_t keptUsageWindows = 16; // 80 s with windows of 5 s; the platform wants reports within 10 s
 constexpr std::uint32_t maximumOrderSlots = 1024; // bounds what a damaged entry of the log can allocate
 
 bool putCatalog(FleetState &state, const FleetCommand &command)
@@ -57,6 +59,41 @@
     return true;
 }
 
+bool takeDuty(FleetState &state, control::LogIndex index, const FleetCommand &command)
+{
+    DutyHolder &holder = state.dutyHolders[command.subject];
+    // A repeated command must not change the number: calls with the lower one may be on their way.
+    if (holder.name == command.text) {
+        return false;
+    }
+    holder = {command.text, index, std::move(holder.name)};
+    return true;
+}
+
+bool fixUsage(FleetState &state, const FleetCommand &command)
+{
+    // Counts of a window that was fixed may have reached the platform, also those of a window that is no longer kept.
+    if (command.version <= state.fixedWindow) {
+        return false;
+    }
+    state.fixedWindow = command.version;
+    state.fixedUsage[command.version] = {command.counts, false};
+    if (state.fixedUsage.size() > keptUsageWindows) {
+        state.fixedUsage.erase(state.fixedUsage.begin());
+    }
+    return true;
+}
+
+bool markUsageSent(FleetState &state, const FleetCommand &command)
+{
+    const auto found = state.fixedUsage.find(command.version);
+    if (found == state.fixedUsage.end() || found->second.isSent) {
+        return false;
+    }
+    found->second.isSent = true;
+    return true;
+}
+
 } // namespace
 
 bool apply(FleetState &state, control::LogIndex index, const FleetCommand &command)
@@ -77,6 +114,12 @@
         return quarantinePart(state, index, command);
     case CommandKind::ReleasePart:
         return state.quarantinedParts.erase(command.subject) != 0;
+    case CommandKind::TakeDuty:
+        return takeDuty(state, index, command);
+    case CommandKind::FixUsage:
+        return fixUsage(state, command);
+    case CommandKind::UsageSent:
+        return markUsageSent(state, command);
     }
     return false;
 }
--- a/src/registry/serverregistry.cpp
+++ b/src/registry/serverregistry.cpp
@@ -1,7 +1,5 @@
 #include "mimosahollow/registry/serverregistry.h"
 
-#include "mimosahollow/registry/addressholder.h"
-
 #include <xxhash.h>
 
 #include <utility>
@@ -43,7 +41,7 @@
 
 MergeOutcome merge(ServerRegistry &registry, ServerRecord record, TimePoint now)
 {
-    if (!takeAddress(registry.entries, record)) {
+    if (!takeAddress(registry.entries, registry.addresses, record)) {
         return MergeOutcome::Stale;
     }
     const auto known = registry.entries.find(record.id);
@@ -87,6 +85,9 @@
             expired.push_back(record);
         }
         const bool isForgotten = record.state == ServerState::Gone && silence > registry.options.tombstoneAge;
+        if (isForgotten) {
+            releaseAddress(registry.addresses, record);
+        }
         entry = isForgotten ? registry.entries.erase(entry) : std::next(entry);
     }
     return expired;
--- a/tests/fleetlink/linkcodec.cpp
+++ b/tests/fleetlink/linkcodec.cpp
@@ -34,6 +34,12 @@
     report.soundParts = {{"5c1e", 90}};
     report.limits = {{{"s7", 3, 4.5}, 60}};
     report.permitRequests = {{"s7", 2, 1}};
+    report.paces = {{17, 812.5, 70'000}};
+    report.lateLoads = 3;
+    report.promptLoads = 21;
+    report.incarnation = 99;
+    report.wallMilliseconds = 1'780'000'000'123;
+    report.usage = {{355'000'000, "one", 41}};
     return report;
 }
 
@@ -60,8 +66,9 @@
     CHECK(copy.order.fencingNumber == 41);
     const auto reply = decode(encode(OrderReply{5, placement::OrderOutcome::OtherInstance}));
     CHECK(std::get<OrderReply>(std::get<LinkMessage>(reply)).outcome == placement::OrderOutcome::OtherInstance);
-    const auto credit = decode(encode(OrderCredit{99}));
+    const auto credit = decode(encode(OrderCredit{99, 1'767'225'600'000}));
     CHECK(std::get<OrderCredit>(std::get<LinkMessage>(credit)).stamp == 99);
+    CHECK(std::get<OrderCredit>(std::get<LinkMessage>(credit)).wallMilliseconds == 1'767'225'600'000);
 }
 
 TEST_CASE("Messages between instances keep their content")
@@ -94,11 +101,25 @@
     CHECK(report.permitRequests[0].server == "s7");
     CHECK(report.permitRequests[0].wanted == 2);
     CHECK(report.permitRequests[0].returned == 1);
+    REQUIRE(report.paces.size() == 1);
+    CHECK(report.paces[0].serverKey == 17);
+    CHECK(report.paces[0].milliseconds == 812.5);
+    CHECK(report.paces[0].count == 65'535); // the largest count of the message
+    CHECK(report.lateLoads == 3);
+    CHECK(report.promptLoads == 21);
+    CHECK(report.incarnation == 99);
+    CHECK(report.wallMilliseconds == 1'780'000'000'123);
+    REQUIRE(report.usage.size() == 1);
+    CHECK(report.usage[0].window == 355'000'000);
+    CHECK(report.usage[0].organisation == "one");
+    CHECK(report.usage[0].calls == 41);
     CHECK(report.wantsFeed);
     CHECK(report.returned[0].value == 8);
     CHECK(report.tokenWishes[0].name == "one");
 
-    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400, {"91bd"}, {{"s7", 2}}});
+    const LeaderReply reply = roundTrip(LeaderReply{7, 9, 6, {{"one", 5}}, true, false, 400, {"91bd"}, {{"s7", 2}}, 1'780'000'000'456, 355'000'001, 291});
+    CHECK(reply.fleetMilliseconds == 1'780'000'000'456);
+    CHECK(reply.fixedWindow == 355'000'001);
     REQUIRE(reply.permits.size() == 1);
     CHECK(reply.permits[0].server == "s7");
     CHECK(reply.permits[0].permits == 2);
@@ -106,13 +127,17 @@
     CHECK(reply.entries == 6);
     CHECK(reply.wantsHistory);
     CHECK(reply.loadMilliseconds == 400);
+    CHECK(reply.adapterLoadMilliseconds == 291);
 
     const PlacementUpdate update = roundTrip(PlacementUpdate{3, {{"s1", 77, {{"base", "a1", 2, 120}}}}, 12});
     CHECK(update.number == 12);
     CHECK(update.servers[0].born == 77);
     CHECK(update.servers[0].adapters[0].readyMilliseconds == 120);
 
-    const LoadDigest digest = roundTrip(LoadDigest{3, {{17, 4}, {18, 70'000}}, true, {{17, 2.5}}});
+    const LoadDigest digest = roundTrip(LoadDigest{3, {{17, 4}, {18, 70'000}}, true, {{17, 2.5}}, {{18, 240}}});
+    REQUIRE(digest.paces.size() == 1);
+    CHECK(digest.paces[0].serverKey == 18);
+    CHECK(digest.paces[0].hundredths == 240);
     CHECK(digest.knowsLimits);
     REQUIRE(digest.limits.size() == 1);
     CHECK(digest.limits[0].serverKey == 17);
--- a/tests/fleetstate/fleetstate.cpp
+++ b/tests/fleetstate/fleetstate.cpp
@@ -65,6 +65,50 @@
     CHECK_FALSE(apply(state, 105, {CommandKind::ReleasePart, 0, "part-103", {}}));
 }
 
+// Guards against two contents for one reporting window, and against usage reports without bound in the replicated state.
+TEST_CASE("The first counts of a reporting window rule")
+{
+    const auto fix = [](std::uint64_t window, std::uint64_t calls) {
+        return FleetCommand{CommandKind::FixUsage, window, {}, {}, {}, {{"acme", calls}}};
+    };
+    FleetState state;
+    REQUIRE(apply(state, 1, fix(100, 5)));
+
+    SECTION("other counts for it, and an earlier window, change nothing")
+    {
+        CHECK_FALSE(apply(state, 2, fix(100, 6)));
+        CHECK_FALSE(apply(state, 3, fix(99, 6)));
+        CHECK(state.fixedUsage.at(100).counts == std::map<std::string, std::uint64_t>{{"acme", 5}});
+    }
+    SECTION("its report is acknowledged once")
+    {
+        CHECK(apply(state, 2, {CommandKind::UsageSent, 100, {}, {}}));
+        CHECK_FALSE(apply(state, 3, {CommandKind::UsageSent, 100, {}, {}}));
+        CHECK_FALSE(apply(state, 4, {CommandKind::UsageSent, 101, {}, {}}));
+    }
+    SECTION("the newest windows are kept, and one that is no longer kept can't be fixed again")
+    {
+        for (std::uint64_t window = 101; window < 140; ++window) {
+            CHECK(apply(state, window, fix(window, 1)));
+        }
+        CHECK(state.fixedUsage.size() == 16);
+        CHECK(state.fixedWindow == 139);
+        CHECK_FALSE(apply(state, 200, fix(100, 6)));
+    }
+}
+
+// Guards against a fencing number that two holders use.
+TEST_CASE("Each holder of a duty has a higher fencing number")
+{
+    FleetState state;
+    CHECK(apply(state, 4, {CommandKind::TakeDuty, 0, "usage", "core-1"}));
+    CHECK(state.dutyHolders.at("usage") == DutyHolder{"core-1", 4, ""});
+    CHECK_FALSE(apply(state, 5, {CommandKind::TakeDuty, 0, "usage", "core-1"}));
+    CHECK(state.dutyHolders.at("usage") == DutyHolder{"core-1", 4, ""});
+    CHECK(apply(state, 9, {CommandKind::TakeDuty, 0, "usage", "core-2"}));
+    CHECK(state.dutyHolders.at("usage") == DutyHolder{"core-2", 9, "core-1"});
+}
+
 // Guards against state that a restart or a transfer loses or alters.
 TEST_CASE("Commands and snapshots survive their encoding")
 {
@@ -79,11 +123,22 @@
     apply(state, 3, {CommandKind::NameAdapterVersion, 4, "m/a1", {}});
     apply(state, 4, {CommandKind::TakeOrders, 0, "core-1", {}, {0, 2}});
     apply(state, 5, {CommandKind::QuarantinePart, 0, "5c1e", {}});
+    const FleetCommand fixing{CommandKind::FixUsage, 353'445'120, {}, {}, {}, {{"acme", 412}, {"umbra", 3}}};
+    const auto decodedFixing = decodeCommand(encodeCommand(fixing));
+    REQUIRE(std::holds_alternative<FleetCommand>(decodedFixing));
+    CHECK(std::get<FleetCommand>(decodedFixing).counts == fixing.counts);
+    apply(state, 6, {CommandKind::TakeDuty, 0, "usage", "core-1"});
+    apply(state, 7, {CommandKind::TakeDuty, 0, "usage", "core-2"});
+    apply(state, 8, std::get<FleetCommand>(decodedFixing));
+    apply(state, 9, {CommandKind::UsageSent, 353'445'120, {}, {}});
     const auto bytes = encodeSnapshot(state);
     const auto restored = decodeSnapshot(bytes);
     REQUIRE(std::holds_alternative<FleetState>(restored));
     const auto &copy = std::get<FleetState>(restored);
-    CHECK(copy.index == 5);
+    CHECK(copy.index == 9);
+    CHECK(copy.dutyHolders == std::map<std::string, DutyHolder>{{"usage", {"core-2", 7, "core-1"}}});
+    CHECK(copy.fixedUsage == std::map<std::uint64_t, FixedUsage>{{353'445'120, {fixing.counts, true}}});
+    CHECK(copy.fixedWindow == 353'445'120);
     CHECK(copy.orderHolders == std::vector<OrderHolder>{{"core-1", 4}, {}, {"core-1", 4}});
     CHECK(copy.catalogVersion == 7);
     CHECK(*copy.catalogText == "text");
--- a/tests/registry/serverregistry.cpp
+++ b/tests/registry/serverregistry.cpp
@@ -54,6 +54,23 @@
         CHECK(merge(registry, record("one", 100, 6), start) == MergeOutcome::Stale);
         CHECK(registry.entries.at("two").record.state == ServerState::Ready);
     }
+    SECTION("a server that has moved does not lose its new address to the next holder of the old one")
+    {
+        ServerRecord moved = record("one", 150, 1);
+        moved.address = "10.0.0.2:80";
+        REQUIRE(merge(registry, moved, start) == MergeOutcome::Changed);
+        CHECK(merge(registry, record("two", 200, 1), start) == MergeOutcome::Changed);
+        CHECK(registry.entries.at("one").record.state == ServerState::Ready);
+        CHECK(merge(registry, record("three", 50, 1), start) == MergeOutcome::Stale);
+    }
+    SECTION("forgotten servers take no memory for their addresses")
+    {
+        const TimePoint gone = start + registry.options.silenceLimit + milliseconds(1);
+        CHECK(expire(registry, gone).size() == 1);
+        CHECK(expire(registry, gone + registry.options.tombstoneAge).empty());
+        CHECK(registry.entries.empty());
+        CHECK(registry.addresses.empty());
+    }
     SECTION("silence makes it gone, and a new announcement ready again")
     {
         const TimePoint later = start + registry.options.silenceLimit + milliseconds(1);
