placement: measured load time, older versions, copies near their calls

84% of the answers that turned a call away were 421 to a call with an adapter. Loads are planned with the measured load time, calls go on with the older version until the new one is loaded, and copies are loaded in the failure domain of their calls.

--- a/include/mimosahollow/placement/placement.h
+++ b/include/mimosahollow/placement/placement.h
@@ -3,6 +3,7 @@
 #include "mimosahollow/placement/placementstate.h"
 #include "mimosahollow/registry/serverrecord.h"
 
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -32,12 +33,18 @@
 
 void recordDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now);
 
+/** Names the failure domain of an entry instance; adapters are loaded near the calls that wait for them. */
+void setEntryDomain(PlacementState &state, const std::string &entry, const std::string &domain);
+
 /** Drops the waiting and running calls of an entry instance that is gone. */
 void removeEntry(PlacementState &state, std::string_view entry);
 
 /** Names the engines that have a limit for their calls; all others have none. */
 void setLimitedEngines(PlacementState &state, const std::set<std::string> &engines);
 
+/** Sets the paces of engines, by id: the time that their work takes, 1 for the median of the service. All others are at 1. */
+void setEnginePaces(PlacementState &state, const std::map<std::string, double> &paces);
+
 /** Records that an entry instance cannot connect to @p server. */
 void markUnreachable(PlacementState &state, const std::string &server, TimePoint now);
 
@@ -56,6 +63,12 @@
 [[nodiscard]] std::vector<ModelOrder> planOrders(PlacementState &state, const catalog::CatalogIndex &catalog, TimePoint now);
 void applyOrderReply(PlacementState &state, const ModelOrder &order, OrderOutcome outcome, TimePoint now);
 
+/**
+ * Sets the oldest version of each adapter, by "model/adapter", that calls may use. Calls begin on copies of an older version for 3 s more, if it
+ * became required during the term. Returns whether any version has risen.
+ */
+bool setRequiredVersions(PlacementState &state, const std::map<std::string, std::uint64_t> &versions, TimePoint now);
+
 /** Oldest version of @p key that calls may use; 0: any version. */
 [[nodiscard]] std::uint64_t requiredVersion(const PlacementState &state, const AdapterKey &key);
 
--- a/include/mimosahollow/placement/placementstate.h
+++ b/include/mimosahollow/placement/placementstate.h
@@ -2,7 +2,9 @@
 
 #include "mimosahollow/core/decayingrate.h"
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/placement/loadtime.h"
 #include "mimosahollow/placement/modelorder.h"
+#include "mimosahollow/placement/olderversions.h"
 #include "mimosahollow/placement/orderslots.h"
 
 #include <cstdint>
@@ -24,13 +26,16 @@
     unsigned minimumStoreTransfers = 8;
     double storeTransfersPerLoadRate = 2; /**< Adapters in transit per (weight load per second), in seconds. */
     unsigned transfersPerServer = 4; /**< Concurrent adapter transfers that an engine accepts. */
-    Duration adapterLoadTime = milliseconds(250); /**< From the weight store while it is not overloaded, by specification. */
-    Duration cachedAdapterLoadTime = milliseconds(25); /**< From the host memory of the engine, ten times as fast. */
     Duration loadMargin = milliseconds(8); /**< Allowance for the transit of an order and for timer delay. */
-    unsigned hostCacheAdapters = 140; /**< Adapters that an engine is assumed to cache in host memory, slightly below the specified 144. */
+    /**
+     * Adapters that an engine is assumed to cache in host memory, for each of its adapter slots. Slightly below the least that the specifications
+     * of the deployments give, 6 to 6.4: an adapter that is not there after all is loaded ten times as slowly as planned, and its calls come too early.
+     */
+    double hostCachePerSlot = 5.8;
     Duration reportInterval = seconds(4); /**< Between reads of an engine's state, which find changes that did not come from orders. */
     Duration unloadingReportInterval = milliseconds(500); /**< The same while an unload waits for running calls, which take seconds. */
     Duration failedReportInterval = milliseconds(500); /**< Until the next read after a failed one; below unreachablePeriod. */
+    Duration lateOrderTime = seconds(15); /**< Within which an order without a reply may be executed: 12 s by specification. */
     Duration reportLag = milliseconds(350); /**< A report may show the state of several hundred milliseconds before. */
     /** Part of an engine's batch that calls of one adapter may fill on average before it is replicated; the rest absorbs bursts and other adapters. */
     double batchSharePerCopy = 0.25;
@@ -38,6 +43,8 @@
     Duration minimumIdle = milliseconds(1200); /**< Minimum time since the last use of an adapter that is evicted for the first copy of another one. */
     Duration minimumIdleForReplica = seconds(4); /**< The same for a further copy. */
     Duration waitReportLifetime = milliseconds(1500); /**< Validity of reported waiting calls; entry instances report more often while calls wait. */
+    Duration waitReportDelay = milliseconds(200); /**< Until reports no longer count calls that have found a new copy: an interval and its transit. */
+    double waitingSharePerCopy = 0.5; /**< Part of an engine's batch that waiting calls of one adapter may fill; the rest is left for its other adapters. */
     Duration unreachablePeriod = milliseconds(1000); /**< After an entry instance fails to connect to an engine; it repeats the report sooner. */
     /** Penalty period after an order without a reply: the engine may execute it up to 12 s late, and it takes seconds to learn whether it did. */
     Duration unansweredPenaltyTime = seconds(4);
@@ -70,6 +77,7 @@
     TimePoint lastUse{};
     bool isFromStore = false; /**< The load uses the weight store until readyAt. */
     bool isConfirmed = false; /**< The engine has accepted the load or has reported the copy. */
+    bool mayBeUnloading = false; /**< An order without a reply may unload it. */
     bool isUnloading = false; /**< The unload waits for running calls; the copy occupies its slot until then. */
 };
 
@@ -78,6 +86,7 @@
 {
     std::string service;
     std::string address;
+    std::string domain;
     unsigned slots = 1; /**< Calls that it runs at once. */
     std::uint64_t born = 0; /**< Start time of the incarnation. */
     bool hasReport = false; /**< Its state was read at least once. */
@@ -95,6 +104,8 @@
     };
     std::map<AdapterKey, CachedAdapter> hostCache; /**< Adapters assumed to be in host memory. */
     std::uint64_t hostCacheClock = 0; /**< Last logical time in hostCache. */
+    unsigned hostCacheSize = 0; /**< Adapters that it is assumed to cache there; 0: not known yet. */
+    double pace = 1; /**< Time that its work takes; 1 for the median of its service. */
     double expectedRunning = 0; /**< Calls running at once, from the demand for its adapters. */
     bool orderInFlight = false;
     bool reportInFlight = false;
@@ -130,12 +141,17 @@
     PlacementOptions options;
     std::uint64_t term = 0; /**< Of the leader. */
     OrderSlots slots;
+    LoadTimeEstimate loadTime; /**< From the weight store while it is not overloaded. */
     TimePoint nextRebalance{};
     Duration callTime{}; /**< Mean time that a call runs on an engine; 0: not known yet. */
     unsigned storeTransferLimit = PlacementOptions{}.minimumStoreTransfers; /**< Concurrent adapter transfers that the weight store serves at full speed. */
     std::map<std::string, EngineState> engines;
     std::map<AdapterKey, DemandState> demand;
+    std::map<std::string, std::string> entryDomains; /**< Failure domains of the entry instances, by name. */
+    std::map<AdapterKey, TimePoint> startedCalls; /**< When calls last began, for adapters with calls that began since the last plan. */
     std::map<std::string, std::uint64_t> requiredVersions; /**< Oldest version that calls may use, by "model/adapter". */
+    bool hasVersions = false; /**< False before the first versions of the term, which may have been in force for long. */
+    std::map<std::string, OlderVersions> olderVersions; /**< By "model/adapter". */
     std::deque<TimePoint> recentWeightLoads; /**< Start times of recent base model loads. */
     std::set<std::string> changedEngines; /**< Engines whose placement has changed since the last broadcast. */
 };
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Limits of what a pace changes: a single wrong measurement must neither draw all adapters to an engine nor keep all away.
+constexpr double fastestPace = 0.5;
+constexpr double slowestPace = 4;
+
 /** Discards what is known of an engine whose incarnation or address has changed. */
 void resetEngine(EngineState &engine, TimePoint now)
 {
@@ -59,9 +63,9 @@
         }
         known.version = copy.version;
         known.isConfirmed = true;
-        known.readyAt = copy.isLoading ? std::max(known.readyAt, now + state.options.adapterLoadTime / 2) : std::min(known.readyAt, now);
+        known.readyAt = copy.isLoading ? std::max(known.readyAt, now + state.loadTime.value / 2) : std::min(known.readyAt, now);
         adapters[key] = known;
-        touchHostCache(state, engine, key, copy.version);
+        touchHostCache(engine, key, copy.version);
     }
     engine.adapters = std::move(adapters);
     engine.sequence = report.sequence;
@@ -70,10 +74,10 @@
 
 } // namespace
 
-void touchHostCache(const PlacementState &state, EngineState &engine, const AdapterKey &key, std::uint64_t version)
+void touchHostCache(EngineState &engine, const AdapterKey &key, std::uint64_t version)
 {
     engine.hostCache[key] = {++engine.hostCacheClock, version};
-    if (engine.hostCache.size() > state.options.hostCacheAdapters) {
+    if (engine.hostCacheSize > 0 && engine.hostCache.size() > engine.hostCacheSize) {
         engine.hostCache.erase(std::min_element(engine.hostCache.begin(), engine.hostCache.end(), [](const auto &left, const auto &right) {
             return left.second.lastUse < right.second.lastUse;
         }));
@@ -108,6 +112,7 @@
     }
     engine.born = record.born;
     engine.service = record.service;
+    engine.domain = record.domain;
     engine.slots = std::max(1U, record.slots);
     engine.address = record.address;
     engine.isReady = isUsable && record.state == registry::ServerState::Ready;
@@ -120,6 +125,14 @@
     }
 }
 
+void setEnginePaces(PlacementState &state, const std::map<std::string, double> &paces)
+{
+    for (auto &[id, engine] : state.engines) {
+        const auto pace = paces.find(id);
+        engine.pace = pace == paces.end() ? 1 : std::clamp(pace->second, fastestPace, slowestPace);
+    }
+}
+
 void markUnreachable(PlacementState &state, const std::string &server, TimePoint now)
 {
     if (const auto found = state.engines.find(server); found != state.engines.end()) {
@@ -140,7 +153,7 @@
     std::size_t queued = 0;
     for (const auto &[key, demand] : state.demand) {
         const bool hasWaitingCalls = std::any_of(demand.waiting.begin(), demand.waiting.end(), [&state, now](const auto &item) {
-            return item.second.inTime > 0 && now - item.second.reported <= state.options.adapterLoadTime;
+            return item.second.inTime > 0 && now - item.second.reported <= state.loadTime.value;
         });
         const bool isQueued = hasWaitingCalls && std::none_of(state.engines.begin(), state.engines.end(), [&key = key](const auto &item) {
                                   return item.second.adapters.contains(key);
@@ -148,7 +161,7 @@
         queued += isQueued ? 1 : 0;
     }
     const auto rounds = static_cast<Duration::rep>(queued / std::max(1U, state.storeTransferLimit) + 1);
-    return rounds * state.options.adapterLoadTime;
+    return rounds * state.loadTime.value;
 }
 
 void recordDemand(PlacementState &state, std::string_view entry, const AdapterKey &key, const std::string &service, const EntryDemand &counts, TimePoint now)
@@ -169,18 +182,19 @@
     } else {
         demand.running[std::string(entry)] = counts.running;
     }
-    if (counts.started == 0) {
-        return;
-    }
-    for (auto &[id, engine] : state.engines) {
-        if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
-            copy->second.lastUse = now;
-        }
+    if (counts.started > 0) {
+        state.startedCalls[key] = now;
     }
 }
 
+void setEntryDomain(PlacementState &state, const std::string &entry, const std::string &domain)
+{
+    state.entryDomains[entry] = domain;
+}
+
 void removeEntry(PlacementState &state, std::string_view entry)
 {
+    state.entryDomains.erase(std::string(entry));
     for (auto &[key, demand] : state.demand) {
         demand.waiting.erase(std::string(entry));
         demand.running.erase(std::string(entry));
@@ -214,6 +228,12 @@
         return;
     }
     engine.reportDue = now + state.options.reportInterval;
+    if (engine.unresolvedOrder && report.sequence < engine.unresolvedOrder->expectedSequence && now - engine.lastOrder < state.options.lateOrderTime) {
+        // Its number is too high, since an unload that it followed had no effect. It would still be executed once the engine has accepted another
+        // order, into a slot that may have been given away by then, so that the engine gets none before.
+        engine.reportDue = now + state.options.failedReportInterval;
+        return;
+    }
     if (engine.unresolvedOrder) {
         if (report.sequence <= engine.unresolvedOrder->expectedSequence && now - engine.lastOrder < state.options.reportLag) {
             engine.reportDue = engine.lastOrder + state.options.reportLag;
@@ -268,7 +288,8 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::AlreadyDone: {
         const auto known = engine.adapters.find(key);
-        const bool unloadsCopy = order.kind == OrderKind::Unload && known != engine.adapters.end() && known->second.isConfirmed;
+        const bool unloadsCopy =
+            order.kind == OrderKind::Unload && known != engine.adapters.end() && known->second.isConfirmed && !known->second.mayBeUnloading;
         if (engine.sequence && (outcome == OrderOutcome::Accepted || unloadsCopy)) {
             engine.sequence = *engine.sequence + 1;
         } else {
@@ -307,6 +328,9 @@
         break;
     case OrderOutcome::Unknown:
         engine.unresolvedOrder = order;
+        if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end() && order.kind == OrderKind::Unload) {
+            copy->second.mayBeUnloading = true; // reports don't tell, and a second unload of a copy that is gone does not count as an order
+        }
         engine.penalizedUntil = now + state.options.unansweredPenaltyTime;
         engine.sequence.reset();
         engine.reportDue = now + milliseconds(100);
@@ -315,10 +339,4 @@
     state.changedEngines.insert(order.server);
 }
 
-std::uint64_t requiredVersion(const PlacementState &state, const AdapterKey &key)
-{
-    const auto found = state.requiredVersions.find(key.model + "/" + key.adapter);
-    return found == state.requiredVersions.end() ? 0 : found->second;
-}
-
 } // namespace mimosahollow::placement
--- a/src/placement/planorders.cpp
+++ b/src/placement/planorders.cpp
@@ -1,12 +1,11 @@
-#include "mimosahollow/catalog/catalogindex.h"
-#include "mimosahollow/placement/placement.h"
-
-#include "internal.h"
+#include "planner.h"
 
-#include <xxhash.h>
+#include "mimosahollow/placement/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
+#include <set>
 
 namespace mimosahollow::placement {
 
@@ -14,393 +13,242 @@
 
 /** Window over which base model loads are counted against the rate of the weight store. */
 constexpr Duration storeWindow = seconds(5);
+
 /**
- * Added to the cost of an engine after an order without a reply. Exceeds all other parts of the cost, so that the engine gets orders only
- * when no other can.
+ * Added to the cost of an engine in a failure domain that needs no copy. Calls between domains cost bytes but little time, so it is below the cost of a load
+ * from the weight store (2) and of a further call on the engine (0.33 at 12 slots).
  */
-constexpr double unansweredPenaltyCost = 20;
-constexpr double limitPenaltyCost = 8; // more than a load from the weight store: calls on an engine with a limit wait for permits
-// Limits of the mean call time. Right after the start of a term, running calls are reported before the rate that caused them.
-constexpr Duration shortestCallTime = milliseconds(100);
-constexpr Duration longestCallTime = seconds(10);
+constexpr double otherDomainCost = 0.3;
 
-bool hasUnresolvedOrder(const EngineState &engine, const AdapterKey &key)
+/** Copy that calls wait for. */
+struct WantedCopy
 {
-    return engine.unresolvedOrder && engine.unresolvedOrder->model == key.model && engine.unresolvedOrder->adapter == key.adapter;
-}
+    unsigned inTime = 0; // calls that it serves in time
+    TimePoint since{};
+    const AdapterKey *key = nullptr;
+};
 
-struct Planner
+/**
+ * Scales the limit with the delivery rate of the weight store. Large fleets request many rare adapters, and the limit of a small
+ * store would leave most of the delivery rate unused.
+ */
+unsigned storeTransferLimitOf(const PlacementOptions &options, const catalog::CatalogIndex &catalog)
 {
-    PlacementState &state;
-    const catalog::CatalogIndex &catalog;
-    TimePoint now;
-    std::vector<ModelOrder> orders;
-    unsigned storeTransfers = 0;
-    std::map<AdapterKey, unsigned> usable; // copies with the required version, loaded or in transit
-    std::map<AdapterKey, unsigned> unlimited; // of these, the ones on engines without a limit
-
-    [[nodiscard]] const catalog::EngineSpec *specOf(const EngineState &engine) const
-    {
-        const catalog::ServiceSpec *service = catalog.findService(engine.service);
-        return service != nullptr && service->engine ? &*service->engine : nullptr;
-    }
-
-    [[nodiscard]] bool canOrder(const std::string &id, const EngineState &engine) const
-    {
-        return canSendOrders(state.slots, orderSlotFor(id), now) && engine.isReady && !engine.isReplaced && now >= engine.unreachableUntil && engine.sequence
-               && !engine.orderInFlight && !engine.unresolvedOrder && now >= engine.pausedUntil;
-    }
-
-    [[nodiscard]] double callsPerSecond(const DemandState &demand) const
-    {
-        return rateAt(demand.calls, state.options.demandTimeConstant, now);
+    double loads = 0;
+    for (const catalog::ServiceSpec &service : catalog.catalog().services) {
+        loads = std::max(loads, service.engine ? service.engine->storeLoadsPerSecond : 0);
     }
+    return std::max(options.minimumStoreTransfers, static_cast<unsigned>(loads * options.storeTransfersPerLoadRate));
+}
 
-    [[nodiscard]] unsigned waitingCalls(const DemandState &demand) const
-    {
-        unsigned count = 0;
-        for (const auto &[entry, report] : demand.waiting) {
-            if (now - report.reported <= state.options.waitReportLifetime) {
-                count += report.calls;
-            }
-        }
-        return count;
-    }
+void dropIdleDemand(PlacementState &state, TimePoint now)
+{
+    std::erase_if(state.demand, [&state, now](const auto &item) {
+        return item.second.running.empty() && now - item.second.calls.updatedAt > state.options.demandRetention;
+    });
+}
 
-    [[nodiscard]] unsigned callsInTime(const DemandState &demand) const
-    {
-        unsigned count = 0;
-        for (const auto &[entry, report] : demand.waiting) {
-            // A report older than a load no longer tells how many calls can still meet their objective.
-            count += now - report.reported <= state.options.adapterLoadTime ? report.inTime : 0;
-        }
-        return count;
-    }
+} // namespace
 
-    [[nodiscard]] unsigned transfersTo(const EngineState &engine) const
-    {
-        return static_cast<unsigned>(std::count_if(engine.adapters.begin(), engine.adapters.end(), [this](const auto &copy) {
-            return copy.second.readyAt > now;
-        }));
-    }
+void Planner::send(const std::string &id, EngineState &engine, OrderKind kind, const AdapterKey &key, std::uint64_t version)
+{
+    orders.push_back(
+        {id, engine.address, engine.born, kind, key.model, key.adapter, version, *engine.sequence, state.slots.slots[orderSlotFor(id)].fencingNumber});
+    engine.orderInFlight = true;
+    engine.orderedAdapter = key;
+    engine.lastOrder = now;
+}
 
-    /** Whether @p engine can load the required version of @p key from its host memory. */
-    [[nodiscard]] bool isInHostCache(const EngineState &engine, const AdapterKey &key) const
-    {
-        const auto cached = engine.hostCache.find(key);
-        return cached != engine.hostCache.end() && cached->second.version >= requiredVersion(state, key);
+void Planner::sendAdapterLoad(const std::string &id, EngineState &engine, const AdapterKey &key)
+{
+    const bool isCached = isInHostCache(engine, key);
+    Duration time = cachedLoadTime(state.loadTime);
+    if (!isCached) {
+        ++storeTransfers;
+        time = state.loadTime.value * std::max(1U, (storeTransfers + state.storeTransferLimit - 1) / state.storeTransferLimit);
     }
+    const std::uint64_t version = requiredVersion(state, key);
+    engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isCached, false, false, false};
+    touchHostCache(engine, key, version);
+    CopyCounts &counts = copyCounts[key];
+    counts.requiredVersion = version;
+    ++counts.usable;
+    counts.unlimited += engine.isLimited ? 0 : 1;
+    send(id, engine, OrderKind::Load, key, version);
+}
 
-    [[nodiscard]] bool hasRoom(const EngineState &engine, const catalog::EngineSpec &spec) const
-    {
-        if (engine.adapters.size() >= spec.adapterSlots) {
-            return false;
-        }
-        double used = 0;
-        double adapterMb = 0;
-        for (const catalog::BaseModelSpec &model : spec.models) {
-            if (engine.baseModels.contains(model.name) || engine.loadingModels.contains(model.name)) {
-                used += model.weightsMb;
-            }
-            adapterMb = std::max(adapterMb, model.adapterMb);
+bool Planner::loadCopy(const AdapterKey &key, const DemandState &demand, Duration minimumIdle, bool unlimitedOnly)
+{
+    const std::string *best = nullptr;
+    double bestCost = 0;
+    const std::map<std::string, double> needs = domainNeeds(callsByDomain(demand), copiesByDomain(key));
+    for (auto &[id, engine] : state.engines) {
+        if (engine.service != demand.service || (unlimitedOnly && engine.isLimited)) {
+            continue;
         }
-        return used + adapterMb * static_cast<double>(engine.adapters.size() + 1) <= spec.memoryMb;
-    }
-
-    /**
-     * Least recently used adapter that has been idle for at least @p minimumIdle and has no waiting or running calls. Streams can run for
-     * longer than the idle time; the unload of an adapter in use waits for them, and the engine accepts no load in its slot meanwhile.
-     */
-    [[nodiscard]] std::optional<AdapterKey> evictionCandidate(const EngineState &engine, Duration minimumIdle) const
-    {
-        std::optional<AdapterKey> oldest;
-        TimePoint lastUse = now - minimumIdle;
-        for (const auto &[key, copy] : engine.adapters) {
-            if (copy.isUnloading || copy.readyAt > now || copy.lastUse > lastUse || copy.readyAt > now - minimumIdle) {
-                continue;
-            }
-            const auto demand = state.demand.find(key);
-            if (demand != state.demand.end() && (!demand->second.running.empty() || waitingCalls(demand->second) > 0)) {
+        if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
+            // The unload of an outdated copy waits for the calls on it, so another engine is faster while there are some.
+            const bool isOutdated = !acceptsVersion(state, key, copy->second.version, now);
+            if (!isOutdated || copy->second.isUnloading || now - copy->second.lastUse < state.options.minimumIdle) {
                 continue;
             }
-            oldest = key;
-            lastUse = copy.lastUse;
         }
-        return oldest;
+        const auto need = needs.find(engine.domain);
+        const double distanceCost = needs.empty() ? 0 : otherDomainCost * (1 - (need == needs.end() ? 0 : need->second));
+        const auto value = cost(id, engine, key, minimumIdle);
+        if (value && (best == nullptr || *value + distanceCost < bestCost)) {
+            best = &id;
+            bestCost = *value + distanceCost;
+        }
     }
-
-    void send(const std::string &id, EngineState &engine, OrderKind kind, const AdapterKey &key, std::uint64_t version)
-    {
-        orders.push_back(
-            {id, engine.address, engine.born, kind, key.model, key.adapter, version, *engine.sequence, state.slots.slots[orderSlotFor(id)].fencingNumber});
-        engine.orderInFlight = true;
-        engine.orderedAdapter = key;
-        engine.lastOrder = now;
+    if (best == nullptr) {
+        return false;
     }
-
-    void sendAdapterLoad(const std::string &id, EngineState &engine, const AdapterKey &key)
-    {
-        const bool isCached = isInHostCache(engine, key);
-        Duration time = state.options.cachedAdapterLoadTime;
-        if (!isCached) {
-            ++storeTransfers;
-            time = state.options.adapterLoadTime * std::max(1U, (storeTransfers + state.storeTransferLimit - 1) / state.storeTransferLimit);
-        }
-        const std::uint64_t version = requiredVersion(state, key);
-        engine.adapters[key] = {version, now + time + state.options.loadMargin, now, !isCached, false, false};
-        touchHostCache(state, engine, key, version);
-        ++usable[key];
-        unlimited[key] += engine.isLimited ? 0 : 1;
-        send(id, engine, OrderKind::Load, key, version);
+    EngineState &engine = state.engines[*best];
+    if (engine.adapters.contains(key)) {
+        // The new version takes a slot of its own while it loads, which a full engine does not have.
+        send(*best, engine, OrderKind::Unload, key, 0);
+    } else if (hasRoom(engine, *specOf(engine))) {
+        sendAdapterLoad(*best, engine, key);
+    } else {
+        send(*best, engine, OrderKind::Unload, evictionCandidate(engine, minimumIdle)->key, 0);
     }
+    return true;
+}
 
-    /** Cost of loading @p key on @p engine; nullopt when the engine cannot load it now. */
-    [[nodiscard]] std::optional<double> cost(const std::string &id, const EngineState &engine, const AdapterKey &key, Duration minimumIdle) const
-    {
+void Planner::loadBaseModels()
+{
+    while (!state.recentWeightLoads.empty() && now - state.recentWeightLoads.front() > storeWindow) {
+        state.recentWeightLoads.pop_front();
+    }
+    for (auto &[id, engine] : state.engines) {
         const catalog::EngineSpec *spec = specOf(engine);
-        if (spec == nullptr || !canOrder(id, engine) || !engine.baseModels.contains(key.model)) {
-            return std::nullopt;
+        if (spec == nullptr || spec->models.empty() || !canOrder(id, engine) || !engine.baseModels.empty() || !engine.loadingModels.empty()) {
+            continue;
         }
-        const bool isCached = isInHostCache(engine, key);
-        if ((!isCached && storeTransfers >= state.storeTransferLimit) || transfersTo(engine) >= state.options.transfersPerServer) {
-            return std::nullopt;
+        if (static_cast<double>(state.recentWeightLoads.size()) >= spec->storeLoadsPerSecond * toSeconds(storeWindow)) {
+            return;
         }
-        const bool isFree = hasRoom(engine, *spec) && !engine.adapters.contains(key);
-        if (!isFree && !evictionCandidate(engine, minimumIdle)) {
-            return std::nullopt;
-        }
-        // The hash prefers the same engine for every load of an adapter, since that engine has it in host memory.
-        const std::string name = key.model + "/" + key.adapter + "@" + id;
-        const double affinityCost = static_cast<double>(XXH3_64bits(name.data(), name.size()) % 1024) / 1024;
-        const double limitPenalty = engine.isLimited ? limitPenaltyCost : 0;
-        const double unansweredPenalty = now < engine.penalizedUntil ? unansweredPenaltyCost : 0;
-        return engine.expectedRunning / (engine.slots * state.options.batchSharePerCopy) + (isCached ? 0 : 2) + (isFree ? 0 : 0.3) + affinityCost + limitPenalty
-               + unansweredPenalty;
+        const catalog::BaseModelSpec &model = mostNeededModel(engine.service, *spec);
+        engine.loadingModels[model.name] = now + model.loadTime;
+        state.recentWeightLoads.push_back(now);
+        engine.reportDue = now + model.loadTime;
+        send(id, engine, OrderKind::Load, {model.name, {}}, 0);
     }
+}
 
-    /**
-     * Orders a load of @p key on the engine with the lowest cost, or an unload to make room; with @p unlimitedOnly on engines without a limit
-     * only. Returns false if no engine can take it.
-     */
-    bool loadCopy(const AdapterKey &key, const DemandState &demand, Duration minimumIdle, bool unlimitedOnly = false)
-    {
-        const std::string *best = nullptr;
-        double bestCost = 0;
-        for (auto &[id, engine] : state.engines) {
-            if (engine.service != demand.service || (unlimitedOnly && engine.isLimited)) {
-                continue;
-            }
-            if (const auto copy = engine.adapters.find(key); copy != engine.adapters.end()) {
-                // The unload of an outdated copy waits for the calls on it, so another engine is faster while there are some.
-                const bool isOutdated = copy->second.version < requiredVersion(state, key);
-                if (!isOutdated || copy->second.isUnloading || now - copy->second.lastUse < state.options.minimumIdle) {
-                    continue;
-                }
-            }
-            const auto value = cost(id, engine, key, minimumIdle);
-            if (value && (best == nullptr || *value < bestCost)) {
-                best = &id;
-                bestCost = *value;
-            }
+void Planner::loadNewVersions()
+{
+    for (const auto &[key, demand] : state.demand) {
+        if (key.adapter.empty() || !hasOlderVersions(state, key, now) || !isInDemand(demand)) {
+            continue;
         }
-        if (best == nullptr) {
-            return false;
+        const double callsPerCopy = state.options.batchSharePerCopy * slotsOf(demand.service);
+        const auto needed = static_cast<unsigned>(std::ceil(expectedRunning(demand) / callsPerCopy));
+        const unsigned older = servingCopies(key) - usableCopies(key);
+        const unsigned wanted = std::clamp(needed, 1U, std::max(1U, older));
+        bool isLoading = true;
+        for (unsigned copies = usableCopies(key); copies < wanted && isLoading; ++copies) {
+            isLoading = loadCopy(key, demand, state.options.minimumIdle);
         }
-        EngineState &engine = state.engines[*best];
-        if (engine.adapters.contains(key)) {
-            // The new version takes a slot of its own while it loads, which a full engine does not have.
-            send(*best, engine, OrderKind::Unload, key, 0);
-        } else if (hasRoom(engine, *specOf(engine))) {
-            sendAdapterLoad(*best, engine, key);
-        } else {
-            send(*best, engine, OrderKind::Unload, *evictionCandidate(engine, minimumIdle), 0);
+        if (!isLoading && usableCopies(key) == 0 && older > 1) {
+            unloadOlderCopy(key);
         }
-        return true;
-    }
-
-    [[nodiscard]] unsigned usableCopies(const AdapterKey &key) const
-    {
-        const auto found = usable.find(key);
-        return found == usable.end() ? 0 : found->second;
     }
+}
 
-    void countUsableCopies()
-    {
-        for (const auto &[id, engine] : state.engines) {
-            for (const auto &[key, copy] : engine.adapters) {
-                storeTransfers += copy.isFromStore && copy.readyAt > now ? 1 : 0;
-                // A copy whose load order gets no reply does not count, so that waiting calls get a copy on another engine.
-                const bool isSlow = engine.orderInFlight && engine.orderedAdapter == key && now - engine.lastOrder > state.options.slowOrderDelay;
-                const bool isReachable = engine.isReady && now >= engine.unreachableUntil && !isSlow && !hasUnresolvedOrder(engine, key);
-                const bool isUsable = isReachable && !copy.isUnloading && copy.version >= requiredVersion(state, key);
-                usable[key] += isUsable ? 1 : 0;
-                unlimited[key] += isUsable && !engine.isLimited ? 1 : 0;
-            }
+void Planner::unloadOlderCopy(const AdapterKey &key)
+{
+    EngineState *best = nullptr;
+    const std::string *bestId = nullptr;
+    for (auto &[id, engine] : state.engines) {
+        const auto copy = engine.adapters.find(key);
+        if (copy == engine.adapters.end()) {
+            continue;
         }
-    }
-
-    /** Mean time of a call on an engine, by Little's law over all adapters. A single adapter has too few calls for a stable mean. */
-    void updateCallTime()
-    {
-        double rate = 0;
-        unsigned running = 0;
-        for (const auto &[key, demand] : state.demand) {
-            rate += callsPerSecond(demand);
-            for (const auto &[entry, calls] : demand.running) {
-                running += calls;
-            }
+        if (copy->second.isUnloading || (engine.orderInFlight && engine.orderedAdapter == key)) {
+            return; // one at a time, since the others serve the calls
         }
-        if (rate >= 1 && running > 0) {
-            state.callTime = std::clamp<Duration>(fromSeconds(running / rate), shortestCallTime, longestCallTime);
+        if (canOrder(id, engine) && copy->second.readyAt <= now && (best == nullptr || engine.expectedRunning < best->expectedRunning)) {
+            best = &engine;
+            bestId = &id;
         }
     }
-
-    /** Calls of an adapter that run at once on average. */
-    [[nodiscard]] double expectedRunning(const DemandState &demand) const
-    {
-        return callsPerSecond(demand) * toSeconds(state.callTime == Duration{} ? state.options.initialCallTime : state.callTime);
+    if (best != nullptr) {
+        send(*bestId, *best, OrderKind::Unload, key, 0);
     }
+}
 
-    void updateExpectedRunning()
-    {
-        for (auto &[id, engine] : state.engines) {
-            engine.expectedRunning = 0;
-            for (const auto &[key, copy] : engine.adapters) {
-                const auto demand = state.demand.find(key);
-                const unsigned copies = usableCopies(key);
-                if (demand != state.demand.end() && copies > 0) {
-                    engine.expectedRunning += expectedRunning(demand->second) / copies;
-                }
-            }
-        }
+/**
+ * Load pattern: an adapter becomes popular while the weight store is busy with rare ones. Its copies are full, so their rate of calls tells nothing of
+ * the calls that wait, and 120 calls per second were refused beside idle engines.
+ */
+unsigned Planner::copiesForWaitingCalls(const AdapterKey &key, const DemandState &demand) const
+{
+    const unsigned waiting = waitingCalls(demand);
+    const auto callsPerCopy = static_cast<unsigned>(std::max(1.0, state.options.waitingSharePerCopy * slotsOf(demand.service)));
+    const unsigned needed = (waiting + callsPerCopy - 1) / callsPerCopy;
+    const unsigned copies = usableCopies(key);
+    if (copies == 0) {
+        return needed;
     }
+    const unsigned found = countsOf(key).fresh;
+    const bool areFull = runningCalls(demand) >= callsPerCopy * (copies - found);
+    // A few calls may only wait for others to end, which takes no longer than a load.
+    const bool isLasting = waiting >= callsPerCopy || now - demand.waitingSince >= state.loadTime.value;
+    return areFull && isLasting && needed > found ? needed - found : 0;
+}
 
-    /** Loads the base model with the highest demand on engines without one, within the rate of the weight store. */
-    void loadBaseModels()
-    {
-        while (!state.recentWeightLoads.empty() && now - state.recentWeightLoads.front() > storeWindow) {
-            state.recentWeightLoads.pop_front();
+void Planner::loadWaitingAdapters()
+{
+    std::vector<WantedCopy> wanted;
+    for (const auto &[key, demand] : state.demand) {
+        if (key.adapter.empty() || waitingCalls(demand) == 0) {
+            continue;
         }
-        for (auto &[id, engine] : state.engines) {
-            const catalog::EngineSpec *spec = specOf(engine);
-            if (spec == nullptr || spec->models.empty() || !canOrder(id, engine) || !engine.baseModels.empty() || !engine.loadingModels.empty()) {
-                continue;
-            }
-            if (static_cast<double>(state.recentWeightLoads.size()) >= spec->storeLoadsPerSecond * toSeconds(storeWindow)) {
-                return;
-            }
-            const catalog::BaseModelSpec &model = mostNeededModel(engine.service, *spec);
-            engine.loadingModels[model.name] = now + model.loadTime;
-            state.recentWeightLoads.push_back(now);
-            engine.reportDue = now + model.loadTime;
-            send(id, engine, OrderKind::Load, {model.name, {}}, 0);
+        // Calls on an engine with a limit wait for permits.
+        const unsigned copies = std::max(copiesForWaitingCalls(key, demand), countsOf(key).unlimited == 0 ? 1U : 0U);
+        const unsigned inTime = callsInTime(demand);
+        for (unsigned copy = 0; copy < copies; ++copy) {
+            const unsigned served = (inTime + copies - 1 - copy) / copies;
+            wanted.push_back({served, demand.waitingSince, &key});
         }
     }
-
-    /** Base model with the most calls per engine that holds it. */
-    [[nodiscard]] const catalog::BaseModelSpec &mostNeededModel(const std::string &service, const catalog::EngineSpec &spec) const
-    {
-        const catalog::BaseModelSpec *best = &spec.models.front();
-        double bestNeed = -1;
-        for (const catalog::BaseModelSpec &model : spec.models) {
-            double calls = 0.01;
-            for (const auto &[key, demand] : state.demand) {
-                calls += key.model == model.name && demand.service == service ? callsPerSecond(demand) + waitingCalls(demand) : 0;
-            }
-            const auto holders = std::count_if(state.engines.begin(), state.engines.end(), [&](const auto &item) {
-                return item.second.service == service && (item.second.baseModels.contains(model.name) || item.second.loadingModels.contains(model.name));
-            });
-            const double need = calls / static_cast<double>(holders + 1);
-            if (need > bestNeed && model.weightsMb <= spec.memoryMb) {
-                best = &model;
-                bestNeed = need;
-            }
+    std::stable_sort(wanted.begin(), wanted.end(), [](const WantedCopy &left, const WantedCopy &right) {
+        return left.inTime != right.inTime ? left.inTime > right.inTime : left.since < right.since;
+    });
+    std::set<const AdapterKey *> withoutEngine; // no engine can take a further copy now
+    for (const WantedCopy &copy : wanted) {
+        const bool unlimitedOnly = usableCopies(*copy.key) > 0 && countsOf(*copy.key).unlimited == 0;
+        if (!withoutEngine.contains(copy.key) && !loadCopy(*copy.key, state.demand[*copy.key], state.options.minimumIdle, unlimitedOnly)) {
+            withoutEngine.insert(copy.key);
         }
-        return *best;
     }
+}
 
-    struct WaitingAdapter
-    {
-        unsigned inTime = 0;
-        TimePoint since{};
-        const AdapterKey *key = nullptr;
-    };
-
-    /**
-     * Loads first copies of adapters with waiting calls, and copies elsewhere if all are on engines that have named a limit. When the weight store cannot
-     * deliver all of them, adapters that serve the most calls in time go first; in the order of arrival, all of them would be late.
-     */
-    void loadWaitingAdapters()
-    {
-        std::vector<WaitingAdapter> waiting;
-        for (const auto &[key, demand] : state.demand) {
-            if (!key.adapter.empty() && waitingCalls(demand) > 0 && unlimited[key] == 0) {
-                waiting.push_back({callsInTime(demand), demand.waitingSince, &key});
-            }
+void Planner::replicate()
+{
+    for (const auto &[key, demand] : state.demand) {
+        const unsigned copies = usableCopies(key);
+        if (key.adapter.empty() || copies == 0 || storeTransfers >= state.storeTransferLimit / 2) {
+            continue;
         }
-        std::sort(waiting.begin(), waiting.end(), [](const WaitingAdapter &left, const WaitingAdapter &right) {
-            return left.inTime != right.inTime ? left.inTime > right.inTime : left.since < right.since;
-        });
-        for (const WaitingAdapter &adapter : waiting) {
-            loadCopy(*adapter.key, state.demand[*adapter.key], state.options.minimumIdle, usableCopies(*adapter.key) > 0);
+        if (expectedRunning(demand) > state.options.batchSharePerCopy * slotsOf(demand.service) * copies) {
+            loadCopy(key, demand, state.options.minimumIdleForReplica);
         }
     }
-
-    /** Slots of an engine of @p service; they are the same for all of them by configuration. */
-    [[nodiscard]] unsigned slotsOf(const std::string &service) const
-    {
-        const auto found = std::find_if(state.engines.begin(), state.engines.end(), [&service](const auto &item) {
-            return item.second.service == service;
-        });
-        return found == state.engines.end() ? 1 : found->second.slots;
-    }
-
-    /**
-     * Loads further copies of adapters whose calls fill more than their share of a batch on each copy. A fixed call rate in place of the
-     * share leaves one popular adapter more calls than an engine with 12 slots can run.
-     */
-    void replicate()
-    {
-        for (const auto &[key, demand] : state.demand) {
-            const unsigned copies = usableCopies(key);
-            if (key.adapter.empty() || copies == 0 || storeTransfers >= state.storeTransferLimit / 2) {
-                continue;
-            }
-            if (expectedRunning(demand) > state.options.batchSharePerCopy * slotsOf(demand.service) * copies) {
-                loadCopy(key, demand, state.options.minimumIdleForReplica);
-            }
-        }
-    }
-};
-
-/**
- * Scales the limit with the delivery rate of the weight store. Large fleets request many rare adapters, and the limit of a small
- * store would leave most of the delivery rate unused.
- */
-unsigned storeTransferLimitOf(const PlacementOptions &options, const catalog::CatalogIndex &catalog)
-{
-    double loads = 0;
-    for (const catalog::ServiceSpec &service : catalog.catalog().services) {
-        loads = std::max(loads, service.engine ? service.engine->storeLoadsPerSecond : 0);
-    }
-    return std::max(options.minimumStoreTransfers, static_cast<unsigned>(loads * options.storeTransfersPerLoadRate));
-}
-
-void dropIdleDemand(PlacementState &state, TimePoint now)
-{
-    std::erase_if(state.demand, [&state, now](const auto &item) {
-        return item.second.running.empty() && now - item.second.calls.updatedAt > state.options.demandRetention;
-    });
 }
 
-} // namespace
-
 std::vector<ModelOrder> planOrders(PlacementState &state, const catalog::CatalogIndex &catalog, TimePoint now)
 {
     state.storeTransferLimit = storeTransferLimitOf(state.options, catalog);
-    Planner planner{state, catalog, now, {}, 0, {}, {}};
-    planner.countUsableCopies();
+    Planner planner{state, catalog, now, {}, 0, {}};
+    planner.examineCopies();
+    planner.updateHostCacheSizes();
     planner.loadBaseModels();
+    if (!state.olderVersions.empty()) {
+        planner.loadNewVersions();
+    }
     planner.loadWaitingAdapters();
     if (now >= state.nextRebalance) {
         state.nextRebalance = now + state.options.rebalanceInterval;
--- a/tests/placement/fullengines.cpp
+++ b/tests/placement/fullengines.cpp
@@ -37,9 +37,9 @@
 
     void beginLeader()
     {
-        auto versions = std::move(state.requiredVersions); // replicated, unlike the rest
+        const auto versions = std::move(state.requiredVersions); // replicated, unlike the rest
         beginTerm(state, ++m_term, now);
-        state.requiredVersions = std::move(versions);
+        setRequiredVersions(state, versions, now);
         for (OrderSlot &slot : state.slots.slots) {
             slot = {"core-1", m_term, {}};
         }
@@ -67,7 +67,7 @@
             beginLeader();
         }
         if (random() % 100 == 0) {
-            state.requiredVersions["base/" + drawAdapter()] = ++m_lastVersion;
+            setRequiredVersions(state, {{"base/" + drawAdapter(), ++m_lastVersion}}, now);
         }
         recordDemand(state, "entry-1", {"base", drawAdapter()}, "chat", {static_cast<unsigned>(random() % 3), 1, static_cast<unsigned>(random() % 2), 0}, now);
         engines.at("s" + std::to_string(random() % engineCount)).run(drawAdapter(), now, milliseconds(random() % 2000));
@@ -134,7 +134,7 @@
 // hunt: an engine with five slots was ordered to load a sixth adapter.
 TEST_CASE("No order overfills an engine when orders are late, replies are lost, versions change and leaders follow each other")
 {
-    const auto seed = GENERATE(range(1U, 41U));
+    const auto seed = GENERATE(range(1U, 61U));
     INFO("seed " << seed);
     OrderHistory history(seed);
     for (int step = 0; step < 3000; ++step) {
--- a/tests/placement/placement.cpp
+++ b/tests/placement/placement.cpp
@@ -82,10 +82,10 @@
         }
     }
 
-    void demand(const std::string &adapter, unsigned waiting, unsigned started = 0)
+    void demand(const std::string &adapter, unsigned waiting, unsigned started = 0, unsigned running = 0)
     {
         recordCredit(state.slots, "core-1", now);
-        recordDemand(state, "entry-1", {"base", adapter}, "chat", {waiting, waiting, started, 0}, now);
+        recordDemand(state, "entry-1", {"base", adapter}, "chat", {waiting, waiting, started, running}, now);
     }
 
     [[nodiscard]] unsigned copies(const std::string &adapter) const
@@ -142,6 +142,65 @@
     CHECK(fleet.loads == 44);
 }
 
+// Load pattern: an adapter becomes popular while the weight store is busy with rare ones. Guards against calls that are refused since its only copy is
+// full, because the copies of the rare ones come first.
+TEST_CASE("Calls that wait beside full copies get more of them")
+{
+    Fleet fleet(20, 22);
+    fleet.demand("popular", 1);
+    fleet.executeOrders();
+    fleet.demand("popular", 0);
+    fleet.now += seconds(1);
+    for (int i = 0; i < 44; ++i) {
+        fleet.demand("rare" + std::to_string(i), 1);
+    }
+    const unsigned callsPerCopy = 32; // half of the slots of an engine
+
+    SECTION("at once, if there are many")
+    {
+        fleet.demand("popular", 3 * callsPerCopy, 8, 60);
+        fleet.executeOrders();
+        CHECK(fleet.copies("popular") == 4);
+
+        AND_WHEN("the calls have not found the new copies yet")
+        {
+            fleet.now += milliseconds(100);
+            fleet.demand("popular", 3 * callsPerCopy, 8, 60);
+            fleet.executeOrders();
+            CHECK(fleet.copies("popular") == 4);
+        }
+        AND_WHEN("more calls wait than they can take")
+        {
+            fleet.now += milliseconds(400); // the loads have ended
+            fleet.demand("popular", 4 * callsPerCopy, 8, 60);
+            fleet.executeOrders();
+            CHECK(fleet.copies("popular") == 5);
+        }
+    }
+    SECTION("a few calls only if they wait for longer than a load")
+    {
+        fleet.demand("popular", 2, 8, 60);
+        fleet.executeOrders();
+        CHECK(fleet.copies("popular") == 1);
+        fleet.now += 2 * fleet.state.loadTime.value;
+        fleet.demand("popular", 2, 8, 60);
+        fleet.executeOrders();
+        CHECK(fleet.copies("popular") >= 2);
+    }
+    SECTION("not if the copies are not full")
+    {
+        fleet.demand("popular", callsPerCopy, 8, callsPerCopy / 2);
+        fleet.executeOrders();
+        CHECK(fleet.copies("popular") == 1);
+    }
+    SECTION("the first copies at once, if there are several")
+    {
+        fleet.demand("new", 2 * callsPerCopy);
+        fleet.executeOrders();
+        CHECK(fleet.copies("new") == 2);
+    }
+}
+
 // Guards against loading in order of arrival when the store cannot deliver all adapters within the objective: every call would be late.
 TEST_CASE("Adapters whose calls can still be on time are loaded before those whose calls are late")
 {
@@ -154,7 +213,7 @@
         recordDemand(fleet.state, "entry-1", {"base", "early" + std::to_string(i)}, "chat", {1, 1, 0, 0}, fleet.now);
     }
     // The 8 adapters whose calls can be on time use all 8 transfers, so a further adapter is loaded only in the second round.
-    CHECK(expectedLoadTime(fleet.state, fleet.now) == 2 * fleet.state.options.adapterLoadTime);
+    CHECK(expectedLoadTime(fleet.state, fleet.now) == 2 * fleet.state.loadTime.value);
     fleet.executeOrders();
     for (int i = 0; i < 8; ++i) {
         CHECK(fleet.copies("early" + std::to_string(i)) == 1);
@@ -296,6 +355,75 @@
     CHECK(fleet.copies("a1") <= 1);
 }
 
+// Load pattern: demand moves to cold adapters. Guards against the eviction of an adapter that calls ask for again a moment later, which costs them
+// another load and takes a transfer from the others.
+TEST_CASE("The adapter with the lowest demand is evicted, and none that will soon be called")
+{
+    Fleet fleet(1);
+    for (const char *adapter : {"busy", "old", "rare", "recent"}) {
+        fleet.demand(adapter, 1);
+    }
+    fleet.executeOrders();
+    REQUIRE(fleet.held["s1"].size() == adapterSlots);
+    fleet.demand("busy", 0, 12);
+    fleet.demand("old", 0, 2);
+    fleet.demand("rare", 0, 1);
+    fleet.now += milliseconds(200);
+    fleet.demand("recent", 0, 2);
+    fleet.now += milliseconds(1300);
+
+    SECTION("called once rather than twice, a moment before")
+    {
+        fleet.demand("new", 1);
+        fleet.executeOrders();
+        CHECK(fleet.held["s1"] == std::set<std::string>{"busy", "old", "recent", "new"});
+    }
+    SECTION("and no other while calls for it are likely")
+    {
+        for (const char *adapter : {"old", "rare", "recent"}) {
+            recordDemand(fleet.state, "entry-2", {"base", adapter}, "chat", {0, 0, 0, 1}, fleet.now); // they run calls
+        }
+        fleet.demand("new", 1);
+        fleet.executeOrders();
+        CHECK(fleet.copies("new") == 0);
+        SECTION("but once they have become rare")
+        {
+            fleet.now += seconds(8);
+            fleet.demand("new", 1);
+            fleet.executeOrders();
+            CHECK(fleet.held["s1"] == std::set<std::string>{"new", "old", "rare", "recent"});
+        }
+    }
+    SECTION("before it an older version on which calls may no longer begin")
+    {
+        setRequiredVersions(fleet.state, {{"base/busy", 2}}, fleet.now);
+        fleet.demand("new", 1);
+        fleet.executeOrders();
+        CHECK(fleet.held["s1"] == std::set<std::string>{"new", "old", "rare", "recent"});
+    }
+}
+
+// Load pattern: engines whose speed differs by a factor of 2.4. Guards against popular adapters on slow engines while fast ones have room.
+TEST_CASE("Popular adapters are loaded on fast engines")
+{
+    Fleet fleet(6);
+    setEnginePaces(fleet.state, {{"s1", 2.4}, {"s2", 2.4}, {"s3", 2.4}, {"s4", 0.8}});
+    for (int i = 0; i < 6; ++i) {
+        fleet.demand("a" + std::to_string(i), 1, 18); // almost the share of a batch that one copy may fill
+        fleet.executeOrders();
+        fleet.now += seconds(1);
+    }
+    for (const char *slow : {"s1", "s2", "s3"}) {
+        CHECK(fleet.held[slow].empty());
+    }
+    SECTION("engines without a pace are like the median again")
+    {
+        setEnginePaces(fleet.state, {{"s4", 1e9}});
+        CHECK(fleet.state.engines.at("s1").pace == 1);
+        CHECK(fleet.state.engines.at("s4").pace < 10);
+    }
+}
+
 // Load pattern: an engine runs 12 calls at once, and one adapter receives 5 calls per second of two seconds each, 10 at once. Guards against a
 // limit in calls per second that fits larger engines only: the copy was full, and its calls waited or were refused beside idle engines.
 TEST_CASE("An adapter is replicated once its calls fill their share of a small engine")
@@ -521,6 +649,46 @@
     CHECK(orders[0].version == 5);
 }
 
+// Load pattern: new versions of popular adapters. Guards against a load time in which no call for the adapter is served.
+TEST_CASE("A new version is loaded on another engine while the older copy serves the calls")
+{
+    Fleet fleet(3);
+    setRequiredVersions(fleet.state, {}, fleet.now); // of the replicated log, at the start of the term
+    fleet.demand("a1", 1, 5);
+    fleet.executeOrders();
+    REQUIRE(fleet.copies("a1") == 1);
+    const auto holder = std::find_if(fleet.held.begin(), fleet.held.end(), [](const auto &item) {
+        return item.second.contains("a1");
+    });
+    fleet.now += milliseconds(400);
+    fleet.demand("a1", 0, 5);
+    REQUIRE(setRequiredVersions(fleet.state, {{"base/a1", 2}}, fleet.now));
+    SECTION("at once, before a call waits")
+    {
+        const auto orders = planOrders(fleet.state, fleet.catalog, fleet.now);
+        REQUIRE(orders.size() == 1);
+        CHECK(orders[0].kind == OrderKind::Load);
+        CHECK(orders[0].version == 2);
+        CHECK(orders[0].server != holder->first);
+        SECTION("once")
+        {
+            applyOrderReply(fleet.state, orders[0], OrderOutcome::Accepted, fleet.now);
+            CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+        }
+    }
+    SECTION("not if the adapter is no longer in demand")
+    {
+        fleet.state.demand.clear();
+        CHECK(planOrders(fleet.state, fleet.catalog, fleet.now).empty());
+    }
+    SECTION("not of versions that a new leader finds in force, whose time may be over")
+    {
+        beginTerm(fleet.state, 2, fleet.now);
+        setRequiredVersions(fleet.state, {{"base/a1", 2}}, fleet.now);
+        CHECK(fleet.state.olderVersions.empty());
+    }
+}
+
 // Property: for any demand and any order replies, no engine is ordered to hold more adapters than it has slots.
 TEST_CASE("Random demand and lost replies never overfill an engine")
 {
