--- a/include/mimosahollow/admission/retrybudget.h
+++ b/include/mimosahollow/admission/retrybudget.h
@@ -16,6 +16,9 @@
 /** Adds the retries that one request allows. */
 void countRequest(RetryBudget &budget) noexcept;
 
+/** Whether takeRetry() would succeed. */
+[[nodiscard]] bool hasRetry(const RetryBudget &budget) noexcept;
+
 /** Takes one retry from the budget. Returns false when the budget is exhausted. */
 [[nodiscard]] bool takeRetry(RetryBudget &budget) noexcept;
 
--- a/include/mimosahollow/catalog/servicespec.h
+++ b/include/mimosahollow/catalog/servicespec.h
@@ -27,6 +27,14 @@
     double storeLoadsPerSecond = 0; /**< Weights that the store delivers to all engines together. */
 };
 
+/** Numbers of servers that the platform is asked for, in each failure domain. */
+struct ScalingSpec
+{
+    unsigned minimum = 0;
+    unsigned maximum = 0;
+    Duration bootTime{}; /**< From the request for a server until it takes calls. */
+};
+
 /** Backend servers that can stand in for each other. */
 struct ServiceSpec
 {
@@ -34,6 +42,7 @@
     unsigned maximumConnections = 0; /**< Per backend server, over all callers. */
     double coldCallsPerSecond = 0; /**< Rate that a cold backend server bears; 0: no limit. */
     std::optional<EngineSpec> engine; /**< Absent for a plain service. */
+    std::optional<ScalingSpec> scaling = std::nullopt; /**< Absent: the number of servers is not changed. */
 };
 
 } // namespace mimosahollow::catalog
--- a/include/mimosahollow/dispatch/dispatch.h
+++ b/include/mimosahollow/dispatch/dispatch.h
@@ -63,10 +63,16 @@
 
 void callEnded(DispatchState &state, const std::string &server, CallResult result, TimePoint now);
 
+/** Counts the start of @p call towards the demand for its adapter. */
+void recordAdapterSend(DispatchState &state, const Call &call, TimePoint now);
+
+/** A call took @p taken at @p server, which ran it or may have. */
+void recordCallTime(DispatchState &state, const std::string &server, Duration taken);
+
 /** Applies the record of a backend server. Returns false, without effect, if the known record is as new or newer. */
 bool updateServer(DispatchState &state, const registry::ServerRecord &record, TimePoint now);
 
-/** Takes over the calls of other instances and the limits of backend servers. */
+/** Takes over the calls of other instances, and the limits and paces of backend servers. */
 void applyLoad(DispatchState &state, const fleetlink::LoadDigest &digest, TimePoint now);
 
 /** Applies the placement that the leader has sent; updates of an earlier term and of other incarnations are ignored. */
--- a/include/mimosahollow/dispatch/dispatchstate.h
+++ b/include/mimosahollow/dispatch/dispatchstate.h
@@ -6,7 +6,12 @@
 #include "mimosahollow/core/decayingrate.h"
 #include "mimosahollow/core/time.h"
 #include "mimosahollow/fleetlink/linkmessage.h"
+#include "mimosahollow/placement/loadtime.h"
+#include "mimosahollow/placement/olderversions.h"
+#include "mimosahollow/registry/addressholder.h"
 #include "mimosahollow/registry/serverrecord.h"
+#include "mimosahollow/serverpace/localpace.h"
+#include "mimosahollow/staleload/countage.h"
 
 #include <deque>
 #include <map>
@@ -40,6 +45,7 @@
     std::uint64_t version = 0;
     TimePoint readyAt{}; /**< Calls may use it from then on. */
     TimePoint expectedAt{}; /**< End of the load as the leader expects it. */
+    bool isLoadUntested = false; /**< The copy was seen in transit, and no call sent after the end of the load has been answered. */
 };
 
 /** State of a backend server as known to this entry instance. */
@@ -50,7 +56,9 @@
     unsigned running = 0; /**< Calls of this instance. */
     std::uint32_t key = 0; /**< registry::serverKey() of its id. */
     unsigned reportedRunning = 0; /**< Calls of this instance in its last report, which the load digest includes. */
-    unsigned othersRunning = 0; /**< Calls of the other instances, delayed by several hundred milliseconds. */
+    unsigned othersRunning = 0; /**< Calls of the other instances, in the newest load digest. */
+    double pace = 1; /**< Time that work takes there, 1 for the median of its service; from the last load digest. */
+    serverpace::LocalPace localPace; /**< From the calls of this instance. */
     double failureRate = 0; /**< Exponential average of failed calls, from 0 to 1. */
     unsigned connectFailures = 0; /**< Failed connections since the last call that it received. */
     TimePoint avoidUntil{}; /**< Receives no calls before, after a failed connection. */
@@ -79,6 +87,11 @@
 struct ServiceLoad
 {
     DecayingRate sends;
+    serverpace::UsualAnswer usualAnswer;
+    staleload::CallTime callTime;
+    std::map<std::pair<std::string, std::string>, DecayingRate> adapterSends; /**< By model and adapter. */
+    unsigned othersRunning = 0; /**< Of all servers, in the newest load digest. */
+    unsigned slots = 0; /**< Of these servers. */
     TimePoint nextReturn{}; /**< Callers refused for limits were told to return one after the other, the next one at this time. */
 };
 
@@ -89,10 +102,15 @@
     std::set<std::string> evacuatedDomains;
     std::set<std::string> quarantinedParts; /**< Prompt parts and names of requests that end backend servers. */
     std::map<std::string, std::uint64_t> requiredVersions; /**< Oldest version that calls may use, by "model/adapter". */
+    std::map<std::string, placement::OlderVersions> olderVersions; /**< By "model/adapter". */
     std::map<std::string, ServerView> servers;
+    registry::AddressIndex addresses; /**< Of @c servers. */
     std::map<std::string, admission::RetryBudget> retryBudgets; /**< By service. */
     std::map<std::string, ServiceLoad> services; /**< By name. */
     Duration expectedLoadTime = milliseconds(300); /**< Expected time to load an adapter without waiting calls, as reported by the leader. */
+    placement::LoadResults loadResults; /**< Since the last report. */
+    TimePoint pacesUntil{}; /**< The paces from the last load digest count until then. */
+    TimePoint countedAt{}; /**< About when the calls in the newest load digest were counted. */
     bool isLeaderless = false; /**< No leader answers, so none issues permits. */
     unsigned entryInstances = 1; /**< Entry instances in the fleet; fleet-wide limits are divided by their number. */
     control::Term placementTerm = 0; /**< Leader term of the last applied placement. */
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -7,6 +7,23 @@
 
 namespace {
 
+/** Longer than any server boots. The bound keeps arithmetic on time points from overflowing. */
+constexpr Duration maximumBootTime = std::chrono::hours(1);
+
+std::string findScalingProblem(const ServiceSpec &service)
+{
+    if (!service.scaling) {
+        return {};
+    }
+    if (service.scaling->maximum == 0 || service.scaling->minimum > service.scaling->maximum) {
+        return "service " + service.name + ": the minimum number of servers must not be above the maximum, and the maximum not 0";
+    }
+    if (service.scaling->bootTime < Duration::zero() || service.scaling->bootTime > maximumBootTime) {
+        return "service " + service.name + ": the boot time is out of range";
+    }
+    return {};
+}
+
 std::string findRouteProblem(const CallRoute &route, const std::set<std::string_view> &services)
 {
     if (route.host.empty()) {
@@ -40,6 +57,9 @@
         if (service.name.empty() || !services.insert(service.name).second) {
             return "service " + service.name + " is declared twice or has no name";
         }
+        if (auto problem = findScalingProblem(service); !problem.empty()) {
+            return problem;
+        }
     }
     std::set<std::pair<std::string_view, std::string_view>> places;
     for (const CallRoute &route : catalog.routes) {
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -1,5 +1,7 @@
 #include "mimosahollow/feed/feed.h"
 
+#include "mimosahollow/controltraffic/intervals.h"
+
 #include <algorithm>
 
 namespace mimosahollow::feed {
@@ -9,9 +11,6 @@
 /** Expected ends of a load that differ by less are the same; they are recomputed in whole milliseconds. */
 constexpr unsigned readyTolerance = 5; // milliseconds
 
-/** A placement is repeated after this time, because receivers drop copies that calls did not find. */
-constexpr Duration refreshInterval = seconds(5);
-
 /** Load time that remains of @p milliseconds after @p elapsed. */
 unsigned remaining(unsigned milliseconds, Duration elapsed)
 {
@@ -87,8 +86,8 @@
         return true;
     }
     const Duration elapsed = now - row->second.storedAt;
-    if (elapsed > refreshInterval) {
-        return true;
+    if (elapsed > controltraffic::placementRefreshInterval(table.rows.size())) {
+        return true; // receivers drop copies that calls did not find
     }
     const auto &stored = row->second.placement.adapters;
     return !std::equal(stored.begin(), stored.end(), placement.adapters.begin(), placement.adapters.end(), [elapsed](const auto &left, const auto &right) {
--- a/tests/catalog/catalog.cpp
+++ b/tests/catalog/catalog.cpp
@@ -56,6 +56,22 @@
         catalog.routes[0].timeout = Duration{};
         CHECK_FALSE(findProblem(catalog).empty());
     }
+    SECTION("bounds on the number of servers that exclude each other")
+    {
+        catalog.services[0].scaling = {39, 94, seconds(8)};
+        CHECK(findProblem(catalog).empty());
+        catalog.services[0].scaling = {95, 94, seconds(8)};
+        CHECK_FALSE(findProblem(catalog).empty());
+        catalog.services[0].scaling = {0, 0, seconds(8)};
+        CHECK_FALSE(findProblem(catalog).empty());
+    }
+    SECTION("a boot time that is negative, or longer than any server boots")
+    {
+        catalog.services[0].scaling = {39, 94, seconds(-1)};
+        CHECK_FALSE(findProblem(catalog).empty());
+        catalog.services[0].scaling = {39, 94, std::chrono::hours(2)};
+        CHECK_FALSE(findProblem(catalog).empty());
+    }
     SECTION("a key that two organisations hold")
     {
         catalog.organisations[1].keys = {"key-1"};
