--- a/include/mimosahollow/observability/metrics.h
+++ b/include/mimosahollow/observability/metrics.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "mimosahollow/core/refusal.h"
+#include "mimosahollow/core/rejection.h"
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/hedging/exclusion.h"
 
 #include <cstdint>
 #include <memory>
@@ -30,6 +32,7 @@
 
     void callEnded(CallEnd end, Duration latency) noexcept;
     void refused(RefusalReason reason) noexcept;
+    void rejected(RejectionCause cause) noexcept;
     void firstToken(Duration latency) noexcept;
     void chunkInterval(Duration interval) noexcept;
     void attemptRetried() noexcept;
@@ -39,6 +42,10 @@
     void callStarted() noexcept;
     void setConnections(std::uint32_t count) noexcept;
     void setWaitingCalls(std::size_t count) noexcept;
+    void secondCopySent() noexcept;
+    void secondCopyWon() noexcept;
+    /** No second copy of a late call was sent at first because of @p cause. */
+    void secondCopyExcluded(hedging::Exclusion cause) noexcept;
 
 private:
     friend class Metrics;
--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -3,6 +3,7 @@
 #include "adminrequests.h"
 #include "gateway/addresses.h"
 #include "gateway/answers.h"
+#include "httpio/boundedread.h"
 #include "mimosahollow/observability/log.h"
 #include "statuspage.h"
 
@@ -14,8 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <sodium.h>
@@ -39,6 +38,8 @@
 constexpr std::uint64_t maximumBodyBytes = 64ULL << 20U; // a bundle with 93,000 adapters has about 15 MB
 // Longer than the freshness time, because an acknowledgement may wait for the lease of a cut-off failure domain.
 constexpr Duration commandPatience = seconds(30);
+constexpr std::uint32_t maximumHeadBytes = 16'384;
+constexpr std::string_view keyRequired = "an operator's key is required: Authorization: Bearer KEY";
 constexpr std::string_view apiPrefix = "/admin/v1/";
 constexpr std::string_view bearerPrefix = "Bearer ";
 
@@ -191,11 +192,27 @@
         beast::flat_buffer buffer;
         auto state = gateway::ConnectionState::KeepAlive;
         while (state == gateway::ConnectionState::KeepAlive) {
-            http::request_parser<http::string_body> parser;
+            httpio::RequestParser parser;
+            parser.header_limit(maximumHeadBytes);
             parser.body_limit(maximumBodyBytes);
+            buffer.max_size(httpio::readAheadLimit(maximumHeadBytes));
+            const auto hold = [](std::size_t) {
+                return true; // only operators send bodies
+            };
             stream.expires_after(requestTimeout);
-            const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
-            static_cast<void>(bytes);
+            auto error = co_await httpio::awaitRequest(stream, buffer);
+            if (!error) {
+                error = co_await httpio::readHead(stream, buffer, parser, hold);
+            }
+            if (!error && !parser.is_done() && caller(parser.get()) == nullptr) {
+                HttpResponse refusal = errorResponse(parser.get(), 401, keyRequired);
+                refusal.keep_alive(false); // the body is not read
+                co_await gateway::sendResponse(stream, std::move(refusal));
+                co_return;
+            }
+            if (!error) {
+                error = co_await httpio::readBody(stream, buffer, parser, hold);
+            }
             if (error) {
                 co_return;
             }
@@ -227,7 +244,7 @@
         }
         const OperatorRecord *who = caller(request);
         if (who == nullptr) {
-            co_return errorResponse(request, 401, "an operator's key is required: Authorization: Bearer KEY");
+            co_return errorResponse(request, 401, keyRequired);
         }
         const std::string_view rest = path.substr(apiPrefix.size());
         if (request.method() == http::verb::get) {
--- a/src/app/loopprocess.cpp
+++ b/src/app/loopprocess.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <malloc.h>
 #include <sys/stat.h>
 #include <utility>
 
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds flushInterval{200}; // each write of log lines costs a system call
+// glibc raises its threshold up to 32 MiB when such blocks are freed, and then keeps the memory of request bodies for itself.
+constexpr int largeBlockBytes = 128 * 1024;
 constexpr unsigned ticksPerFileCheck = 5; // once a second
 
 std::time_t modificationTime(const std::string &path)
@@ -29,11 +32,31 @@
     observability::logDecision(line.text());
 }
 
+sigset_t loopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, number);
+    }
+    return signals;
+}
+
 } // namespace
 
+void blockLoopSignals()
+{
+    const sigset_t signals = loopSignals();
+    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 LoopProcess::LoopProcess(std::string role) : m_role(std::move(role)), m_context(1), m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_timer(m_context)
 {
+    ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c): a closed connection is reported by the write itself
+    // Without handlers, a reload just after the start would end the process.
+    const sigset_t signals = loopSignals();
+    ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
     observability::setUpLoopLog();
     logProcess("start", m_role);
     waitForSignal();
--- a/src/app/loopprocess.h
+++ b/src/app/loopprocess.h
@@ -10,6 +10,9 @@
 
 namespace mimosahollow::app {
 
+/** Blocks the signals that a LoopProcess handles; they are delivered once it has been constructed. */
+void blockLoopSignals();
+
 /** A process on one event loop: signals, changes of its settings file, and its log. */
 class LoopProcess
 {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,9 @@
 #include "commandline.h"
 #include "exitcodes.h"
+#include "explain.h"
+#include "loopprocess.h"
 #include "mimosahollow/core/time.h"
+#include "mimosahollow/hedging/secondcopy.h"
 #include "mimosahollow/settings/keysecret.h"
 #include "mimosahollow/settings/load.h"
 #include "mimosahollow/settings/settings.h"
@@ -114,27 +117,43 @@
     return app::Success;
 }
 
-/** Runs a role on the users' platform. */
-int runPlatformRole(const Arguments &arguments, const char *title, int (*run)(const std::string &path))
+/** Options of the roles on the users' platform. */
+void addSettingsOption(options::options_description &description)
 {
-    options::options_description description(title);
     description.add_options()("help,h", "shows this text")(
         "settings,s", options::value<std::string>()->default_value(""), "settings file; the one that MIMOSAHOLLOW_BOOT names when it is not given");
-    options::variables_map values;
-    if (!app::parseCommandLine(description, {}, arguments, values)) {
-        return app::Success;
-    }
-    return run(platform::bootPath(values["settings"].as<std::string>()));
 }
 
 int runEntry(const Arguments &arguments)
 {
-    return runPlatformRole(arguments, "mimosahollow entry: runs an entry instance on the users' platform until SIGTERM", platform::runEntry);
+    app::blockLoopSignals();
+    double secondCopies = 0;
+    options::options_description description("mimosahollow entry: runs an entry instance on the users' platform until SIGTERM");
+    addSettingsOption(description);
+    description.add_options()("second-copies",
+                              options::value(&secondCopies)->default_value(0, "0"),
+                              "second copies of slow calls that may be repeated, as a share of calls, 0 to 0.2; 0: none");
+    options::variables_map values;
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
+        return app::Success;
+    }
+    if (!(secondCopies >= 0 && secondCopies <= hedging::maximumShare)) {
+        std::cerr << "--second-copies must be between 0 and 0.2\n";
+        return app::UsageError;
+    }
+    return platform::runEntry(platform::bootPath(values["settings"].as<std::string>()), secondCopies);
 }
 
 int runCoordinator(const Arguments &arguments)
 {
-    return runPlatformRole(arguments, "mimosahollow coordinator: runs a coordinator on the users' platform until SIGTERM", platform::runCoordinator);
+    app::blockLoopSignals();
+    options::options_description description("mimosahollow coordinator: runs a coordinator on the users' platform until SIGTERM");
+    addSettingsOption(description);
+    options::variables_map values;
+    if (!app::parseCommandLine(description, {}, arguments, values)) {
+        return app::Success;
+    }
+    return platform::runCoordinator(platform::bootPath(values["settings"].as<std::string>()));
 }
 
 struct Subcommand
@@ -156,6 +175,7 @@
     Subcommand{"backend", "takes a backend server out of service or returns it", app::runBackend},
     Subcommand{"operator", "makes the keys of an operator", app::runOperator},
     Subcommand{"status", "shows the fleet", app::runStatus},
+    Subcommand{"explain", "tells where an entry instance would send a call now, and why", app::runExplain},
 };
 
 void printUsage(std::ostream &output)
--- a/src/gateway/answerreader.cpp
+++ b/src/gateway/answerreader.cpp
@@ -1,5 +1,7 @@
 #include "answerreader.h"
 
+#include "httpio/answerstatus.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -37,9 +39,16 @@
     for (int interim = 0; interim <= maximumInterimAnswers; ++interim) {
         const auto [error, bytes] = co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
         m_anyByte = m_anyByte || bytes > 0 || m_connection.buffer.size() > 0;
-        if (error || m_parser->get().result_int() >= 200) {
+        if (error) {
+            co_return error;
+        }
+        const httpio::AnswerKind kind = httpio::answerKind(m_parser->get().result_int(), m_parser->get().version());
+        if (kind == httpio::AnswerKind::Final) {
             co_return error;
         }
+        if (kind == httpio::AnswerKind::Invalid) {
+            co_return http::make_error_code(http::error::bad_status);
+        }
         resetParser();
     }
     co_return http::make_error_code(http::error::bad_status);
--- a/src/gateway/callerwatch.cpp
+++ b/src/gateway/callerwatch.cpp
@@ -66,7 +66,7 @@
 
 void CallerWatch::inputArrived()
 {
-    if (m_buffer.size() >= maximumPipelinedBytes) {
+    if (m_buffer.size() >= maximumPipelinedBytes || m_buffer.max_size() - m_buffer.size() < readBytes) {
         return;
     }
     boost::system::error_code error;
--- a/src/gateway/ordersender.cpp
+++ b/src/gateway/ordersender.cpp
@@ -1,5 +1,6 @@
 #include "mimosahollow/gateway/ordersender.h"
 
+#include "httpio/answerstatus.h"
 #include "httptypes.h"
 #include "upstream.h"
 
@@ -130,7 +131,7 @@
         HttpResponse response;
         const auto [readError, read] = co_await http::async_read(connection->stream, connection->buffer, response, asio::as_tuple(asio::use_awaitable));
         static_cast<void>(written + read);
-        if (readError) {
+        if (readError || httpio::answerKind(response.result_int(), response.version()) != httpio::AnswerKind::Final) {
             co_return OrderOutcome::Unknown;
         }
         co_return outcomeOfStatus(response.result_int());
--- a/src/httpio/httplistener.h
+++ b/src/httpio/httplistener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mimosahollow/callerlimits/callerholdings.h"
 #include "mimosahollow/core/time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,9 @@
     std::string address; /**< "IP:port". */
     std::size_t bodyBytes = std::size_t{8} << 20; /**< Twice the largest configuration. */
     Duration readTimeout = seconds(20); /**< Also for idle connections. */
+    std::size_t headBytes = 16'384;
+    /** Three of the largest bodies at a time, and more connections than a coordinator has backend servers and operators. */
+    callerlimits::CallerBudget callers{2000, std::size_t{24} << 20U};
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<HttpReply>(HttpCall)>;
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -119,6 +119,7 @@
 {
     std::array<TimedHistogram, callEndNames.size()> calls;
     std::array<Counter, reasonCount> refusals{};
+    std::array<Counter, rejectionCauseNames.size()> rejections{};
     TimedHistogram firstToken;
     TimedHistogram chunkInterval;
     Counter retries = 0;
@@ -129,6 +130,9 @@
     Counter startedCalls = 0;
     Counter connections = 0;
     Counter waitingCalls = 0;
+    Counter secondCopiesSent = 0;
+    Counter secondCopiesWon = 0;
+    std::array<Counter, hedging::exclusionCount> secondCopyExclusions{};
 };
 
 ThreadMetrics::ThreadMetrics() : m_content(std::make_unique<Content>())
@@ -147,6 +151,11 @@
     add(m_content->refusals[static_cast<std::size_t>(reason)]);
 }
 
+void ThreadMetrics::rejected(RejectionCause cause) noexcept
+{
+    add(m_content->rejections[static_cast<std::size_t>(cause)]);
+}
+
 void ThreadMetrics::firstToken(Duration latency) noexcept
 {
     m_content->firstToken.record(latency);
@@ -194,6 +203,21 @@
     m_content->waitingCalls.store(count, std::memory_order_relaxed);
 }
 
+void ThreadMetrics::secondCopySent() noexcept
+{
+    add(m_content->secondCopiesSent);
+}
+
+void ThreadMetrics::secondCopyWon() noexcept
+{
+    add(m_content->secondCopiesWon);
+}
+
+void ThreadMetrics::secondCopyExcluded(hedging::Exclusion cause) noexcept
+{
+    add(m_content->secondCopyExclusions[static_cast<std::size_t>(cause)]);
+}
+
 Metrics::Metrics(std::size_t threads)
 {
     for (std::size_t i = 0; i < threads; ++i) {
@@ -237,6 +261,12 @@
                 return content.refusals[reason];
             }));
     }
+    writeHead(out, "rejections_total", "counter");
+    for (std::size_t cause = 0; cause < rejectionCauseNames.size(); ++cause) {
+        writeSample(out, "rejections_total", label("cause", rejectionCauseNames[cause]), total([cause](const Content &content) -> const Counter & {
+                        return content.rejections[cause];
+                    }));
+    }
     writeHead(out, "first_token_seconds", "histogram");
     writeHistogram(out, "first_token_seconds", {}, threads, [&](std::size_t i) -> const TimedHistogram & {
         return m_threads[i]->m_content->firstToken;
@@ -263,6 +293,17 @@
     writeSample(out, "running_calls", {}, std::max(started, ended) - ended);
     single("connections", "gauge", &Content::connections);
     single("waiting_calls", "gauge", &Content::waitingCalls);
+    single("second_copies_sent_total", "counter", &Content::secondCopiesSent);
+    single("second_copies_won_total", "counter", &Content::secondCopiesWon);
+    writeHead(out, "second_copies_excluded_total", "counter");
+    for (std::size_t cause = 0; cause < hedging::exclusionCount; ++cause) {
+        const std::uint64_t count = total([cause](const Content &content) -> const Counter & {
+            return content.secondCopyExclusions[cause];
+        });
+        if (count > 0) {
+            writeSample(out, "second_copies_excluded_total", label("cause", toString(static_cast<hedging::Exclusion>(cause))), count);
+        }
+    }
     writeHead(out, "reply_ring_peak", "gauge");
     for (std::size_t i = 0; i < threads; ++i) {
         writeSample(out, "reply_ring_peak", label("thread", std::to_string(i)), m_threads[i]->m_content->replyPeak.load(std::memory_order_relaxed));
