coordinator, platform: duties, paces, updates of server records in groups

The leader reports usage and asks for numbers of servers as the only instance; calls of a duty are confirmed by a majority before they are sent. Records of servers that change together share a message, except ends of servers, which are sent before they are acknowledged.

--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -50,12 +50,15 @@
 
 } // namespace
 
-Coordinator::Coordinator(asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EngineOperations engines)
+Coordinator::Coordinator(
+    asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EngineOperations engines, DutyOperations duties)
     : m_context(context)
     , m_settings(std::move(settings))
     , m_decodeCatalog(std::move(decodeCatalog))
     , m_engines(std::move(engines))
+    , m_dutyOperations(std::move(duties))
     , m_timer(context)
+    , m_serverUpdateTimer(context)
     , m_placementTimer(context)
 {
     m_settings.consensus.keptEntries = retainedEntries;
@@ -63,6 +66,7 @@
     m_placement.options = m_settings.placement;
     m_placement.slots.options = m_settings.orderSlots;
     m_rateLimiter.options = m_settings.rateLimiter;
+    m_duties.queue.options.callsPerSecond = m_settings.duties.callsPerSecond;
 }
 
 Coordinator::~Coordinator()
@@ -179,7 +183,9 @@
         }
         applyOrderHolders();
         applyQuarantine(now);
-        m_placement.requiredVersions = {m_state.adapterVersions.begin(), m_state.adapterVersions.end()};
+        if (placement::setRequiredVersions(m_placement, m_state.adapterVersions, now)) {
+            schedulePlacement();
+        }
         std::vector<registry::ServerRecord> all;
         for (const auto &[id, entry] : m_registry.entries) {
             all.push_back(entry.record);
@@ -216,6 +222,7 @@
     m_hasStartedGrants = false;
     m_entries.clear();
     m_permitIssuer = {};
+    m_paces = {};
     m_crashLedger = {};
     m_quarantinedSince.clear();
     m_unconfirmedReports.clear();
@@ -228,6 +235,7 @@
     m_remoteOrders.clear();
     m_feed = {term, 0, {}};
     m_feedReceivers.clear();
+    beginDutyTerm();
     stateChanged();
     broadcastCoordinators();
 }
@@ -282,6 +290,7 @@
     m_reportRead.reset();
     m_confirmingReports.clear();
     m_unconfirmedReports.clear();
+    endDutyTerm();
     auto changes = std::move(m_changes);
     m_changes.clear();
     for (auto &[index, pending] : changes) {
@@ -319,6 +328,7 @@
     }
     if (now >= m_nextServerSync) {
         m_nextServerSync = now + seconds(1);
+        m_serverTable.reset(); // cold times in it count from when it was encoded
         std::vector<registry::ServerRecord> refreshed;
         for (auto &[id, record] : m_refreshedServers) {
             refreshed.push_back(std::move(record));
@@ -333,7 +343,7 @@
             const auto expired = registry::expire(m_registry, now);
             if (!expired.empty()) {
                 serversChanged(expired, now);
-                broadcastServers(expired, false, true);
+                queueServers(expired, true);
             }
         }
     }
@@ -358,6 +368,7 @@
     if (now >= m_nextPlacement) {
         planPlacement(now);
     }
+    planDuties(now);
 }
 
 /** Adds or removes at most one member of the replicated log. */
@@ -417,6 +428,16 @@
         text << "# TYPE mimosahollow_" << name << " gauge\nmimosahollow_" << name << ' ' << value << '\n';
     };
     gauge("leads", leads() ? 1 : 0);
+    for (const auto &[name, value] : dutyGauges()) {
+        gauge(name, value);
+    }
+    if (hasDuties()) {
+        counter("duty_calls_accepted_total", m_duties.callsAccepted);
+        counter("duty_calls_throttled_total", m_duties.callsThrottled);
+        counter("duty_calls_rejected_total", m_duties.callsRejected);
+        counter("duty_calls_unanswered_total", m_duties.callsUnanswered);
+        counter("usage_late_calls_total", m_duties.lateCounts);
+    }
     gauge("log_index", m_state.index);
     gauge("catalog_version", m_state.catalogVersion);
     gauge("backend_servers", m_registry.entries.size());
@@ -424,6 +445,8 @@
         return item.second.statedLimit > 0;
     };
     gauge("limited_backend_servers", static_cast<std::uint64_t>(std::count_if(m_permitIssuer.buckets.begin(), m_permitIssuer.buckets.end(), isLimited)));
+    gauge("slow_backend_servers", leads() ? serverpace::countServers(m_paces, serverpace::PaceClass::Slow) : 0);
+    gauge("fast_backend_servers", leads() ? serverpace::countServers(m_paces, serverpace::PaceClass::Fast) : 0);
     gauge("suspected_prompt_parts", leads() ? quarantine::suspects(m_crashLedger).size() : 0);
     gauge("quarantined_prompt_parts", m_state.quarantinedParts.size());
     const auto isVoter = [](const control::Member &member) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -2,6 +2,8 @@
 
 #include "app/voterstorage.h"
 #include "coordinator/coordinatorsettings.h"
+#include "coordinator/dutyoperations.h"
+#include "coordinator/dutystate.h"
 #include "coordinator/engineoperations.h"
 #include "fleetlink/linkhub.h"
 #include "mimosahollow/allowance/ratelimiter.h"
@@ -15,6 +17,7 @@
 #include "mimosahollow/placement/placement.h"
 #include "mimosahollow/quarantine/crashledger.h"
 #include "mimosahollow/registry/serverregistry.h"
+#include "mimosahollow/serverpace/pacetable.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +29,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -72,7 +77,11 @@
 class Coordinator
 {
 public:
-    Coordinator(boost::asio::io_context &context, CoordinatorSettings settings, catalog::CatalogDecoder decodeCatalog, EngineOperations engines);
+    Coordinator(boost::asio::io_context &context,
+                CoordinatorSettings settings,
+                catalog::CatalogDecoder decodeCatalog,
+                EngineOperations engines,
+                DutyOperations duties = {});
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
@@ -134,6 +143,9 @@
     void replyToReports(control::LogIndex index);
     void sendState(const fleetlink::Peer &peer);
     void broadcastServers(const std::vector<registry::ServerRecord> &servers, bool heardDirectly, bool toEntries);
+    void queueServers(const std::vector<registry::ServerRecord> &servers, bool toEntries);
+    void sendQueuedServers(TimePoint now);
+    control::SharedBytes serverTable();
     void broadcastCoordinators();
     [[nodiscard]] fleetlink::Coordinators knownCoordinators() const;
 
@@ -157,6 +169,7 @@
     void handleFeed(const fleetlink::LoadDigest &digest);
     void publish(const fleetlink::LinkMessage &message);
     void publishLoad(TimePoint now);
+    void updatePaces(TimePoint now);
     void forgetGoneServers();
     void recordCrashes(const fleetlink::Peer &peer, const fleetlink::EntryReport &report, TimePoint now);
     void handlePermitRequests(const fleetlink::EntryReport &report, EntryView &entry, TimePoint now);
@@ -164,10 +177,34 @@
     void planQuarantine(TimePoint now);
     boost::asio::awaitable<void> changeQuarantine(fleetstate::CommandKind kind, std::string part);
 
+    [[nodiscard]] bool hasDuties() const noexcept;
+    [[nodiscard]] bool holdsDuty(std::string_view duty) const;
+    void beginDutyTerm();
+    void endDutyTerm();
+    void recordClock(const std::string &machine, std::int64_t wall);
+    [[nodiscard]] std::int64_t fleetMilliseconds();
+    void recordUsage(const fleetlink::Peer &peer, const fleetlink::EntryReport &report);
+    void logLateCounts(std::string_view source, std::uint64_t calls);
+    void planDuties(TimePoint now);
+    void planTakeover(std::string_view duty, TimePoint now);
+    boost::asio::awaitable<void> takeDuty(std::string duty);
+    void planUsage(TimePoint now);
+    [[nodiscard]] std::vector<std::string> expectedEntries(TimePoint now) const;
+    boost::asio::awaitable<void> fixUsage(duties::UsageReport report);
+    [[nodiscard]] fleetsize::ServiceLoad loadOf(const catalog::ServiceSpec &service, TimePoint now) const;
+    void planSizes(TimePoint now);
+    void confirmLeadership();
+    bool finishConfirmation(std::uint64_t read, bool confirmed);
+    void sendDutyCalls(TimePoint now);
+    void dutyCallEnded(std::uint64_t number, const duties::DutyCall &call, duties::DutyOutcome outcome, TimePoint sent);
+    boost::asio::awaitable<void> acknowledgeUsage(std::uint64_t window);
+    [[nodiscard]] std::vector<std::pair<std::string_view, std::uint64_t>> dutyGauges() const;
+
     boost::asio::io_context &m_context;
     CoordinatorSettings m_settings;
     catalog::CatalogDecoder m_decodeCatalog;
     EngineOperations m_engines;
+    DutyOperations m_dutyOperations;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<fleetlink::LinkHub> m_hub;
     std::unique_ptr<app::VoterStorage> m_storage;
@@ -182,6 +219,15 @@
     std::map<std::uint64_t, std::shared_ptr<PendingRead>> m_reads;
 
     registry::ServerRegistry m_registry;
+    struct QueuedServer
+    {
+        registry::ServerRecord record;
+        bool toEntries = false;
+    };
+    std::map<std::string, QueuedServer> m_queuedServers; // changed, not yet sent to the connected instances
+    TimePoint m_nextServerUpdate{};
+    control::SharedBytes m_serverTable; // null: to be encoded again
+    boost::asio::steady_timer m_serverUpdateTimer;
     std::map<std::string, registry::ServerRecord> m_refreshedServers; // announced again, not yet forwarded to the other coordinators
     std::map<std::string, EntryView> m_entries; // on the leader: entry instances by name
 
@@ -221,10 +267,12 @@
     boost::asio::steady_timer m_placementTimer;
     bool m_isPlacementScheduled = false;
     callpermits::PermitIssuer m_permitIssuer; // on the leader
+    serverpace::PaceTable m_paces; // on the leader
     quarantine::CrashLedger m_crashLedger; // on the leader
     std::map<std::string, TimePoint> m_quarantinedSince; // on the leader: by prompt part, as far as it knows
     std::set<std::string> m_pendingQuarantines; // prompt parts with a change on its way
     TimePoint m_nextQuarantinePlan{};
+    DutyState m_duties;
     CoordinatorCounters m_counters;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // shared with asynchronous handlers that may outlive this object
 };
--- a/src/coordinator/coordinatorfeed.cpp
+++ b/src/coordinator/coordinatorfeed.cpp
@@ -1,9 +1,11 @@
 #include "coordinator/coordinatorinternal.h"
 
+#include "mimosahollow/controltraffic/intervals.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace mimosahollow::coordinator {
@@ -69,10 +71,39 @@
     }
 }
 
-/** Publishes how many calls run on each backend server. Sent without calls too, since receivers take its absence for a lost feed. */
+/** Compares the backend servers of each service by the samples that the entry instances have reported. */
+void Coordinator::updatePaces(TimePoint now)
+{
+    std::vector<serverpace::PacedServer> servers;
+    servers.reserve(m_registry.entries.size());
+    for (const auto &[id, entry] : m_registry.entries) {
+        if (entry.record.state != registry::ServerState::Gone) {
+            servers.push_back({registry::serverKey(id), id, entry.record.service});
+        }
+    }
+    for (const serverpace::PaceChange &change : serverpace::updatePaces(m_paces, servers, now)) {
+        observability::DecisionLine line("server-pace");
+        line.add("server", change.id).add("service", change.service).add("outcome", serverpace::toString(change.paceClass));
+        line.add("hundredths", static_cast<std::uint64_t>(std::lround(change.relative * 100)));
+        observability::logDecision(line.text());
+    }
+    std::map<std::string, double> enginePaces;
+    for (const serverpace::PacedServer &server : servers) {
+        // Most servers are at 1, which engines without an entry have.
+        if (const double pace = serverpace::steadyPace(m_paces, server.serverKey); pace != 1) {
+            enginePaces.emplace(server.id, pace);
+        }
+    }
+    placement::setEnginePaces(m_placement, enginePaces);
+}
+
+/**
+ * Publishes how many calls run on each backend server, and which ones are slow or fast. Sent without calls too, since receivers take its absence for
+ * a lost feed.
+ */
 void Coordinator::publishLoad(TimePoint now)
 {
-    m_nextLoadDigest = now + m_settings.loadDigestInterval;
+    m_nextLoadDigest = now + controltraffic::digestInterval(m_registry.entries.size());
     std::map<std::uint32_t, unsigned> running;
     for (const auto &[name, entry] : m_entries) {
         for (const fleetlink::ServerLoad &load : entry.running) {
@@ -88,6 +119,8 @@
     for (const auto &[key, count] : running) {
         digest.servers.push_back({key, count});
     }
+    updatePaces(now);
+    digest.paces = serverpace::publishedPaces(m_paces);
     publish(digest);
 }
 
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/coordinatorinternal.h"
 
+#include "mimosahollow/controltraffic/intervals.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
@@ -39,7 +40,7 @@
     switch (registry::merge(m_registry, std::move(record), now)) {
     case registry::MergeOutcome::Changed:
         logServer(copy, "announcement");
-        broadcastServers({copy}, true, true);
+        queueServers({copy}, true);
         serversChanged({copy}, now);
         break;
     case registry::MergeOutcome::Refreshed:
@@ -55,11 +56,73 @@
     const TimePoint now = Clock::now();
     if (const auto record = registry::remove(m_registry, server, now)) {
         logServer(*record, "departure");
-        broadcastServers({*record}, true, true);
+        queueServers({*record}, true);
         serversChanged({*record}, now);
     }
 }
 
+/** All records. Encoded once for the many connections that open after a start. */
+control::SharedBytes Coordinator::serverTable()
+{
+    if (!m_serverTable) {
+        fleetlink::ServerUpdate all;
+        all.servers.reserve(m_registry.entries.size());
+        for (const auto &[id, entry] : m_registry.entries) {
+            all.servers.push_back(entry.record);
+        }
+        m_serverTable = std::make_shared<const control::Bytes>(fleetlink::encode(all));
+    }
+    return m_serverTable;
+}
+
+/**
+ * Sends changed records to the other coordinators and, with @p toEntries, to the entry instances: at once, unless the previous update was sent a moment ago.
+ * The end of a server never waits: it is acknowledged next, and this coordinator may end right after that.
+ */
+void Coordinator::queueServers(const std::vector<registry::ServerRecord> &servers, bool toEntries)
+{
+    const TimePoint now = Clock::now();
+    const bool isScheduled = !m_queuedServers.empty();
+    m_serverTable.reset();
+    for (const registry::ServerRecord &record : servers) {
+        QueuedServer &queued = m_queuedServers[record.id];
+        queued = {record, toEntries || queued.toEntries};
+    }
+    const bool anyEnds = std::any_of(servers.begin(), servers.end(), [](const registry::ServerRecord &record) {
+        return record.state != registry::ServerState::Ready;
+    });
+    if (anyEnds || (!isScheduled && now >= m_nextServerUpdate)) {
+        sendQueuedServers(now);
+        return;
+    }
+    if (isScheduled) {
+        return;
+    }
+    m_serverUpdateTimer.expires_at(m_nextServerUpdate);
+    m_serverUpdateTimer.async_wait([this, alive = m_alive](boost::system::error_code error) {
+        if (!error && *alive) {
+            sendQueuedServers(Clock::now());
+        }
+    });
+}
+
+void Coordinator::sendQueuedServers(TimePoint now)
+{
+    m_nextServerUpdate = now + controltraffic::updateInterval(m_hub->peers().size());
+    std::vector<registry::ServerRecord> forAll;
+    std::vector<registry::ServerRecord> forCoordinators;
+    for (auto &[id, queued] : m_queuedServers) {
+        (queued.toEntries ? forAll : forCoordinators).push_back(std::move(queued.record));
+    }
+    m_queuedServers.clear();
+    if (!forAll.empty()) {
+        broadcastServers(forAll, false, true); // some may come from another coordinator
+    }
+    if (!forCoordinators.empty()) {
+        broadcastServers(forCoordinators, false, false);
+    }
+}
+
 void Coordinator::broadcastServers(const std::vector<registry::ServerRecord> &servers, bool heardDirectly, bool toEntries)
 {
     const auto bytes = std::make_shared<const control::Bytes>(fleetlink::encode(fleetlink::ServerUpdate{servers, heardDirectly}));
@@ -106,11 +169,7 @@
     }
     if (isEntry(peer) || !peer.dialedAddress.empty()) {
         m_hub->send(peer.number, knownCoordinators());
-        fleetlink::ServerUpdate all;
-        for (const auto &[id, entry] : m_registry.entries) {
-            all.servers.push_back(entry.record);
-        }
-        m_hub->send(peer.number, all);
+        m_hub->sendEncoded(peer.number, link::MessageKind::Relay, serverTable());
     }
     if (isEntry(peer)) {
         sendState(peer);
@@ -169,7 +228,7 @@
         if (!changed.empty()) {
             serversChanged(changed, now);
             // An entry instance may have no connection to the coordinator that received the announcement.
-            broadcastServers(changed, false, leads());
+            queueServers(changed, leads());
         }
     } else if (const auto *report = std::get_if<fleetlink::EntryReport>(&message)) {
         handleReport(peer, *report);
@@ -207,8 +266,10 @@
         }
     }
     startGrants(now);
+    recordUsage(peer, report);
     recordCrashes(peer, report, now);
     handlePermitRequests(report, entry, now);
+    serverpace::recordSamples(m_paces, report.paces, now);
     for (const fleetlink::NamedNumber &returned : report.returned) {
         allowance::returnTokens(m_rateLimiter, returned.name, returned.value);
     }
@@ -233,6 +294,12 @@
     for (const std::string &server : report.suspected) {
         placement::suspect(m_placement, server, now);
     }
+    if (placement::recordLoadResults(m_placement.loadTime, {report.lateLoads, report.promptLoads}, now)) {
+        observability::DecisionLine line("load-time");
+        line.add("ms", m_placement.loadTime.value).add("entry", peer.hello.name);
+        observability::logDecision(line.text());
+    }
+    placement::setEntryDomain(m_placement, peer.hello.name, peer.hello.domain);
     bool anyWaits = false;
     for (const fleetlink::AdapterDemand &demand : report.demand) {
         const placement::EntryDemand counts{demand.waiting, demand.inTime, demand.started, demand.running};
@@ -316,6 +383,7 @@
     const auto entries = static_cast<unsigned>(knownEntries());
     const auto loadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(placement::expectedLoadTime(m_placement, now)).count());
     const std::vector<std::string> suspects = quarantine::suspects(m_crashLedger);
+    const std::int64_t fleetTime = fleetMilliseconds();
     for (const std::string &name : m_confirmingReports) {
         const auto found = m_entries.find(name);
         if (found == m_entries.end()) {
@@ -323,6 +391,7 @@
         }
         EntryView &entry = found->second;
         fleetlink::LeaderReply reply{entry.stamp, index, entries, {}, !entry.hasHistory, now >= m_rateLimiter.grantsStartAt, loadMilliseconds, suspects, {}};
+        reply.adapterLoadMilliseconds = static_cast<unsigned>(std::chrono::ceil<milliseconds>(m_placement.loadTime.value).count());
         for (const auto &[organisation, tokens] : entry.granted) {
             reply.tokens.push_back({organisation, tokens});
         }
@@ -330,6 +399,8 @@
         for (const auto &[server, permits] : std::exchange(entry.permits, {})) {
             reply.permits.push_back({server, permits});
         }
+        reply.fleetMilliseconds = fleetTime;
+        reply.fixedWindow = fleetTime == 0 ? 0 : m_state.fixedWindow;
         m_hub->send(entry.peer, reply);
     }
 }
--- a/src/coordinator/coordinatorlog.cpp
+++ b/src/coordinator/coordinatorlog.cpp
@@ -81,12 +81,14 @@
     bool changedAny = false;
     for (const control::LogEntry &entry : entries) {
         bool changed = false;
+        bool isForEntries = true; // entry instances and the placement need no duties, which change every few seconds
         m_state.index = entry.index;
         if (entry.kind == control::EntryKind::Command && entry.payload) {
             m_bytesSinceSnapshot += entry.payload->size();
             const auto decoded = fleetstate::decodeCommand(*entry.payload);
             if (const auto *command = std::get_if<fleetstate::FleetCommand>(&decoded)) {
                 changed = fleetstate::apply(m_state, entry.index, *command);
+                isForEntries = command->kind < fleetstate::CommandKind::TakeDuty;
                 observability::DecisionLine line("change-applied");
                 line.add("index", entry.index).add("term", entry.term).add("kind", static_cast<std::uint64_t>(command->kind));
                 line.add("subject", command->subject).add("version", command->version).add("changed", changed ? "yes" : "no");
@@ -95,7 +97,7 @@
                 observability::logError("log entry " + std::to_string(entry.index) + " holds no command that this version can decode; skipping it");
             }
         }
-        changedAny = changedAny || changed;
+        changedAny = changedAny || (changed && isForEntries);
         if (m_consensus->role == control::VoterRole::Leader && entry.term == m_consensus->term && !m_isLeading) {
             becomeLeader(entry.term);
         }
@@ -244,6 +246,9 @@
 
 void Coordinator::finishRead(std::uint64_t read, bool confirmed)
 {
+    if (finishConfirmation(read, confirmed)) {
+        return;
+    }
     if (m_reportRead == read) {
         m_reportRead.reset();
         if (confirmed) {
--- a/src/coordinator/coordinatororders.cpp
+++ b/src/coordinator/coordinatororders.cpp
@@ -75,7 +75,8 @@
     }
     m_nextCredit = now + m_settings.creditInterval;
     if (const fleetlink::Peer *leader = m_hub->findDialed(leaderLink())) {
-        m_hub->send(leader->number, fleetlink::OrderCredit{static_cast<std::uint64_t>(fleetlink::bootMilliseconds())});
+        const std::int64_t wall = m_settings.duties.reportsUsage ? fleetlink::wallMilliseconds() : 0;
+        m_hub->send(leader->number, fleetlink::OrderCredit{static_cast<std::uint64_t>(fleetlink::bootMilliseconds()), wall});
     }
 }
 
@@ -85,6 +86,7 @@
         return;
     }
     m_holderCandidates[peer.hello.name] = {peer.number, credit.stamp};
+    recordClock(peer.hello.name, credit.wallMilliseconds);
     placement::recordCredit(m_placement.slots, peer.hello.name, Clock::now());
 }
 
--- a/src/coordinator/coordinatorplacement.cpp
+++ b/src/coordinator/coordinatorplacement.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/coordinatorinternal.h"
 
+#include "mimosahollow/controltraffic/intervals.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
@@ -13,8 +14,6 @@
 
 /** Interval of placement plans when no report triggers one. Replicas and engines without weights depend on these periodic plans. */
 constexpr Duration placementInterval = milliseconds(250);
-/** Reports and answers are batched for this long before a plan. Short compared with the 250 ms that a load takes. */
-constexpr Duration placementDelay = milliseconds(8);
 
 } // namespace
 
@@ -44,14 +43,14 @@
     flushPlacement();
 }
 
-/** Plans once for all reports and answers that arrive within placementDelay, as each plan examines every adapter copy on every engine. */
+/** Plans once for all reports and answers that arrive meanwhile, as each plan examines every adapter copy on every engine. */
 void Coordinator::schedulePlacement()
 {
     if (m_isPlacementScheduled) {
         return;
     }
     m_isPlacementScheduled = true;
-    m_placementTimer.expires_after(placementDelay);
+    m_placementTimer.expires_after(controltraffic::planInterval(m_placement.engines.size()));
     m_placementTimer.async_wait([this, alive = m_alive](boost::system::error_code error) {
         if (!error && *alive) {
             m_isPlacementScheduled = false;
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordinator/dutysettings.h"
 #include "mimosahollow/allowance/ratelimiter.h"
 #include "mimosahollow/control/consensusstate.h"
 #include "mimosahollow/core/time.h"
@@ -45,7 +46,6 @@
     Duration orderTimeout = milliseconds(260);
     Duration minimumTakeoverDelay = milliseconds(150); /**< Minimum wait before grants start; entry instances connect to a new leader within this time. */
     /** Interval of load digests: short against the run time of a call, which is a second or more on an engine. */
-    Duration loadDigestInterval = milliseconds(100);
     Duration tickInterval = milliseconds(25); /**< A quarter of a heartbeat. */
     control::ConsensusOptions consensus = consensusDefaults();
     registry::RegistryOptions registry;
@@ -53,6 +53,7 @@
     placement::PlacementOptions placement;
     placement::OrderSlotOptions orderSlots;
     voterplan::VoterPlanOptions voterPlan;
+    DutySettings duties;
 };
 
 } // namespace mimosahollow::coordinator
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -13,7 +13,7 @@
 "route-type":"streaming","timeout-ms":12000,"target-latency-ms":600,"priority":1,
 "traffic-split":[{"service":"chat","weight":90},{"service":"rest","weight":10}],"max-attempts":2,"public":false,"resumable":true}],
 "services":[{"name":"chat","max-connections":360,"cold-per-s":20.0,"engine":{"slots":64,"models":[{"name":"base","weights-mb":72700.0,
-"load-s":2.1,"adapter-mb":66.0}],"weights-mb":75800.0,"adapter-slots":24,"loads-per-s":3.9}},{"name":"rest"}],
+"load-s":2.1,"adapter-mb":66.0}],"weights-mb":75800.0,"adapter-slots":24,"loads-per-s":3.9}},{"name":"rest","scaling":{"min":39,"max":94,"boot-s":8.0}}],
 "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
 "tenants":[{"name":"one","api-keys":["key-1"],"priority":1,"unit":"token_stream","plain-tokens":200,"rate-per-s":100.5,"burst":50}]})";
 
@@ -51,6 +51,11 @@
     REQUIRE(catalog.services[0].engine);
     CHECK(catalog.services[0].engine->memoryMb == 75800.0);
     CHECK(catalog.services[0].engine->models[0].weightsMb == 72700.0);
+    CHECK_FALSE(catalog.services[0].scaling);
+    REQUIRE(catalog.services[1].scaling);
+    CHECK(catalog.services[1].scaling->minimum == 39);
+    CHECK(catalog.services[1].scaling->maximum == 94);
+    CHECK(catalog.services[1].scaling->bootTime == seconds(8));
     CHECK(catalog.organisations[0].countsTokens);
     CHECK(catalog.organisations[0].ratePerSecond == 100.5);
     CHECK(catalog::findProblem(catalog).empty());
@@ -92,6 +97,10 @@
     CHECK(changed("\"timeout-ms\":12000", "\"timeout\":12000"));
     CHECK(changed("\"weight\":90", "\"weight\":\"90\""));
     CHECK(changed("[\"key-1\"]", "[1]"));
+    CHECK(changed("\"min\":39", "\"min\":-1"));
+    CHECK(changed("\"max\":94", "\"max\":4294967296"));
+    CHECK(changed("\"boot-s\":8.0", "\"boot-s\":1e300"));
+    CHECK(changed("\"boot-s\":8.0", "\"boot\":8.0"));
 }
 
 // Guards against forged or foreign announcements that would replace or end a backend server.
@@ -111,6 +120,20 @@
     CHECK_FALSE(decodeAnnouncement("i-1", unknownState));
 }
 
+// Guards against calls to a backend server that is taken away before they end, because what it says of the time left can't be used.
+TEST_CASE("A backend server that is taken away at short notice drains, whatever the time left")
+{
+    for (const char *remaining : {"8000", "0", "1e300", "-1", "null", "\"soon\""}) {
+        const auto record =
+            decodeAnnouncement("i-1",
+                               std::string(R"({"service":"chat","address":"10.0.0.9:80","zone":"north","slots":64,"state":"draining","remaining-ms":)")
+                                   + remaining + R"(,"sequence":5,"born":1700000000000})");
+        REQUIRE(record);
+        CHECK(record->state == registry::ServerState::Draining);
+        CHECK(record->sequence == 5);
+    }
+}
+
 // Guards against an odd entry of another writer that ends the instances that read it, or lasts longer than the entry of a real backend server.
 TEST_CASE("An announcement with values that no backend server can mean is dropped")
 {
@@ -177,4 +200,57 @@
     CHECK(std::holds_alternative<BootProblem>(parseBootSettings("")));
     CHECK(std::holds_alternative<BootProblem>(parseBootSettings("node-name = ")));
     CHECK(std::holds_alternative<BootProblem>(parseBootSettings(std::string(bootText) + "lease-ms = 0\n")));
+    const auto limited = parseBootSettings(std::string(bootText) + "[limits]\nmemory-mb = 160\nmax-fds = 4100\n");
+    REQUIRE(std::holds_alternative<BootSettings>(limited));
+    CHECK(std::get<BootSettings>(limited).memoryMegabytes == 160);
+    CHECK(std::get<BootSettings>(limited).descriptors == 4100);
+    CHECK(std::holds_alternative<BootProblem>(parseBootSettings(std::string(bootText) + "[limits]\nmemory-mb = -1\n")));
+}
+
+// Guards against an instance that calls an unknown place, or one that can't start because the platform has a duty that it does not know.
+TEST_CASE("Duties take effect with an address, a rate and a window")
+{
+    const std::string bounds = "report-window-s = 5\n";
+    const std::string address = "address = \"10.1.0.28:8781\"\n";
+    const std::string rate = "duty-per-s = 50.0\n";
+    const std::string duties = "duties = [\"usage_reporting\", \"tea-making\", \"autoscale\"]\n";
+    const auto read = [](const std::string &text) {
+        const auto loaded = parseBootSettings(std::string(bootText) + text);
+        REQUIRE(std::holds_alternative<BootSettings>(loaded));
+        return std::get<BootSettings>(loaded);
+    };
+    const auto hasDuties = [&read](const std::string &text) {
+        const BootSettings settings = read(text);
+        return settings.cloud.reportsUsage || settings.cloud.scales;
+    };
+
+    SECTION("all named")
+    {
+        const BootSettings settings = read(bounds + "[cloud]\nrate-per-s = 50.0\n" + address + rate + duties);
+        CHECK(settings.cloud.reportsUsage);
+        CHECK(settings.cloud.scales);
+        CHECK(settings.cloud.address == "10.1.0.28:8781");
+        CHECK(settings.cloud.callsPerSecond == 50);
+        CHECK(settings.reportWindowMs == 5000);
+    }
+    SECTION("not named, or without what they need")
+    {
+        CHECK_FALSE(hasDuties(""));
+        CHECK_FALSE(hasDuties(bounds + "[cloud]\n" + address + rate));
+        CHECK_FALSE(hasDuties(bounds + "[cloud]\n" + rate + duties));
+        CHECK_FALSE(hasDuties(bounds + "[cloud]\n" + address + duties));
+        CHECK_FALSE(hasDuties(bounds + "[cloud]\n" + address + rate + "duties = [\"tea-making\", 5]\n"));
+        const BootSettings withoutWindow = read("[cloud]\n" + address + rate + duties);
+        CHECK_FALSE(withoutWindow.cloud.reportsUsage);
+        CHECK(withoutWindow.cloud.scales);
+    }
+    SECTION("named with values that nothing can mean")
+    {
+        const auto isRefused = [](const std::string &text) {
+            return std::holds_alternative<BootProblem>(parseBootSettings(std::string(bootText) + text));
+        };
+        CHECK(isRefused(bounds + "[cloud]\naddress = \"cloud\"\n" + rate + duties));
+        CHECK(isRefused(bounds + "[cloud]\nduty-per-s = -1\n" + address + duties));
+        CHECK(isRefused("report-window-s = -5\n[cloud]\n" + address + rate + duties));
+    }
 }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -17,7 +17,8 @@
 class Process
 {
 public:
-    explicit Process(std::vector<std::string> arguments)
+    /** @p blockedSignals stay pending in the child until it unblocks them. */
+    explicit Process(std::vector<std::string> arguments, std::initializer_list<int> blockedSignals = {})
     {
         arguments.insert(arguments.begin(), MIMOSAHOLLOW_BINARY);
         std::vector<char *> pointers;
@@ -25,7 +26,18 @@
             pointers.push_back(argument.data());
         }
         pointers.push_back(nullptr);
-        if (::posix_spawn(&m_id, MIMOSAHOLLOW_BINARY, nullptr, nullptr, pointers.data(), environ) != 0) {
+        posix_spawnattr_t attributes;
+        ::posix_spawnattr_init(&attributes);
+        sigset_t blocked;
+        sigemptyset(&blocked);
+        for (const int number : blockedSignals) {
+            sigaddset(&blocked, number);
+        }
+        ::posix_spawnattr_setsigmask(&attributes, &blocked);
+        ::posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+        const int problem = ::posix_spawn(&m_id, MIMOSAHOLLOW_BINARY, nullptr, &attributes, pointers.data(), environ);
+        ::posix_spawnattr_destroy(&attributes);
+        if (problem != 0) {
             throw std::runtime_error("cannot start " MIMOSAHOLLOW_BINARY);
         }
     }
