ingress: paces, second copies, usage counts, explained calls

Entry instances measure the pace of servers, count calls for the usage report, send second copies where the operator sets a share, and explain where a call would go. A waiting call isn't overtaken by calls that arrive later. callrelay.cpp is split by the answer and by second copies.

--- a/src/ingress/callerconnection.h
+++ b/src/ingress/callerconnection.h
@@ -25,6 +25,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::shared_ptr<gateway::CallerWatch> watch;
+    callerlimits::ConnectionNumber number = 0;
     bool keepAlive = true; /**< Whether the connection stays open after the current call. */
 };
 
--- a/src/ingress/callrelay.cpp
+++ b/src/ingress/callrelay.cpp
@@ -1,28 +1,22 @@
 #include "ingress/callrelay.h"
 
-#include "ingress/eventrelay.h"
-#include "ingress/responsewriter.h"
-#include "ingress/serverexchange.h"
+#include "ingress/callrelayinternal.h"
 #include "mimosahollow/dispatch/dispatch.h"
+#include "mimosahollow/dispatch/loadresults.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 #include "mimosahollow/quarantine/requestname.h"
 #include "mimosahollow/quarantine/times.h"
 
 #include <boost/algorithm/string/join.hpp>
-#include <boost/beast/http/field.hpp>
-#include <boost/beast/http/status.hpp>
 
 #include <algorithm>
 #include <array>
 #include <random>
-#include <set>
-#include <vector>
 
 namespace mimosahollow::ingress {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 namespace {
 
@@ -30,7 +24,6 @@
 
 /** Limits attempts that reach no backend server too; those do not count towards the attempt limit of the route. */
 constexpr unsigned maximumDispatchRounds = 6;
-constexpr std::size_t maximumEventBytes = 262'144; // an event holds a few tokens; bytes without the end of an event are no stream
 constexpr Duration staleRetryAfter = milliseconds(500); // an election takes less than a second
 constexpr Duration rateRetryAfter = milliseconds(1000); // the token bucket holds about one second of its rate
 constexpr Duration notRunRetryAfter = milliseconds(300);
@@ -42,77 +35,30 @@
     return {reason, std::string(dispatch::toString(refusal.cause)), refusal.retryAfter, 503};
 }
 
-enum class AttemptEnd : std::uint8_t {
-    Answered, /**< The caller received the complete response. */
-    CallerLeft,
-    Unreachable, /**< No byte was sent. */
-    NotRun, /**< The backend server stated that it did not execute the call. */
-    Missing, /**< Not executed, since the backend server does not hold the adapter or is not the expected one. */
-    Failed, /**< The call may have been executed; the caller received nothing yet, or only complete events. */
-    Cut, /**< The caller received part of a response that cannot be resumed. */
-    TimedOut,
-};
+constexpr std::array<std::string_view, 9> endNames{"answered", "caller-left", "unreachable", "not-run", "missing", "failed", "cut", "timed-out", "superseded"};
 
-AttemptEnd endOfWrite(bool isWritten)
-{
-    return isWritten ? AttemptEnd::Answered : AttemptEnd::CallerLeft;
-}
-
-constexpr std::array<std::string_view, 8> endNames{"answered", "caller-left", "unreachable", "not-run", "missing", "failed", "cut", "timed-out"};
-
-/** State of one call from admission to the end of the response. */
-class CallRelay
+dispatch::CallResult resultOf(AttemptEnd end, unsigned status)
 {
-public:
-    CallRelay(CallerConnection &caller, const CallerRequest &request)
-        : m_caller(caller), m_entry(caller.entry), m_request(request), m_head(parseCallHead(request, caller.entry.settings().headers)), m_arrived(Clock::now())
-    {
-        m_events.lastId = m_head.lastEventId;
+    switch (end) {
+    case AttemptEnd::Answered:
+        return status >= 500 ? dispatch::CallResult::Failed : dispatch::CallResult::Answered;
+    case AttemptEnd::CallerLeft:
+    case AttemptEnd::Superseded:
+        return dispatch::CallResult::Abandoned;
+    case AttemptEnd::Unreachable:
+        return dispatch::CallResult::Unreachable;
+    case AttemptEnd::NotRun:
+    case AttemptEnd::Missing:
+        return dispatch::CallResult::NotRun;
+    case AttemptEnd::Failed:
+    case AttemptEnd::Cut:
+    case AttemptEnd::TimedOut:
+        break;
     }
+    return dispatch::CallResult::Failed;
+}
 
-    asio::awaitable<bool> run();
-
-private:
-    asio::awaitable<bool> refuse(LocalResponse response);
-    asio::awaitable<bool> runAttempts();
-    asio::awaitable<AttemptEnd> runAttempt(const dispatch::Send &target);
-    asio::awaitable<AttemptEnd> relayResponse(ServerExchange &exchange);
-    asio::awaitable<AttemptEnd> relayBody(ServerExchange &exchange);
-    asio::awaitable<AttemptEnd> relayEventStream(ServerExchange &exchange);
-    asio::awaitable<bool> sendHeldResponse();
-    [[nodiscard]] AttemptEnd endOfExchange(ExchangeError error) const;
-    [[nodiscard]] std::string makeResponseHead(const ServerExchange &exchange, std::optional<std::size_t> length) const;
-    [[nodiscard]] bool isRepeatable() const;
-    [[nodiscard]] LocalResponse makeFailureResponse(AttemptEnd end) const;
-    void chooseService();
-    void judgeRequest(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end);
-    /** Ends the call without an answer. Returns that the connection is not usable. */
-    bool endWithoutCaller(std::string_view when);
-    void logEnd(std::string_view outcome, unsigned status, std::string_view reason);
-    void logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint startedAt, unsigned status);
-
-    CallerConnection &m_caller;
-    Entry &m_entry;
-    const CallerRequest &m_request;
-    CallHead m_head;
-    TimePoint m_arrived;
-    std::shared_ptr<const catalog::CatalogIndex> m_catalog; // owns what m_route and m_organisation point to
-    const catalog::CallRoute *m_route = nullptr;
-    const catalog::OrganisationSpec *m_organisation = nullptr;
-    dispatch::Call m_call;
-    std::set<std::string> m_attemptedServers;
-    std::vector<std::uint64_t> m_carriers; // numbers of the connections to backend servers that the call was sent on
-    double m_tokens = 0; // charged to the organisation
-    unsigned m_sends = 0;
-    bool m_mayHaveRun = false;
-    bool m_usedTokens = false; // a backend server has run the call, or may have
-    bool m_headSent = false; // the response head was sent to the caller; no other response is possible
-    unsigned m_status = 0; // of the newest response of a backend server
-    std::optional<TimePoint> m_answerBegan; // when the head of that response arrived
-    bool m_isSound = false; // a stream that lasts has been counted as a sound answer
-    EventRelay m_events;
-    std::string m_heldResponse; // error response of a backend server, forwarded if no other backend server gives a better one
-};
+} // namespace
 
 bool CallRelay::isRepeatable() const
 {
@@ -142,17 +88,34 @@
     return false;
 }
 
-void CallRelay::logAttempt(const dispatch::Send &target, AttemptEnd end, TimePoint startedAt, unsigned status)
+void CallRelay::noteRejection(Attempt &attempt, AttemptEnd end)
+{
+    const dispatch::DispatchState &state = m_entry.dispatchState();
+    if (end == AttemptEnd::Missing) {
+        attempt.rejection = dispatch::missingCause(state, attempt.target, m_call, attempt.sentAt);
+    } else if (end == AttemptEnd::NotRun) {
+        const auto server = state.servers.find(attempt.target.server);
+        attempt.rejection = server != state.servers.end() && server->second.isLeaving ? RejectionCause::Leaving : RejectionCause::Full;
+    } else {
+        return;
+    }
+    m_entry.metrics().rejected(*attempt.rejection);
+}
+
+void CallRelay::logAttempt(const Attempt &attempt)
 {
     const auto &servers = m_entry.dispatchState().servers;
-    const auto server = servers.find(target.server);
+    const auto server = servers.find(attempt.target.server);
     observability::DecisionLine line("attempt");
-    line.add("id", m_head.id).add("server", target.server).add("end", endNames.at(static_cast<std::size_t>(end))).add("status", status);
+    line.add("id", m_head.id).add("server", attempt.target.server).add("end", endNames.at(static_cast<std::size_t>(attempt.end))).add("status", attempt.status);
     const TimePoint now = Clock::now();
-    line.add("waited-ms", startedAt - m_arrived).add("ms", now - startedAt).add("events", m_events.forwardedEvents);
-    if (end == AttemptEnd::Failed || end == AttemptEnd::Cut) {
+    line.add("waited-ms", attempt.startedAt - m_arrived).add("ms", now - attempt.startedAt).add("events", m_events.forwardedEvents);
+    if (attempt.end == AttemptEnd::Failed || attempt.end == AttemptEnd::Cut) {
         // Tells a request or prompt that ends every backend server from calls that were running beside it.
-        line.add("answering-ms", m_answerBegan ? now - *m_answerBegan : Duration{}).add("parts", boost::algorithm::join(m_call.fingerprints, "+"));
+        line.add("answering-ms", attempt.answerBegan ? now - *attempt.answerBegan : Duration{}).add("parts", boost::algorithm::join(m_call.fingerprints, "+"));
+    }
+    if (attempt.rejection) {
+        line.add("cause", toString(*attempt.rejection));
     }
     if (server != servers.end()) {
         line.add("running", server->second.running).add("others", server->second.othersRunning).add("sequence", server->second.record.sequence);
@@ -297,12 +260,17 @@
             const LocalResponse response = makeRefusal(*refusal);
             co_return co_await refuse(response);
         }
-        const auto &target = std::get<dispatch::Send>(choice);
-        const TimePoint startedAt = Clock::now();
-        m_status = 0;
-        m_answerBegan.reset();
-        last = co_await runAttempt(target);
-        logAttempt(target, last, startedAt, m_status);
+        AttemptPointer attempt = std::make_shared<Attempt>(m_entry, std::get<dispatch::Send>(choice));
+        m_answering = nullptr;
+        if (mayGetCopy(*attempt)) {
+            attempt = co_await runWithCopy(attempt);
+        } else {
+            m_running.push_back(attempt.get());
+            co_await runAttempt(*attempt);
+        }
+        last = attempt->end;
+        m_status = attempt->status;
+        logAttempt(*attempt);
         if (last == AttemptEnd::Answered) {
             m_entry.metrics().callEnded(observability::CallEnd::Completed, Clock::now() - m_arrived);
             logEnd("answered", m_status, "");
@@ -314,13 +282,9 @@
         if (last == AttemptEnd::Cut || last == AttemptEnd::TimedOut || Clock::now() >= m_call.deadline) {
             break;
         }
-        if (last == AttemptEnd::Missing) {
-            m_entry.handleMissingModel(target.server, m_call);
-            if (m_attemptedServers.size() >= m_route->maximumAttempts) {
-                m_call.pinnedServer = target.server; // the load of the adapter may finish slightly later than expected
-            }
-        } else {
-            m_call.triedServers.insert(target.server);
+        excludeServer(*attempt);
+        if (last == AttemptEnd::Missing && m_attemptedServers.size() >= m_route->maximumAttempts) {
+            m_call.pinnedServer = attempt->target.server; // the load of the adapter may finish slightly later than expected
         }
         if (last == AttemptEnd::Unreachable) {
             continue;
@@ -356,55 +320,21 @@
 asio::awaitable<bool> CallRelay::sendHeldResponse()
 {
     m_entry.metrics().callEnded(observability::CallEnd::Completed, Clock::now() - m_arrived);
-    logEnd("answered", m_status, "held");
+    logEnd("answered", m_heldStatus, "held");
     co_return co_await writeBytes(m_caller, m_heldResponse);
 }
 
-AttemptEnd CallRelay::endOfExchange(ExchangeError error) const
-{
-    if (m_caller.watch->callerLeft()) {
-        return AttemptEnd::CallerLeft;
-    }
-    switch (error) {
-    case ExchangeError::Unreachable:
-        return AttemptEnd::Unreachable;
-    case ExchangeError::TimedOut:
-        return Clock::now() >= m_call.deadline ? AttemptEnd::TimedOut : AttemptEnd::Failed;
-    case ExchangeError::None:
-    case ExchangeError::Broken:
-        break;
-    }
-    return AttemptEnd::Failed;
-}
-
-dispatch::CallResult resultOf(AttemptEnd end, unsigned status)
+asio::awaitable<void> CallRelay::runAttempt(Attempt &attempt)
 {
-    switch (end) {
-    case AttemptEnd::Answered:
-        return status >= 500 ? dispatch::CallResult::Failed : dispatch::CallResult::Answered;
-    case AttemptEnd::CallerLeft:
-        return dispatch::CallResult::Abandoned;
-    case AttemptEnd::Unreachable:
-        return dispatch::CallResult::Unreachable;
-    case AttemptEnd::NotRun:
-    case AttemptEnd::Missing:
-        return dispatch::CallResult::NotRun;
-    case AttemptEnd::Failed:
-    case AttemptEnd::Cut:
-    case AttemptEnd::TimedOut:
-        break;
-    }
-    return dispatch::CallResult::Failed;
-}
-
-asio::awaitable<AttemptEnd> CallRelay::runAttempt(const dispatch::Send &target)
-{
-    ServerExchange exchange(m_entry, target.address);
-    m_caller.watch->setInterrupt([&exchange] {
-        exchange.abort();
+    const dispatch::Send &target = attempt.target;
+    ServerExchange &exchange = attempt.exchange;
+    m_caller.watch->setInterrupt([this] {
+        for (Attempt *running : m_running) {
+            running->exchange.abort();
+        }
     });
-    AttemptEnd end = AttemptEnd::CallerLeft;
-    if (!m_caller.watch->callerLeft()) {
+    AttemptEnd end = attempt.isSuperseded ? AttemptEnd::Superseded : AttemptEnd::CallerLeft;
+    if (!m_caller.watch->callerLeft() && !attempt.isSuperseded) {
         ExchangeError error = co_await exchange.open(m_head.id, m_carriers, m_call.deadline);
         if (error == ExchangeError::None && !m_caller.watch->callerLeft()) {
             ForwardedHeaders added;
@@ -418,212 +348,69 @@
             }
             m_attemptedServers.insert(target.server);
             ++m_sends;
+            awaitAnswer(attempt);
             error = co_await exchange.begin(makeForwardedHead(m_request, m_entry.settings().headers, added), m_request.body(), m_head.id, m_call.deadline);
             if (error == ExchangeError::None) {
                 m_entry.readNotices(target.server, target.born, exchange);
+                m_entry.loadTested(target, m_call, exchange.status(), attempt.sentAt);
                 if (exchange.status() != 421) { // which another backend server at the same address sends
                     m_entry.limitStated(target.server, exchange.header(m_entry.settings().headers.serverLimit));
                 }
-                end = co_await relayResponse(exchange);
+                end = co_await relayResponse(attempt);
+                noteRejection(attempt, end);
             } else {
-                end = endOfExchange(error);
+                end = endOfExchange(attempt, error);
             }
         } else {
-            end = endOfExchange(error);
+            end = endOfExchange(attempt, error);
         }
     }
-    m_caller.watch->clearInterrupt();
-    judgeRequest(target, exchange, end);
+    answerEnded(attempt, false);
+    std::erase(m_running, &attempt);
+    if (m_running.empty()) {
+        m_caller.watch->clearInterrupt();
+    }
+    judgeRequest(attempt, end);
     const bool hasNotRun = end == AttemptEnd::NotRun || end == AttemptEnd::Missing || end == AttemptEnd::Unreachable;
     m_usedTokens = m_usedTokens || (m_attemptedServers.contains(target.server) && !hasNotRun);
+    if (attempt.sentAt != TimePoint{} && !hasNotRun) {
+        dispatch::recordCallTime(m_entry.dispatchState(), target.server, Clock::now() - attempt.sentAt);
+    }
     if (end == AttemptEnd::Failed || end == AttemptEnd::Cut || end == AttemptEnd::TimedOut) {
         m_mayHaveRun = true;
     }
     if (m_caller.watch->callerLeft()) {
         end = AttemptEnd::CallerLeft;
     }
-    m_entry.callEnded(target.server, m_call, resultOf(end, m_status));
-    co_return end;
+    attempt.end = end;
+    m_entry.callEnded(target.server, m_call, resultOf(end, attempt.status));
 }
 
 /** Tells what the end of an attempt says about the request and its prompt. */
-void CallRelay::judgeRequest(const dispatch::Send &target, const ServerExchange &exchange, AttemptEnd end)
+void CallRelay::judgeRequest(const Attempt &attempt, AttemptEnd end)
 {
-    const bool isSuccess = m_answerBegan && m_status >= 200 && m_status < 300;
+    const bool isSuccess = attempt.answerBegan && attempt.status >= 200 && attempt.status < 300;
     // A call without the head of an answer may have waited for its turn, so it may have ended its server at any time.
-    const bool isShort = !m_answerBegan || Clock::now() - *m_answerBegan < quarantine::firstTokensTime;
-    const bool isBroken = (end == AttemptEnd::Failed || end == AttemptEnd::Cut) && (isSuccess || exchange.isLost());
+    const bool isShort = !attempt.answerBegan || Clock::now() - *attempt.answerBegan < quarantine::firstTokensTime;
+    const bool isBroken = (end == AttemptEnd::Failed || end == AttemptEnd::Cut) && (isSuccess || attempt.exchange.isLost());
     // The end of an answer without a length may also be that of its backend server.
-    const bool isOpenEnded = end == AttemptEnd::Answered && isSuccess && exchange.endsWithConnection();
+    const bool isOpenEnded = end == AttemptEnd::Answered && isSuccess && attempt.exchange.endsWithConnection();
     if (isShort && (isBroken || isOpenEnded)) {
-        m_entry.answerBroke(target, m_call);
+        m_entry.answerBroke(attempt.target, m_call);
     } else if (end == AttemptEnd::Answered && isSuccess) {
         m_entry.answeredSoundly(m_call);
     }
 }
 
-asio::awaitable<AttemptEnd> CallRelay::relayResponse(ServerExchange &exchange)
-{
-    const HeaderNames &names = m_entry.settings().headers;
-    m_status = exchange.status();
-    m_answerBegan = Clock::now();
-    if (m_status == 421 || !exchange.header(names.notRun).empty()) {
-        const AttemptEnd notRun = m_status == 421 ? AttemptEnd::Missing : AttemptEnd::NotRun;
-        if (const ExchangeError error = co_await exchange.discardBody(m_call.deadline); error == ExchangeError::None) {
-            exchange.finish();
-        }
-        co_return notRun;
-    }
-    // These statuses are valid only with the not-run header. A response without a signature was not generated by a backend server.
-    const bool isNotRunStatus = m_status == 408 || m_status == 429 || m_status == 503;
-    if (isNotRunStatus || exchange.header(names.responseSignature).empty()) {
-        co_return AttemptEnd::Failed;
-    }
-    const bool isSuccess = m_status >= 200 && m_status < 300;
-    if (m_route->kind == catalog::CallKind::Stream && isSuccess) {
-        co_return co_await relayEventStream(exchange);
-    }
-    if (m_headSent) {
-        co_return AttemptEnd::Failed; // only events can follow in the body of a stream that has begun
-    }
-    co_return co_await relayBody(exchange);
-}
-
-std::string CallRelay::makeResponseHead(const ServerExchange &exchange, std::optional<std::size_t> length) const
+void CallRelay::excludeServer(const Attempt &attempt)
 {
-    std::string head = "HTTP/1.1 " + std::to_string(exchange.status()) + " ";
-    head.append(http::obsolete_reason(static_cast<http::status>(exchange.status()))).append("\r\n");
-    const auto connection = exchange.fields()[http::field::connection];
-    for (const auto &field : exchange.fields()) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
-        if (!isHopByHop(name, {connection.data(), connection.size()}) && field.name() != http::field::content_length) {
-            head.append(name).append(": ").append(field.value().data(), field.value().size()).append("\r\n");
-        }
-    }
-    if (length) {
-        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    if (attempt.end == AttemptEnd::Missing) {
+        m_entry.handleMissingModel(attempt.target.server, m_call);
     } else {
-        head += "Transfer-Encoding: chunked\r\n";
-    }
-    if (!m_caller.keepAlive) {
-        head += "Connection: close\r\n";
-    }
-    head += "\r\n";
-    return head;
-}
-
-/** Forwards a response once it is complete, or in chunks if it exceeds the buffer limit. */
-asio::awaitable<AttemptEnd> CallRelay::relayBody(ServerExchange &exchange)
-{
-    std::string body;
-    std::size_t previousSize = 0;
-    bool isComplete = false;
-    while (!isComplete && body.size() <= m_entry.settings().bufferedResponseBytes) {
-        previousSize = body.size();
-        const ExchangeError error = co_await exchange.readBody(body, m_call.deadline);
-        if (error != ExchangeError::None) {
-            co_return endOfExchange(error);
-        }
-        isComplete = body.size() == previousSize;
-    }
-    if (isComplete) {
-        const bool isServerFault = m_status >= 500 && isRepeatable() && m_attemptedServers.size() < m_route->maximumAttempts;
-        std::string text = makeResponseHead(exchange, body.size());
-        exchange.finish();
-        text += body;
-        if (isServerFault) {
-            m_heldResponse = std::move(text);
-            co_return AttemptEnd::Failed;
-        }
-        const bool isWritten = co_await writeBytes(m_caller, text);
-        co_return endOfWrite(isWritten);
-    }
-    m_headSent = true;
-    const std::string head = makeResponseHead(exchange, std::nullopt);
-    bool isWritten = co_await writeBytes(m_caller, head);
-    if (isWritten) {
-        isWritten = co_await writeChunk(m_caller, body);
-    }
-    if (!isWritten) {
-        co_return AttemptEnd::CallerLeft;
-    }
-    for (;;) {
-        body.clear();
-        const ExchangeError error = co_await exchange.readBody(body, m_call.deadline);
-        if (error != ExchangeError::None) {
-            co_return m_caller.watch->callerLeft() ? AttemptEnd::CallerLeft : AttemptEnd::Cut;
-        }
-        if (body.empty()) {
-            exchange.finish();
-            isWritten = co_await writeBytes(m_caller, "0\r\n\r\n");
-            co_return endOfWrite(isWritten);
-        }
-        isWritten = co_await writeChunk(m_caller, body);
-        if (!isWritten) {
-            co_return AttemptEnd::CallerLeft;
-        }
-    }
-}
-
-asio::awaitable<AttemptEnd> CallRelay::relayEventStream(ServerExchange &exchange)
-{
-    m_events.partial.clear();
-    std::string bytes;
-    std::string completeEvents;
-    bool hasEvents = false; // of this backend server
-    const auto cutOrFailed = [this] {
-        return m_route->isResumable || !m_headSent ? AttemptEnd::Failed : AttemptEnd::Cut;
-    };
-    for (;;) {
-        bytes.clear();
-        completeEvents.clear();
-        const ExchangeError error = co_await exchange.readBody(bytes, m_call.deadline);
-        if (error != ExchangeError::None) {
-            const AttemptEnd end = endOfExchange(error);
-            co_return end == AttemptEnd::Failed ? cutOrFailed() : end;
-        }
-        const bool isEnd = bytes.empty();
-        relayEvents(m_events, bytes, completeEvents);
-        if (m_events.partial.size() > maximumEventBytes) {
-            co_return cutOrFailed();
-        }
-        if (isEnd && !m_events.partial.empty()) {
-            // The body was terminated correctly, but the last event is incomplete: the backend server stopped in the middle of it.
-            co_return cutOrFailed();
-        }
-        if (isEnd && exchange.endsWithConnection() && !hasEvents && completeEvents.empty()) {
-            co_return cutOrFailed(); // the connection was closed before the first event, and nothing else tells the end
-        }
-        hasEvents = hasEvents || !completeEvents.empty();
-        if (!m_headSent && (!completeEvents.empty() || isEnd)) {
-            m_headSent = true;
-            m_entry.metrics().firstToken(Clock::now() - m_arrived);
-            const std::string head = makeResponseHead(exchange, std::nullopt);
-            const bool isWritten = co_await writeBytes(m_caller, head);
-            if (!isWritten) {
-                co_return AttemptEnd::CallerLeft;
-            }
-        }
-        if (!completeEvents.empty()) {
-            if (!m_isSound && Clock::now() - *m_answerBegan >= quarantine::firstTokensTime) {
-                m_isSound = true;
-                m_entry.answeredSoundly(m_call);
-            }
-            const bool isWritten = co_await writeChunk(m_caller, completeEvents);
-            if (!isWritten) {
-                co_return AttemptEnd::CallerLeft;
-            }
-        }
-        if (isEnd) {
-            exchange.finish();
-            const bool isWritten = co_await writeBytes(m_caller, "0\r\n\r\n");
-            co_return endOfWrite(isWritten);
-        }
+        m_call.triedServers.insert(attempt.target.server);
     }
 }
 
-} // namespace
-
 asio::awaitable<bool> relayCall(CallerConnection &caller, const CallerRequest &request)
 {
     CallRelay relay(caller, request);
--- a/src/ingress/entry.cpp
+++ b/src/ingress/entry.cpp
@@ -18,6 +18,8 @@
 
 using Clock = std::chrono::steady_clock;
 
+constexpr milliseconds acceptPause{20};
+
 } // namespace
 
 Entry::Entry(asio::io_context &context, EntrySettings settings, catalog::CatalogDecoder decodeCatalog)
@@ -33,7 +35,10 @@
     , m_metrics(1)
 {
     m_dispatch.options = m_settings.dispatch;
+    m_hedging.options = m_settings.hedging;
+    m_holdings.budget = m_settings.callers;
     m_quotaCache.options = m_settings.quotaCache;
+    m_usage.windowLength = std::chrono::duration_cast<milliseconds>(m_settings.usageWindow).count();
     m_dispatch.random.seed(static_cast<std::minstd_rand::result_type>(std::hash<std::string>{}(m_settings.name)));
 }
 
@@ -82,6 +87,9 @@
         }
         if (error) {
             observability::logWarning("accepting a client connection failed: " + error.message());
+            // Without a pause, a process without free descriptors would do nothing else.
+            asio::steady_timer pause(m_context, acceptPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
         asio::co_spawn(m_context, serveCaller(*this, std::move(socket)), asio::detached);
@@ -203,23 +211,13 @@
     return m_stopping && Clock::now() - m_stopSince >= m_settings.lameDuck;
 }
 
-void Entry::sessionOpened()
-{
-    ++m_sessions;
-    metrics().setConnections(static_cast<std::uint32_t>(m_sessions));
-}
-
-void Entry::sessionClosed()
-{
-    --m_sessions;
-    metrics().setConnections(static_cast<std::uint32_t>(m_sessions));
-    checkStopped();
-}
-
 void Entry::checkStopped()
 {
     if (m_stopping && m_sessions == 0 && isLameDuckOver() && m_stopped) {
         m_stopTimer.cancel();
+        if (m_usage.windowLength > 0) {
+            sendReport(Clock::now()); // with the calls since the last one; it is written before the process ends if the socket takes it
+        }
         std::exchange(m_stopped, nullptr)();
     }
 }
--- a/src/ingress/entry.h
+++ b/src/ingress/entry.h
@@ -4,12 +4,15 @@
 #include "gateway/upstream.h"
 #include "ingress/entrysettings.h"
 #include "mimosahollow/allowance/quotacache.h"
+#include "mimosahollow/callerlimits/callerholdings.h"
 #include "mimosahollow/catalog/catalogdecoder.h"
 #include "mimosahollow/dispatch/dispatch.h"
+#include "mimosahollow/duties/usagecounter.h"
 #include "mimosahollow/fleetstate/fleetstate.h"
 #include "mimosahollow/observability/metrics.h"
 #include "mimosahollow/quarantine/serverend.h"
 #include "mimosahollow/quarantine/soundparts.h"
+#include "mimosahollow/serverpace/samplesums.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -90,10 +93,20 @@
     void refundTokens(const std::string &organisation, double tokens);
     /** Waits until a backend server can accept @p call and counts the call as running on it. */
     [[nodiscard]] boost::asio::awaitable<ServerChoice> chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch);
+    /** The same for a second copy of @p call that runs on @p firstServer. Never waits; nothing if no other backend server can take it now. */
+    [[nodiscard]] std::optional<dispatch::Send> chooseSecondServer(const dispatch::Call &call, const std::string &firstServer);
     void callEnded(const std::string &server, const dispatch::Call &call, dispatch::CallResult result);
+    /** Adds intervals between events, or times to the answer, of a backend server to the next report. */
+    void paceMeasured(std::uint32_t serverKey, Duration total, unsigned count);
     /** Counts the first attempt of a call towards the retry budget of @p service. */
     void countRequest(const std::string &service);
     [[nodiscard]] bool takeRetry(const std::string &service);
+    /** @p target has answered @p call, sent at @p sentAt, with @p status. */
+    void loadTested(const dispatch::Send &target, const dispatch::Call &call, unsigned status, TimePoint sentAt);
+    /** Second copies; its options are those of the settings. */
+    [[nodiscard]] hedging::HedgingState &hedgingState() noexcept;
+    /** Decides on a second copy. The parts of @p question that are the same for all calls of its service are filled in. */
+    [[nodiscard]] hedging::CopyDecision maySendCopy(hedging::CopyQuestion question) const;
     void handleMissingModel(const std::string &server, const dispatch::Call &call);
     /** An answer of @p server names @p limit, a decimal number of calls per second; empty: none. */
     void limitStated(const std::string &server, std::string_view limit);
@@ -103,11 +116,25 @@
     void answerBroke(const dispatch::Send &target, const dispatch::Call &call);
     /** A backend server has answered @p call without ending at its prompt. */
     void answeredSoundly(const dispatch::Call &call);
+    /** A backend server has begun to run a call of @p organisation. To be called once for each call. */
+    void countUsage(const std::string &organisation);
     /** Whether @p call or a part of its prompt may be what ends backend servers. */
     [[nodiscard]] bool isSuspected(const dispatch::Call &call) const;
 
-    void sessionOpened();
-    void sessionClosed();
+    /**
+     * Registers a client connection. While callers hold too many, those of the address that holds most are closed first. Returns nothing if none
+     * of them can be closed; @p stream is then to be closed.
+     */
+    [[nodiscard]] std::optional<callerlimits::ConnectionNumber> sessionOpened(boost::beast::tcp_stream &stream);
+    void sessionClosed(callerlimits::ConnectionNumber number);
+    /**
+     * Sets the memory that the request on a connection takes. Closes connections of the address that holds most while all take too much. Returns
+     * false when this request is the one to give up.
+     */
+    [[nodiscard]] bool holdBytes(callerlimits::ConnectionNumber number, std::size_t bytes);
+    /** A call on the connection begins or ends; the connection isn't closed for the sake of others in between. */
+    void sessionCallBegan(callerlimits::ConnectionNumber number);
+    void sessionCallEnded(callerlimits::ConnectionNumber number);
     /** A connection that waits for a request. */
     struct IdleCaller
     {
@@ -164,11 +191,17 @@
     [[nodiscard]] quarantine::SoundParts &soundAnswersOf(std::string_view fingerprint);
     void addCrashes(fleetlink::EntryReport &report, TimePoint now);
     void crashesReported(std::uint64_t stamp);
+    void readLoad(const std::string &server, std::uint64_t born, const ServerExchange &exchange);
     void addLimits(fleetlink::EntryReport &report, TimePoint now);
+    void addUsage(fleetlink::EntryReport &report);
+    void usageReported(const fleetlink::LeaderReply &reply);
     void updateLeaderContact();
     void permitsIssued(const fleetlink::LeaderReply &reply, TimePoint now);
+    void endOlderVersionsAfterSuspension(TimePoint now);
+    void countStart(const dispatch::Call &call);
     void postDispatchWaitingCalls();
     void dispatchWaitingCalls();
+    bool makeRoom(callerlimits::ConnectionNumber requester);
     void closeIdleCallers();
     void checkStopped();
 
@@ -186,6 +219,8 @@
 
     fleetstate::FleetState m_state;
     dispatch::DispatchState m_dispatch;
+    std::int64_t m_versionsBootLead = 0; // of the boot clock over the steady clock when the newest version was learned, in milliseconds
+    hedging::HedgingState m_hedging;
     allowance::QuotaCache m_quotaCache;
     std::string m_leader; // link address; empty if unknown
     bool m_sendsHistory = true; // until the leader knows what was spent before its election
@@ -199,14 +234,19 @@
     std::map<std::pair<std::string, std::string>, ExpectedRetries> m_expectedRetries;
     std::map<Incarnation, BrokenAnswers> m_brokenAnswers; // of backend servers that are being checked
     std::deque<ObservedEnd> m_observedEnds; // oldest first
+    serverpace::SampleSums m_paceSamples;
     quarantine::SoundParts m_soundParts;
     quarantine::SoundParts m_soundRequests;
     std::set<std::string> m_suspectedParts; // by the leader
+    duties::UsageCounter m_usage;
+    std::uint64_t m_incarnation = 0; // of this process; 0: no usage is counted
     std::list<WaitingCall *> m_waitingCalls; // most urgent first
     std::list<TokenWaiter *> m_tokenWaiters;
     std::vector<boost::asio::steady_timer *> m_stateWaiters;
     bool m_dispatchPosted = false;
     IdleCallers m_idle;
+    callerlimits::CallerHoldings m_holdings;
+    std::map<callerlimits::ConnectionNumber, boost::beast::tcp_stream *> m_callerStreams;
     std::size_t m_sessions = 0;
     bool m_stopping = false;
     TimePoint m_stopSince{};
--- a/src/ingress/entrycalls.cpp
+++ b/src/ingress/entrycalls.cpp
@@ -1,6 +1,7 @@
 #include "ingress/entryinternal.h"
 
 #include "gateway/callerwatch.h"
+#include "mimosahollow/dispatch/loadresults.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +17,14 @@
 
 using Clock = std::chrono::steady_clock;
 
+/** Whether a server that can take one of the calls can take the other too. */
+bool needSamePlace(const dispatch::Call &left, const dispatch::Call &right)
+{
+    return left.service == right.service && left.model == right.model && left.adapter == right.adapter;
+}
+
+constexpr std::int64_t longestClockStep = 100; // ms; between the readings of two clocks a thread may wait for the processor
+
 } // namespace
 
 asio::awaitable<bool> Entry::waitForState(gateway::CallerWatch &watch)
@@ -75,9 +84,18 @@
     allowance::refund(m_quotaCache, organisation, tokens);
 }
 
+/** The time for which calls may begin on older versions also passes while the machine is suspended, and the steady clock does not count that. */
+void Entry::endOlderVersionsAfterSuspension(TimePoint now)
+{
+    if (!m_dispatch.olderVersions.empty() && bootLead(now) - m_versionsBootLead > longestClockStep) {
+        m_dispatch.olderVersions.clear();
+    }
+}
+
 asio::awaitable<ServerChoice> Entry::chooseServer(const dispatch::Call &call, gateway::CallerWatch &watch)
 {
     const TimePoint now = Clock::now();
+    endOlderVersionsAfterSuspension(now);
     const auto isLessUrgent = [&call](const WaitingCall *other) {
         return std::tie(other->call->priority, other->call->arrived) > std::tie(call.priority, call.arrived);
     };
@@ -85,7 +103,15 @@
     const auto ahead = std::count_if(m_waitingCalls.begin(), firstLessUrgent, [&call](const WaitingCall *other) {
         return !other->choice && other->cause == dispatch::RefusalCause::LimitedServers && other->call->service == call.service;
     });
-    dispatch::Decision decision = dispatch::decide(m_dispatch, call, now, {static_cast<unsigned>(ahead), false});
+    // A place that gets free belongs to a call that waits for it. Calls that arrive in the same moment took it, so that one waited until it was refused.
+    const bool mustWait = std::any_of(m_waitingCalls.begin(), firstLessUrgent, [&call](const WaitingCall *other) {
+        // Those that wait for permits have an order of their own.
+        return !other->choice && other->cause != dispatch::RefusalCause::LimitedServers && needSamePlace(*other->call, call);
+    });
+    dispatch::Decision decision = dispatch::Wait{dispatch::RefusalCause::NoCapacity, now};
+    if (!mustWait) {
+        decision = dispatch::decide(m_dispatch, call, now, {static_cast<unsigned>(ahead), false});
+    }
     WaitingCall waiter(m_context);
     if (const auto *send = std::get_if<dispatch::Send>(&decision)) {
         dispatch::callStarted(m_dispatch, send->server, now);
@@ -120,11 +146,8 @@
     if (!waiter.choice) {
         waiter.choice = dispatch::Refuse{dispatch::RefusalCause::NoCapacity, seconds(1)};
     }
-    if (std::holds_alternative<dispatch::Send>(*waiter.choice) && !call.model.empty()) {
-        ++demandOf(call.model, call.adapter, call.service).started;
-        auto &running = m_running[{call.model, call.adapter}];
-        running.service = call.service;
-        ++running.calls;
+    if (std::holds_alternative<dispatch::Send>(*waiter.choice)) {
+        countStart(call);
     }
     if (const auto *refuse = std::get_if<dispatch::Refuse>(&*waiter.choice); refuse != nullptr && refuse->cause == dispatch::RefusalCause::AdapterNotLoaded) {
         m_expectedRetries[{call.model, call.adapter}] = {call.service, now + refuse->retryAfter + m_settings.retryMargin};
@@ -132,6 +155,17 @@
     co_return *waiter.choice;
 }
 
+void Entry::countStart(const dispatch::Call &call)
+{
+    dispatch::recordAdapterSend(m_dispatch, call, Clock::now());
+    if (!call.model.empty()) {
+        ++demandOf(call.model, call.adapter, call.service).started;
+        auto &running = m_running[{call.model, call.adapter}];
+        running.service = call.service;
+        ++running.calls;
+    }
+}
+
 void Entry::callEnded(const std::string &server, const dispatch::Call &call, dispatch::CallResult result)
 {
     if (const auto running = m_running.find({call.model, call.adapter}); running != m_running.end()) {
@@ -147,6 +181,19 @@
     }
 }
 
+void Entry::loadTested(const dispatch::Send &target, const dispatch::Call &call, unsigned status, TimePoint sentAt)
+{
+    const bool isFound = status >= 200 && status < 300;
+    if (!call.adapter.empty() && (isFound || status == 421)) {
+        dispatch::recordLoadResult(m_dispatch, target.server, call, isFound, sentAt);
+    }
+}
+
+void Entry::paceMeasured(std::uint32_t serverKey, Duration total, unsigned count)
+{
+    serverpace::addSample(m_paceSamples, serverKey, total, count);
+}
+
 void Entry::handleMissingModel(const std::string &server, const dispatch::Call &call)
 {
     dispatch::handleMissingModel(m_dispatch, server, call, Clock::now());
@@ -168,6 +215,7 @@
 void Entry::dispatchWaitingCalls()
 {
     const TimePoint now = Clock::now();
+    endOlderVersionsAfterSuspension(now);
     TimePoint next = TimePoint::max();
     std::map<std::string, unsigned> ahead; // by service: calls that still wait for permits
     for (WaitingCall *waiter : m_waitingCalls) {
@@ -210,6 +258,7 @@
         budget.balance = std::min(budget.balance, reserve);
     }
     admission::countRequest(budget);
+    hedging::countCall(m_hedging, service, m_settings.retryRatio);
 }
 
 bool Entry::takeRetry(const std::string &service)
--- a/src/ingress/entryinternal.h
+++ b/src/ingress/entryinternal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleetlink/bootclock.h"
 #include "ingress/entry.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +10,12 @@
 
 namespace mimosahollow::ingress {
 
+/** Lead of the boot clock over the steady clock in milliseconds; it grows while the machine is suspended. */
+[[nodiscard]] inline std::int64_t bootLead(TimePoint now)
+{
+    return fleetlink::bootMilliseconds() - std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+}
+
 /** A call that waits for a backend server. */
 struct Entry::WaitingCall
 {
--- a/src/ingress/entrylimits.cpp
+++ b/src/ingress/entrylimits.cpp
@@ -2,6 +2,7 @@
 
 #include "httpio/decimal.h"
 #include "httpio/retryafter.h"
+#include "httpio/serverload.h"
 #include "ingress/serverexchange.h"
 #include "mimosahollow/callpermits/permitissuer.h"
 #include "mimosahollow/dispatch/serverlimits.h"
@@ -45,6 +46,7 @@
             observability::logDecision(line.text());
         }
     }
+    readLoad(server, born, exchange);
     if (exchange.status() != 503) {
         return;
     }
@@ -62,6 +64,24 @@
     }
 }
 
+void Entry::readLoad(const std::string &server, std::uint64_t born, const ServerExchange &exchange)
+{
+    if (exchange.status() == 421 || m_settings.headers.serverLoad.empty()) {
+        return; // 421 comes from another backend server at the same address
+    }
+    const auto count = exchange.fields().count(m_settings.headers.serverLoad);
+    if (count == 0) {
+        if (dispatch::loadNotStated(m_dispatch, server, born) == dispatch::LoadNotice::IgnoredFirst) {
+            observability::logWarning("backend server " + server + " does not state its load any more");
+        }
+        return;
+    }
+    const auto load = count == 1 ? httpio::parseServerLoad(exchange.header(m_settings.headers.serverLoad)) : std::nullopt;
+    if (dispatch::loadStated(m_dispatch, server, born, load, Clock::now()) == dispatch::LoadNotice::IgnoredFirst) {
+        observability::logWarning("the load stated by backend server " + server + " is malformed");
+    }
+}
+
 void Entry::addLimits(fleetlink::EntryReport &report, TimePoint now)
 {
     for (auto &[id, server] : m_dispatch.servers) {
--- a/src/ingress/entrylinks.cpp
+++ b/src/ingress/entrylinks.cpp
@@ -1,6 +1,8 @@
 #include "ingress/entryinternal.h"
 
 #include "fleetlink/bootclock.h"
+#include "mimosahollow/controltraffic/intervals.h"
+#include "mimosahollow/dispatch/versions.h"
 #include "mimosahollow/observability/decisionline.h"
 #include "mimosahollow/observability/log.h"
 
@@ -13,6 +15,10 @@
 
 using Clock = std::chrono::steady_clock;
 
+/** With the 3 s in which older copies are used, below the 5 s that the platform allows after the acknowledgement of a new version. */
+constexpr Duration versionCertainty = milliseconds(1500);
+constexpr Duration loadReportMargin = milliseconds(30); // a report's way to the leader, its plan, and the way of the order
+
 } // namespace
 
 void Entry::linkOpened(const fleetlink::Peer &peer)
@@ -81,6 +87,9 @@
         }
         state.catalogText = m_state.catalogText;
     }
+    const TimePoint now = Clock::now();
+    // What the leader has confirmed was in force when its report was sent, so a later change was acknowledged after that.
+    const bool isRecentChange = m_state.index != 0 && stateAge() < versionCertainty;
     const bool isNewCatalog = !m_dispatch.catalog || state.catalogVersion != m_state.catalogVersion;
     m_state = std::move(state);
     if (isNewCatalog && m_state.catalogText) {
@@ -93,7 +102,9 @@
     }
     m_state.catalogText.reset(); // only the decoded index is needed from here on
     m_dispatch.evacuatedDomains = m_state.evacuatedDomains;
-    m_dispatch.requiredVersions = m_state.adapterVersions;
+    endOlderVersionsAfterSuspension(now);
+    dispatch::setRequiredVersions(m_dispatch, m_state.adapterVersions, isRecentChange, now);
+    m_versionsBootLead = bootLead(now);
     m_dispatch.quarantinedParts.clear();
     for (const auto &[part, index] : m_state.quarantinedParts) {
         m_dispatch.quarantinedParts.insert(part);
@@ -112,11 +123,15 @@
     m_dispatch.entryInstances = std::max(1U, reply.entries);
     limitIdleConnections();
     m_dispatch.expectedLoadTime = milliseconds(reply.loadMilliseconds);
+    if (reply.adapterLoadMilliseconds > 0) {
+        m_settings.adapterLoadTime = milliseconds(reply.adapterLoadMilliseconds) + loadReportMargin;
+    }
     m_sendsHistory = reply.wantsHistory;
     updateLeaderContact();
     m_suspectedParts = {reply.suspectedParts.begin(), reply.suspectedParts.end()};
     crashesReported(reply.stamp);
     permitsIssued(reply, now);
+    usageReported(reply);
     for (boost::asio::steady_timer *waiter : std::exchange(m_stateWaiters, {})) {
         waiter->cancel();
     }
@@ -208,6 +223,7 @@
     m_lastReport = now;
     m_reportAt = {};
     updateLeaderContact();
+    auto paces = serverpace::takeSamples(m_paceSamples); // without a leader they are dropped, since the next one needs newer ones
     bool isBusy = !m_waitingCalls.empty() || !m_tokenWaiters.empty();
     if (const fleetlink::Peer *leader = m_hub->findDialed(m_leader)) {
         fleetlink::EntryReport report;
@@ -231,7 +247,7 @@
                 demandOf(key.first, key.second, calls.service);
             }
         }
-        report.wantsFeed = now - m_feedHeard > m_settings.feedTimeout;
+        report.wantsFeed = now - m_feedHeard > controltraffic::digestTimeout(m_dispatch.servers.size());
         for (auto &[id, server] : m_dispatch.servers) {
             if (now < server.avoidUntil) {
                 report.unreachable.push_back(id);
@@ -252,9 +268,14 @@
                 demand.inTime += now + m_settings.adapterLoadTime <= waiter->call->objectiveEnd ? 1 : 0;
             }
         }
+        report.lateLoads = m_dispatch.loadResults.late;
+        report.promptLoads = m_dispatch.loadResults.prompt;
+        m_dispatch.loadResults = {};
         addExpectedRetries(now);
         addCrashes(report, now);
         addLimits(report, now);
+        report.paces = std::move(paces);
+        addUsage(report);
         for (auto demand = m_demand.begin(); demand != m_demand.end();) {
             const auto running = m_running.find(demand->first);
             demand->second.running = running == m_running.end() ? 0 : running->second.calls;
@@ -271,7 +292,7 @@
         }
         m_hub->send(leader->number, report);
     }
-    scheduleReport(now + (isBusy ? m_settings.reportInterval : m_settings.idleReportInterval));
+    scheduleReport(now + (isBusy ? controltraffic::reportInterval(m_dispatch.entryInstances) : m_settings.idleReportInterval));
 }
 
 } // namespace mimosahollow::ingress
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -1,5 +1,7 @@
 #include "ingress/serverexchange.h"
 
+#include "httpio/answerstatus.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -125,9 +127,14 @@
         if (const auto [error, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, completionToken); error) {
             co_return noteError(error);
         }
-        if (m_parser->get().result_int() >= 200) {
+        const httpio::AnswerKind kind = httpio::answerKind(m_parser->get().result_int(), m_parser->get().version());
+        if (kind == httpio::AnswerKind::Final) {
             co_return ExchangeError::None;
         }
+        if (kind == httpio::AnswerKind::Invalid) {
+            m_isLost = true; // nothing on this connection can be trusted from here on
+            co_return ExchangeError::Broken;
+        }
     }
     co_return ExchangeError::Broken;
 }
--- a/tests/ingress/entryfixture.h
+++ b/tests/ingress/entryfixture.h
@@ -111,7 +111,8 @@
     /** Called for each request that a backend server reads, with the text of its head. */
     using Script = std::function<void(const ConnectionPointer &, const std::string &head)>;
 
-    explicit EntryFixture(catalog::Catalog content = defaultCatalog()) : m_acceptor(context), m_catalog(std::move(content))
+    explicit EntryFixture(catalog::Catalog content = defaultCatalog(), Duration usageWindow = {}, hedging::HedgingOptions hedging = {})
+        : m_acceptor(context), m_catalog(std::move(content))
     {
         fleetlink::LinkHubOptions options;
         options.self = {"core-1", leaderAddress(), "a", control::VoterId{1}};
@@ -143,6 +144,7 @@
         settings.headers.callId = "Call-Id";
         settings.headers.deadline = "Deadline-Ms";
         settings.headers.responseSignature = "Signature";
+        settings.headers.serverLoad = "Load";
         settings.headers.serverLeaving = "Leaving";
         settings.headers.notRun = "Not-Run";
         settings.headers.expectedServer = "Expected-Server";
@@ -151,6 +153,8 @@
         settings.headers.tokenCounts = "Tokens";
         settings.headers.model = "Model";
         settings.lameDuck = milliseconds(150);
+        settings.usageWindow = usageWindow;
+        settings.hedging = hedging;
         entry = std::make_unique<Entry>(context, settings, [this](std::string_view) {
             return std::variant<catalog::Catalog, catalog::CatalogProblem>(m_catalog);
         });
@@ -281,7 +285,11 @@
     std::list<ConnectionPointer> connections; // of the backend server, newest last
     std::unique_ptr<Entry> entry;
     double grantableTokens = 1e9; /**< Tokens that the leader still grants. */
+    std::vector<fleetlink::ServerPaceSample> paces; /**< Reported to the leader. */
     bool leaderAnswers = true;
+    std::vector<fleetlink::EntryReport> usageReports; /**< With an incarnation or counts, also those that the leader doesn't answer. */
+    std::int64_t fleetMilliseconds = 0; /**< Told in answers of the leader. */
+    std::uint64_t fixedWindow = 0; /**< Told in answers of the leader. */
     std::vector<registry::HeldModel> held; /**< By the backend server, from its next announcement on. */
 
 private:
@@ -319,7 +327,12 @@
 
     void answer(const fleetlink::Peer &peer, const fleetlink::LinkMessage &message)
     {
-        if (const auto *report = std::get_if<fleetlink::EntryReport>(&message); report != nullptr && leaderAnswers) {
+        const auto *report = std::get_if<fleetlink::EntryReport>(&message);
+        if (report != nullptr && (report->incarnation != 0 || report->wallMilliseconds != 0 || !report->usage.empty())) {
+            usageReports.push_back(*report);
+        }
+        if (report != nullptr && leaderAnswers) {
+            paces.insert(paces.end(), report->paces.begin(), report->paces.end());
             fleetlink::LeaderReply reply{report->stamp, 1, 1, {}, false, true, 300};
             for (const fleetlink::NamedNumber &returned : report->returned) {
                 grantableTokens += returned.value;
@@ -329,6 +342,8 @@
                 grantableTokens -= granted;
                 reply.tokens.push_back({wish.name, granted});
             }
+            reply.fleetMilliseconds = fleetMilliseconds;
+            reply.fixedWindow = fixedWindow;
             m_leader->send(peer.number, reply);
         }
     }
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -135,7 +135,16 @@
     ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1); // else it would keep the sockets of the soak open
-    const int problem = ::posix_spawn(&instance.id, m_options.binary.c_str(), &actions, nullptr, arguments.data(), environ);
+    // A reload before main() would end the process; the program unblocks the signal once it handles it.
+    posix_spawnattr_t attributes;
+    ::posix_spawnattr_init(&attributes);
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGHUP);
+    ::posix_spawnattr_setsigmask(&attributes, &blocked);
+    ::posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    const int problem = ::posix_spawn(&instance.id, m_options.binary.c_str(), &actions, &attributes, arguments.data(), environ);
+    ::posix_spawnattr_destroy(&attributes);
     ::posix_spawn_file_actions_destroy(&actions);
     if (problem != 0) {
         throw std::runtime_error("cannot start " + m_options.binary);
