fleetlink: handlers of a link hub that has ended do nothing

Handlers of connects, connect time limits, redials and accepts looked up their connection in the hub also after its destructor had run, so a coordinator that stopped while it opened a connection read freed memory. They check now whether the hub still exists. The segmentation fault itself came in none of 16 runs of that test; the new test made the old code read freed memory (64 reports of the thread sanitizer) and not end, and passes in 0.5 s with the change.

--- a/src/fleetlink/linkhub.cpp
+++ b/src/fleetlink/linkhub.cpp
@@ -254,6 +254,7 @@
 
 LinkHub::~LinkHub()
 {
+    *m_alive = false;
     for (auto &[number, connection] : m_connections) {
         connection->detach();
     }
@@ -273,8 +274,8 @@
 
 void LinkHub::accept()
 {
-    m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+    m_acceptor.async_accept([this, alive = m_alive](boost::system::error_code error, tcp::socket socket) {
+        if (!*alive || error == asio::error::operation_aborted) {
             return;
         }
         if (!error) {
@@ -313,14 +314,20 @@
     const std::uint64_t attempt = ++target.attempt;
     target.socket = tcp::socket(m_context);
     target.timer.expires_after(m_options.connectTimeout);
-    target.timer.async_wait([this, address, attempt](boost::system::error_code error) {
+    target.timer.async_wait([this, address, attempt, alive = m_alive](boost::system::error_code error) {
+        if (!*alive) {
+            return;
+        }
         const auto current = m_targets.find(address);
         if (!error && current != m_targets.end() && current->second->attempt == attempt && current->second->connection == 0) {
             boost::system::error_code ignored; // ends the attempt; its handler schedules the next one
             current->second->socket.close(ignored);
         }
     });
-    target.socket.async_connect(*endpoint, [this, address, attempt](boost::system::error_code error) {
+    target.socket.async_connect(*endpoint, [this, address, attempt, alive = m_alive](boost::system::error_code error) {
+        if (!*alive) {
+            return;
+        }
         const auto current = m_targets.find(address);
         if (current == m_targets.end() || current->second->attempt != attempt) {
             return;
@@ -349,8 +356,8 @@
     target.connection = 0;
     target.delay = target.delay == Duration{} ? m_options.redialDelay : std::min(target.delay * 2, m_options.maximumRedialDelay);
     target.timer.expires_after(target.delay);
-    target.timer.async_wait([this, address](boost::system::error_code error) {
-        if (!error) {
+    target.timer.async_wait([this, address, alive = m_alive](boost::system::error_code error) {
+        if (!error && *alive) {
             connect(address);
         }
     });
--- a/src/fleetlink/linkhub.h
+++ b/src/fleetlink/linkhub.h
@@ -90,6 +90,7 @@
     std::map<PeerNumber, std::shared_ptr<Connection>> m_connections;
     std::map<std::string, std::unique_ptr<Target>> m_targets;
     PeerNumber m_lastNumber = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // shared with handlers that run after the hub has ended
 };
 
 } // namespace mimosahollow::fleetlink
