coordinator tests: calls may outlive the function that has sent them

commit() and readVersion() of the fixture gave their coroutines references to local variables. After a time-out, later handlers wrote to a stack frame that was gone, so that a failed check could end as a crash without its message.

--- a/tests/coordinator/fleetfixture.h
+++ b/tests/coordinator/fleetfixture.h
@@ -102,56 +102,62 @@
         return true;
     }
 
+    /** Shared with calls that may still run after the function that has sent them has given up. */
+    struct Progress
+    {
+        bool isDone = false;
+        std::uint64_t version = 0;
+        unsigned inFlight = 0;
+    };
+
     /** Sends a change to all coordinators and repeats it, as an operator would, until one of them has committed it. */
     bool commit(const fleetstate::FleetCommand &command)
     {
-        bool isCommitted = false;
-        unsigned inFlight = 0;
+        const auto progress = std::make_shared<Progress>();
         TimePoint next{};
         return runUntil([&] {
             const TimePoint now = std::chrono::steady_clock::now();
-            if (!isCommitted && inFlight == 0 && now >= next) {
+            if (!progress->isDone && progress->inFlight == 0 && now >= next) {
                 next = now + milliseconds(100);
                 for (auto &[number, coordinator] : coordinators) {
-                    ++inFlight;
+                    ++progress->inFlight;
                     asio::co_spawn(
                         context,
-                        [&isCommitted, &inFlight, target = coordinator.get(), command]() -> asio::awaitable<void> {
+                        [progress, target = coordinator.get(), command]() -> asio::awaitable<void> {
                             const ChangeResult result = co_await target->change(command);
-                            isCommitted = isCommitted || std::holds_alternative<Committed>(result);
-                            --inFlight;
+                            progress->isDone = progress->isDone || std::holds_alternative<Committed>(result);
+                            --progress->inFlight;
                         },
                         asio::detached);
                 }
             }
-            return isCommitted && inFlight == 0;
+            return progress->isDone && progress->inFlight == 0;
         });
     }
 
     /** Catalog version returned by a linearizable read; 0 if no read succeeds in time. */
     std::uint64_t readVersion()
     {
-        std::uint64_t version = 0;
-        unsigned inFlight = 0;
+        const auto progress = std::make_shared<Progress>();
         const bool isRead = runUntil([&] {
-            if (version == 0 && inFlight == 0) {
+            if (progress->version == 0 && progress->inFlight == 0) {
                 for (auto &[number, coordinator] : coordinators) {
-                    ++inFlight;
+                    ++progress->inFlight;
                     asio::co_spawn(
                         context,
-                        [&version, &inFlight, target = coordinator.get()]() -> asio::awaitable<void> {
+                        [progress, target = coordinator.get()]() -> asio::awaitable<void> {
                             const ReadResult result = co_await target->read();
                             if (const auto *state = std::get_if<fleetstate::FleetState>(&result)) {
-                                version = state->catalogVersion;
+                                progress->version = state->catalogVersion;
                             }
-                            --inFlight;
+                            --progress->inFlight;
                         },
                         asio::detached);
                 }
             }
-            return version != 0 && inFlight == 0;
+            return progress->version != 0 && progress->inFlight == 0;
         });
-        return isRead ? version : 0;
+        return isRead ? progress->version : 0;
     }
 
     /** Whether the metrics of coordinator @p number show @p count voters. */
