coordinator: the replicated state is encoded once for all receivers

Each entry instance that connected, and each change of the state, copied and encoded the whole state anew, with up to 4 MiB of catalog and all versions of adapters; after a restart of 300 machines this comes hundreds of times at once. The encoded bytes are now kept by log index, as the server table is. Not measured at that size yet. A comment of a setting that no longer exists is removed.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -142,6 +142,7 @@
     void confirmReports();
     void replyToReports(control::LogIndex index);
     void sendState(const fleetlink::Peer &peer);
+    control::SharedBytes encodedState(bool withCatalog);
     void broadcastServers(const std::vector<registry::ServerRecord> &servers, bool heardDirectly, bool toEntries);
     void queueServers(const std::vector<registry::ServerRecord> &servers, bool toEntries);
     void sendQueuedServers(TimePoint now);
@@ -228,6 +229,13 @@
     TimePoint m_nextServerUpdate{};
     control::SharedBytes m_serverTable; // null: to be encoded again
     boost::asio::steady_timer m_serverUpdateTimer;
+    struct EncodedState
+    {
+        control::LogIndex index = 0;
+        control::SharedBytes withCatalog; // null: not encoded yet
+        control::SharedBytes withoutCatalog;
+    };
+    EncodedState m_encodedState;
     std::map<std::string, registry::ServerRecord> m_refreshedServers; // announced again, not yet forwarded to the other coordinators
     std::map<std::string, EntryView> m_entries; // on the leader: entry instances by name
 
--- a/src/coordinator/coordinatorlinks.cpp
+++ b/src/coordinator/coordinatorlinks.cpp
@@ -199,14 +199,29 @@
         return;
     }
     const auto sent = m_sentCatalogs.find(peer.number);
-    if (sent != m_sentCatalogs.end() && sent->second == m_state.catalogVersion) {
-        fleetstate::FleetState withoutText = m_state;
-        withoutText.catalogText.reset();
-        m_hub->send(peer.number, withoutText);
-        return;
-    }
+    const bool hasCatalog = sent != m_sentCatalogs.end() && sent->second == m_state.catalogVersion;
     m_sentCatalogs[peer.number] = m_state.catalogVersion;
-    m_hub->send(peer.number, m_state);
+    m_hub->sendEncoded(peer.number, link::MessageKind::Relay, encodedState(!hasCatalog));
+}
+
+/**
+ * The replicated state, @p withCatalog or without the text of the catalog. Encoded once for each log index, as the same state goes to all entry instances
+ * after a change and when they connect again after a restart.
+ */
+control::SharedBytes Coordinator::encodedState(bool withCatalog)
+{
+    if (m_encodedState.index != m_state.index) {
+        m_encodedState = {m_state.index, {}, {}};
+    }
+    control::SharedBytes &bytes = withCatalog ? m_encodedState.withCatalog : m_encodedState.withoutCatalog;
+    if (!bytes) {
+        fleetstate::FleetState state = m_state;
+        if (!withCatalog) {
+            state.catalogText.reset();
+        }
+        bytes = std::make_shared<const control::Bytes>(fleetlink::encode(std::move(state)));
+    }
+    return bytes;
 }
 
 void Coordinator::linkMessage(const fleetlink::Peer &peer, fleetlink::LinkMessage message)
--- a/src/coordinator/coordinatorsettings.h
+++ b/src/coordinator/coordinatorsettings.h
@@ -45,7 +45,6 @@
     /** For an order sent through another coordinator; covers the wait for the engine's answer and two network hops. */
     Duration orderTimeout = milliseconds(260);
     Duration minimumTakeoverDelay = milliseconds(150); /**< Minimum wait before grants start; entry instances connect to a new leader within this time. */
-    /** Interval of load digests: short against the run time of a call, which is a second or more on an engine. */
     Duration tickInterval = milliseconds(25); /**< A quarter of a heartbeat. */
     control::ConsensusOptions consensus = consensusDefaults();
     registry::RegistryOptions registry;
