fleetlink test, measurements: say what was shown

A comment of the test named a segmentation fault as the effect of the mended fault; shown are reads of freed memory, the crash was not reproduced. Comments and docs only; test_fleetlink passes plain and with the address sanitizer.

--- a/tests/fleetlink/linkhub.cpp
+++ b/tests/fleetlink/linkhub.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-// Guards against handlers of a hub that touch it after its end: a coordinator that stopped while it opened a connection ended its process with a
-// segmentation fault. The address sanitizer reports each access.
+// Guards against handlers of a hub that touch it after its end: a coordinator that stopped while it opened a connection read freed memory. The address
+// and thread sanitizers report each access.
 TEST_CASE("A link hub ends at any step of its connections")
 {
     asio::io_context context{1};
