--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -294,19 +294,6 @@
     return 0;
 }
 
-std::string Fleet::readConfig(double seconds)
-{
-    const double until = now() + seconds;
-    for (unsigned attempt = 0; now() < until; ++attempt) {
-        const auto answer = operateOnce(attempt % m_options.coordinators, "GET", "/mimosahollow/config", "");
-        if (answer && answer->status() == 200) {
-            return answer->body;
-        }
-        sleepFor(0.1);
-    }
-    return {};
-}
-
 bool Fleet::isReady(unsigned entry) const
 {
     const auto answer = call(ready(entry), "GET", "/mimosahollow/readiness", "", 1.0);
@@ -437,12 +424,6 @@
     return m_runs;
 }
 
-std::size_t Worker::orders()
-{
-    const std::scoped_lock lock(m_mutex);
-    return m_orders;
-}
-
 const WorkerOptions &Worker::options() const
 {
     return m_options;
@@ -479,7 +460,6 @@
 void Worker::order(Socket &socket, const Message &request)
 {
     const std::scoped_lock lock(m_mutex);
-    ++m_orders;
     const std::string adapter = field(request.body, "adapter");
     const std::string expect = field(request.body, "expect");
     const bool isLoad = field(request.body, "operation") == "load";
@@ -591,10 +571,6 @@
             report(socket);
         } else if (target == "/health") {
             socket.send(headOf(200, "Instance-Id: " + m_options.id + "\r\n", 0));
-        } else if (hook && hook(*this, socket, *request)) {
-            if (!socket.isOpen()) {
-                return;
-            }
         } else if (m_options.isEngine && !holds(request->header("model"))) {
             socket.send(headOf(421, "Not-Executed: 1\r\nAttempt-Id: " + request->header("attempt-id") + "\r\n", 0));
         } else {
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -79,8 +79,6 @@
     Machine &coordinator(unsigned number);
     /** Follows redirections and moves on to another coordinator. Returns the status, 0 without a clear answer. */
     int operate(const std::string &method, const std::string &target, const std::string &body, double seconds);
-    /** Like operate() for a read; the body, empty without a clear answer. */
-    std::string readConfig(double seconds);
     bool isReady(unsigned entry) const;
     bool waitUntilReady(double seconds) const;
 
@@ -96,7 +94,6 @@
     std::vector<std::unique_ptr<Machine>> m_machines;
     std::thread m_watch;
     std::atomic<bool> m_isStopping{false};
-    std::mutex m_mutex;
 };
 
 struct Run
@@ -131,9 +128,6 @@
 class Worker
 {
 public:
-    /** May answer a request itself; returns false to leave it to the worker. */
-    using Hook = std::function<bool(Worker &worker, Socket &socket, const Message &request)>;
-
     Worker(WorkerOptions options, Fleet &fleet, Record &record);
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
@@ -150,9 +144,7 @@
     void noteRun(const Message &request);
     void answerSoundly(Socket &socket, const Message &request);
     [[nodiscard]] const WorkerOptions &options() const;
-    std::size_t orders();
 
-    Hook hook;
     std::atomic<bool> announces{true};
 
 private:
@@ -171,9 +163,7 @@
     std::atomic<bool> m_isStopping{false};
     std::mutex m_mutex;
     std::map<std::string, std::pair<double, unsigned>> m_adapters; // ready at, version
-    bool m_hasModel = true;
     unsigned m_sequence = 0;
-    std::size_t m_orders = 0;
     std::uint64_t m_born = 0;
     std::uint64_t m_beat = 0;
     std::vector<Run> m_runs;
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -8,7 +8,13 @@
 
 #include <sys/resource.h>
 
-/** Usage: review-2 CASE PROGRAM RECORD. TROUBLE=0 in the environment leaves out the disruption. */
+namespace {
+
+constexpr rlim_t neededDescriptors = 4096; // the case with the most connections holds 3,300
+
+} // namespace
+
+/** Usage: standins CASE PROGRAM RECORD. TROUBLE=0 in the environment leaves out the disruption. */
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -16,6 +22,10 @@
     ::getrlimit(RLIMIT_NOFILE, &descriptors);
     descriptors.rlim_cur = descriptors.rlim_max;
     ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    if (descriptors.rlim_cur < neededDescriptors) {
+        std::cerr << "too few descriptors\n";
+        return review::couldNotRun;
+    }
     const std::map<std::string, int (*)(const review::CaseOptions &)> cases{{"hostile-adapters", review::hostileAdapters},
                                                                             {"hostile-headers", review::hostileHeaders},
                                                                             {"hostile-fields", review::hostileFields},
@@ -23,7 +33,7 @@
                                                                             {"head-requests", review::headRequests}};
     const auto found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
-        std::cerr << "usage: review-2 CASE PROGRAM RECORD\n";
+        std::cerr << "usage: standins CASE PROGRAM RECORD\n";
         return review::couldNotRun;
     }
     const char *trouble = std::getenv("TROUBLE");
