--- a/review/standins-2/hostilefields.cpp
+++ b/review/standins-2/hostilefields.cpp
@@ -1,11 +1,14 @@
 #include "scene.h"
 
+#include <sys/resource.h>
+
 namespace review {
 
 namespace {
 
 constexpr unsigned connectionsPerEntry = 1100; // an entry instance with 4,100 descriptors takes 1,950
 constexpr unsigned fieldsPerRequest = 4000; // of four bytes each, so that the head stays below the limit of 16,384 bytes
+constexpr rlim_t neededDescriptors = 3 * connectionsPerEntry + 200;
 constexpr double holdSeconds = 4;
 constexpr double calmSeconds = 4;
 constexpr double troubleSeconds = 30;
@@ -40,6 +43,12 @@
 int hostileFields(const CaseOptions &options)
 {
     Scene scene(options, false);
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    if (descriptors.rlim_cur < neededDescriptors) {
+        scene.record.write("this process may open too few descriptors");
+        return couldNotRun;
+    }
     if (!scene.start()) {
         return couldNotRun;
     }
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -8,12 +8,6 @@
 
 #include <sys/resource.h>
 
-namespace {
-
-constexpr rlim_t neededDescriptors = 4096; // the case with the most connections holds 3,300
-
-} // namespace
-
 /** Usage: standins CASE PROGRAM RECORD. TROUBLE=0 in the environment leaves out the disruption. */
 int main(int argc, char **argv)
 {
@@ -22,10 +16,6 @@
     ::getrlimit(RLIMIT_NOFILE, &descriptors);
     descriptors.rlim_cur = descriptors.rlim_max;
     ::setrlimit(RLIMIT_NOFILE, &descriptors);
-    if (descriptors.rlim_cur < neededDescriptors) {
-        std::cerr << "too few descriptors\n";
-        return review::couldNotRun;
-    }
     const std::map<std::string, int (*)(const review::CaseOptions &)> cases{{"hostile-adapters", review::hostileAdapters},
                                                                             {"hostile-headers", review::hostileHeaders},
                                                                             {"hostile-fields", review::hostileFields},
