Ingress: a reset during the upload is no end of an answer

Callers saw: a backend server answered a long upload at once, without a length, sent a part of the body and reset the connection. The caller got the part as a complete answer, whole calls and streams alike (MIXED).

Cause: TCP reports a reset once. The request is written while the answer is read, and the write took the error, so that the read saw an orderly end, which is the end of an answer with neither a length nor chunks.

Change: the end of the connection ends such an answer only if the write of the request has not failed. The handler of a write that failed at the same time runs before that is looked at.

--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -3,6 +3,8 @@
 #include "httpio/answerstatus.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -51,6 +53,7 @@
     std::string head;
     std::string body;
     bool isDone = false;
+    bool hasFailed = false;
 };
 
 ServerExchange::ServerExchange(Entry &entry, std::string address) : m_entry(entry), m_address(std::move(address))
@@ -96,6 +99,7 @@
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_outgoingRequest->head), asio::buffer(m_outgoingRequest->body)};
     asio::async_write(m_connection->stream.socket(), buffers, [outgoing = m_outgoingRequest](boost::system::error_code error, std::size_t) {
         outgoing->isDone = !error;
+        outgoing->hasFailed = static_cast<bool>(error);
     });
     for (unsigned staleResponses = 0; staleResponses <= maximumStaleResponses; ++staleResponses) {
         const ExchangeError error = co_await readHead(deadline);
@@ -170,6 +174,13 @@
         if (error && error != http::error::need_buffer) {
             co_return noteError(error);
         }
+        if (m_parser->is_done() && m_parser->need_eof()) {
+            const bool isInOrder = co_await endedInOrder();
+            if (!isInOrder) {
+                m_isLost = true;
+                co_return ExchangeError::Broken;
+            }
+        }
         if (filled > 0) {
             co_return ExchangeError::None;
         }
@@ -177,6 +188,20 @@
     co_return ExchangeError::None;
 }
 
+/**
+ * A reset is reported once. If the request was still being written, the write may get the error, and the read sees the same end as after an
+ * answer that is complete.
+ */
+asio::awaitable<bool> ServerExchange::endedInOrder()
+{
+    if (!m_outgoingRequest->isDone && !m_outgoingRequest->hasFailed) {
+        // The write may have failed at the same time; its handler then waits in the queue.
+        const auto executor = co_await asio::this_coro::executor;
+        co_await asio::post(executor, asio::use_awaitable);
+    }
+    co_return !m_outgoingRequest->hasFailed;
+}
+
 void ServerExchange::finish()
 {
     const bool isKept = m_parser->keep_alive() && m_outgoingRequest->isDone && !m_aborted;
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -60,6 +60,8 @@
     struct OutgoingRequest;
 
     boost::asio::awaitable<ExchangeError> readHead(TimePoint deadline);
+    /** Whether the connection was ended by its server, not reset. For an answer whose end is that of its connection. */
+    [[nodiscard]] boost::asio::awaitable<bool> endedInOrder();
     [[nodiscard]] ExchangeError noteError(const boost::system::error_code &error);
 
     Entry &m_entry;
--- a/tests/ingress/secondcopies.cpp
+++ b/tests/ingress/secondcopies.cpp
@@ -300,3 +300,23 @@
         CHECK(fixture.metric("second_copies_excluded_total{cause=\"share-used\"}") == 1);
     }
 }
+
+// Guards against a part of an answer that reaches the caller as the whole, since the write of the upload has taken the error of the reset.
+TEST_CASE("A second copy whose connection is reset during the upload does not answer the call")
+{
+    CopyFixture fixture;
+    const std::string body(4'000'000, 'u');
+    fixture.script = [&fixture](const ConnectionPointer &connection, const std::string &) {
+        fixture.arrived.push_back(connection);
+        if (fixture.arrived.size() == 2) {
+            boost::asio::write(connection->socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nSignature: s\r\nCall-Id: c1\r\n\r\nhalf")));
+            connection->reset();
+        }
+    };
+    fixture.caller->write("POST /twice/x HTTP/1.1\r\nHost: host\r\nCall-Id: c1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(fixture.waitForCopy());
+    fixture.runFor(milliseconds(50));
+    fixture.arrived.at(0)->write(EntryFixture::response("c1", "whole"));
+    REQUIRE(fixture.isAnswered("whole"));
+    CHECK(fixture.caller->received.find("half") == std::string::npos);
+}
