Httpio: folded lines in answers of backend servers are refused

Callers saw (reported by other operators): an answer in whose head the name of a field held a blank, with that line passed on or with a body that was not the backend server's.

Cause: the parser refuses odd names, but joins a line that begins with a blank to the value of the field before it (obs-fold). A damaged " Content-Length: 4" became part of another field.

Change: readAnswerHead() and TrailerCheck refuse folded lines, as RFC 9112 section 5.2 allows. They are used wherever answers are read: both front ends, streams and their resumption, second copies, late answers, orders, reports, calls to the platform and to the admin API.

An answer with status 000 was refused before, and still is.

--- a/src/admin/adminclient.cpp
+++ b/src/admin/adminclient.cpp
@@ -3,13 +3,13 @@
 #include "adminrequests.h"
 #include "gateway/addresses.h"
 #include "gateway/httptypes.h"
+#include "httpio/answerread.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sodium.h>
 
@@ -54,10 +54,10 @@
     }
     const auto [writeError, written] = co_await http::async_write(stream, request, asio::as_tuple(asio::use_awaitable));
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    httpio::WholeAnswerParser parser;
     parser.body_limit(boost::none);
-    const auto [readError, read] = co_await http::async_read(stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
-    static_cast<void>(written + read);
+    const auto readError = co_await httpio::readAnswer(stream, buffer, parser);
+    static_cast<void>(written);
     if (writeError || readError) {
         result = AdminFailure{true, "no answer from " + target.address + ": " + (writeError ? writeError : readError).message()};
         co_return;
--- a/src/gateway/answerreader.cpp
+++ b/src/gateway/answerreader.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <array>
 
@@ -22,7 +22,7 @@
 } // namespace
 
 AnswerReader::AnswerReader(UpstreamConnection &connection, boost::optional<std::uint64_t> maximumBytes, bool headOnly)
-    : m_connection(connection), m_maximumBytes(maximumBytes), m_headOnly(headOnly)
+    : m_connection(connection), m_maximumBytes(maximumBytes), m_headOnly(headOnly), m_trailerCheck{connection.buffer}
 {
     resetParser();
 }
@@ -32,13 +32,14 @@
     m_parser.emplace();
     m_parser->body_limit(m_maximumBytes);
     m_parser->skip(m_headOnly);
+    m_parser->on_chunk_header(m_trailerCheck);
 }
 
 asio::awaitable<boost::system::error_code> AnswerReader::readHead()
 {
     for (int interim = 0; interim <= maximumInterimAnswers; ++interim) {
-        const auto [error, bytes] = co_await http::async_read_header(m_connection.stream, m_connection.buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
-        m_anyByte = m_anyByte || bytes > 0 || m_connection.buffer.size() > 0;
+        const auto error = co_await httpio::readAnswerHead(m_connection.stream, m_connection.buffer, *m_parser);
+        m_anyByte = m_anyByte || m_parser->got_some() || m_connection.buffer.size() > 0;
         if (error) {
             co_return error;
         }
--- a/src/gateway/answerreader.h
+++ b/src/gateway/answerreader.h
@@ -2,6 +2,8 @@
 
 #include "upstream.h"
 
+#include "httpio/answerread.h"
+
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -44,6 +46,7 @@
     boost::optional<std::uint64_t> m_maximumBytes;
     bool m_headOnly;
     bool m_anyByte = false;
+    httpio::TrailerCheck m_trailerCheck; // the parser refers to it
     boost::optional<Parser> m_parser;
 };
 
--- a/src/gateway/ordersender.cpp
+++ b/src/gateway/ordersender.cpp
@@ -1,6 +1,6 @@
 #include "mimosahollow/gateway/ordersender.h"
 
-#include "httpio/answerstatus.h"
+#include "httpio/answerread.h"
 #include "httptypes.h"
 #include "upstream.h"
 
@@ -10,7 +10,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -128,13 +127,11 @@
         if (writeError) {
             co_return OrderOutcome::Unknown;
         }
-        HttpResponse response;
-        const auto [readError, read] = co_await http::async_read(connection->stream, connection->buffer, response, asio::as_tuple(asio::use_awaitable));
-        static_cast<void>(written + read);
-        if (readError || httpio::answerKind(response.result_int(), response.version()) != httpio::AnswerKind::Final) {
+        httpio::WholeAnswerParser parser;
+        if (const auto readError = co_await httpio::readAnswer(connection->stream, connection->buffer, parser); readError) {
             co_return OrderOutcome::Unknown;
         }
-        co_return outcomeOfStatus(response.result_int());
+        co_return outcomeOfStatus(parser.get().result_int());
     }
 
     BoundedRing<ServingEvent> &m_dispatchRing;
--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -123,12 +123,14 @@
 
 asio::awaitable<ExchangeError> ServerExchange::readHead(TimePoint deadline)
 {
+    m_trailerCheck.emplace(httpio::TrailerCheck{m_connection->buffer});
     for (unsigned interimResponses = 0; interimResponses <= maximumInterimResponses; ++interimResponses) {
         m_parser.emplace();
         m_parser->header_limit(headBytes);
         m_parser->body_limit(boost::none);
         m_connection->stream.expires_at(deadline);
-        if (const auto [error, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, completionToken); error) {
+        m_parser->on_chunk_header(*m_trailerCheck);
+        if (const auto error = co_await httpio::readAnswerHead(m_connection->stream, m_connection->buffer, *m_parser); error) {
             co_return noteError(error);
         }
         const httpio::AnswerKind kind = httpio::answerKind(m_parser->get().result_int(), m_parser->get().version());
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/upstream.h"
+#include "httpio/answerread.h"
 #include "ingress/entry.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -68,6 +69,7 @@
     std::string m_address;
     gateway::UpstreamPointer m_connection;
     std::shared_ptr<OutgoingRequest> m_outgoingRequest;
+    std::optional<httpio::TrailerCheck> m_trailerCheck; // the parser refers to it
     std::optional<Parser> m_parser;
     std::vector<char> m_readBuffer;
     bool m_aborted = false;
--- a/tests/platform/dutyclient.cpp
+++ b/tests/platform/dutyclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/dutyclient.h"
 
 #include "support/platformapi.h"
+#include "support/scriptedserver.h"
 
 #include <catch2/catch.hpp>
 
@@ -111,3 +112,41 @@
         CHECK(fixture.send(usage) == DutyOutcome::Accepted);
     }
 }
+
+namespace {
+
+/** The outcome of a call that the platform answers with @p answer. */
+DutyOutcome outcomeOf(const std::string &answer)
+{
+    tests::ScriptedServer server([&answer](unsigned, const std::string &) -> tests::ScriptedServer::Reply {
+        return {answer, true};
+    });
+    boost::asio::io_context context;
+    DutyClient client(context, server.address);
+    std::optional<DutyOutcome> outcome;
+    client.port().send(usage, [&outcome](DutyOutcome read) {
+        outcome = read;
+    });
+    while (!outcome) {
+        context.run_one();
+    }
+    return *outcome;
+}
+
+} // namespace
+
+// Guards against a report that counts as accepted, or is given up, by an answer that isn't one.
+TEST_CASE("A damaged answer of the platform is none")
+{
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    CHECK(outcomeOf("HTTP/1.1 200 OK\r\n" + end) == DutyOutcome::Accepted);
+    for (const char *line : {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 100 Continue", "HTTP/2.0 200 OK", "HTTP/2.0 400 OK"}) {
+        CAPTURE(line);
+        CHECK(outcomeOf(std::string(line) + "\r\n" + end) == DutyOutcome::Unanswered);
+    }
+    for (const char *status : {"200", "400"}) {
+        CAPTURE(status);
+        CHECK(outcomeOf("HTTP/1.1 " + std::string(status) + " OK\r\nDate: x\r\n Name: value\r\n" + end) == DutyOutcome::Unanswered);
+        CHECK(outcomeOf("HTTP/1.1 " + std::string(status) + " OK\r\nNa me: value\r\n" + end) == DutyOutcome::Unanswered);
+    }
+}
--- a/tests/platform/engineclient.cpp
+++ b/tests/platform/engineclient.cpp
@@ -123,3 +123,17 @@
     const std::string report = reportOf(10);
     CHECK_FALSE(readReport("HTTP/2.0 200 OK\r\nContent-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report));
 }
+
+// Guards against an answer of an engine in trouble whose damaged line becomes part of another field, or hides the length of the body.
+TEST_CASE("An answer of an engine with a folded line is none")
+{
+    const std::string report = reportOf(10);
+    const std::string length = "Content-Length: " + std::to_string(report.size()) + "\r\n";
+    for (const char *line : {" Name: value\r\n", "\tName: value\r\n", " \r\n", "Na me: value\r\n", "Name : value\r\n"}) {
+        CAPTURE(line);
+        CHECK(orderOutcome("HTTP/1.1 202 OK\r\nDate: x\r\n" + std::string(line) + "Content-Length: 0\r\n\r\n") == placement::OrderOutcome::Unknown);
+        CHECK(orderOutcome("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n" + std::string(line) + "\r\n") == placement::OrderOutcome::Unknown);
+        CHECK_FALSE(readReport("HTTP/1.1 200 OK\r\nDate: x\r\n" + std::string(line) + length + "\r\n" + report));
+        CHECK_FALSE(readReport("HTTP/1.1 200 OK\r\n" + length + std::string(line) + "\r\n" + report));
+    }
+}
