Storage: a voter whose disk refused a write takes part again

Cause: the store stopped for good after any failed operation, as it did not know what that had left behind, and its voter stayed in the majority without a way to acknowledge. After the second disk no majority was left.

Change: a refused operation is told from a failed sync. Orders are planned as steps that can begin again; what a refused step has written in part is cut off first. Meanwhile the voter gives up leading, doesn't stand for election and acknowledges nothing. After a failed sync it gives up leading for good, and what was not synced is cut off, so that a restart doesn't take it for durable. A segment header of which only a part was durable no longer keeps a voter from starting.

--- a/include/mimosahollow/control/consensus.h
+++ b/include/mimosahollow/control/consensus.h
@@ -79,6 +79,14 @@
 /** Reports that all storage writes up to @p write are durable. */
 void logSynced(ConsensusState &state, WriteNumber write, TimePoint now, ConsensusActions &actions);
 
+/**
+ * Reports that storage refuses writes, or has failed. This voter gives up leading and doesn't stand for election until storageResumed(); it
+ * acknowledges only what is durable. Orders given to storage stay valid.
+ */
+void storageSuspended(ConsensusState &state, TimePoint now, ConsensusActions &actions);
+/** Reports that all writes that storage had refused are durable. */
+void storageResumed(ConsensusState &state, TimePoint now);
+
 /**
  * Starts a linearizable read: a majority must confirm this leader by replies to messages sent after this call.
  * Returns the read's id, which ReadConfirmed or ReadRejected repeats.
--- a/include/mimosahollow/control/consensusstate.h
+++ b/include/mimosahollow/control/consensusstate.h
@@ -108,6 +108,7 @@
     WriteNumber syncedWrite = 0; /**< Latest durable write. */
     std::deque<PendingWrite> pendingWrites;
     std::deque<DeferredMessage> deferredMessages;
+    bool isStorageSuspended = false; /**< Writes are refused: neither leads nor stands for election. */
 
     TimePoint electionDeadline{};
     TimePoint lastLeaderContact{};
--- a/include/mimosahollow/coordination/coordination.h
+++ b/include/mimosahollow/coordination/coordination.h
@@ -28,6 +28,9 @@
 void receive(CoordinationState &state, const std::string &peer, Message message, TimePoint now, Actions &actions);
 
 void storageSynced(CoordinationState &state, control::WriteNumber write, TimePoint now, Actions &actions);
+/** Storage refuses writes, or has failed: this voter doesn't lead until storageResumed(). */
+void storageSuspended(CoordinationState &state, TimePoint now, Actions &actions);
+void storageResumed(CoordinationState &state, TimePoint now);
 void snapshotStored(CoordinationState &state, control::LogIndex index, bool replacesLog, control::SharedBytes data, TimePoint now, Actions &actions);
 
 /** Submits a command to be committed. Reports CommandDone with @p ticket within @p timeout. */
--- a/include/mimosahollow/storage/filesystem.h
+++ b/include/mimosahollow/storage/filesystem.h
@@ -15,6 +15,7 @@
 {
     int code = 0; /**< errno, 0 when the operating system gave none. */
     std::string message; /**< Operation, path and reason. */
+    bool isSync = false; /**< A sync failed: it is not known what is durable. Otherwise the operation was refused and what was durable still is. */
 };
 
 /** Success, or why not. */
@@ -31,7 +32,7 @@
     AppendFile &operator=(const AppendFile &) = delete;
     virtual ~AppendFile() = default;
 
-    /** Appends @p data; may write fewer bytes than asked for. */
+    /** Appends @p data; may write fewer bytes than asked for. After an error, a part of @p data may be in the file. */
     [[nodiscard]] virtual FileResult<std::size_t> write(std::span<const std::uint8_t> data) = 0;
     /** Returns once everything written is durable. */
     [[nodiscard]] virtual FileStatus sync() = 0;
@@ -55,6 +56,7 @@
     /** Cuts @p path to @p size bytes and makes that durable. */
     [[nodiscard]] virtual FileStatus truncate(const std::string &path, std::uint64_t size) = 0;
     [[nodiscard]] virtual FileStatus rename(const std::string &from, const std::string &to) = 0;
+    /** Removes @p path; it is no error if it does not exist. */
     [[nodiscard]] virtual FileStatus remove(const std::string &path) = 0;
     /** Makes created, renamed and removed names in @p folder durable. */
     [[nodiscard]] virtual FileStatus syncFolder(const std::string &folder) = 0;
--- a/include/mimosahollow/storage/logstore.h
+++ b/include/mimosahollow/storage/logstore.h
@@ -14,12 +14,13 @@
 namespace mimosahollow::storage {
 
 enum class StorageErrorKind : std::uint8_t {
-    FileSystem, /**< An operation failed; the message has the reason of the operating system. */
+    FileSystem, /**< An operation was refused; the message has the reason of the operating system. */
+    SyncFailed, /**< The operating system could not make data durable; it is not known what the disk holds. */
     DamagedLog, /**< A record that is not the last one fails its checksum, or records are missing. */
     DamagedSnapshot,
     DamagedVote,
     UnknownFormat,
-    Stopped, /**< An earlier write failed; nothing is acknowledged any more. */
+    Stopped, /**< An earlier sync failed; nothing is acknowledged any more. */
 };
 
 struct StorageError
@@ -41,7 +42,8 @@
 /**
  * Log segments, snapshots and the vote of one voter in one folder. Not thread-safe; LogWriter gives it a thread of its own.
  *
- * After a failed write the store refuses every further one: what the failed write left behind is not known.
+ * Orders that the file system refuses, for example because the disk is full, wait for retry(); what was durable stays so. After a failed sync the
+ * store refuses everything: the operating system may have dropped the data and report success the next time.
  */
 class LogStore
 {
@@ -53,8 +55,10 @@
     LogStore &operator=(const LogStore &) = delete;
     ~LogStore();
 
-    /** Carries out @p orders in their order. Without an error, all of them are durable on return. */
+    /** Carries out @p orders after those that wait. Without an error, all of them are durable on return; after FileSystem, all of them wait. */
     [[nodiscard]] std::optional<StorageError> write(std::span<const StorageWrite> orders);
+    /** Carries out the orders that wait, as write() does. */
+    [[nodiscard]] std::optional<StorageError> retry();
 
 private:
     struct Impl;
--- a/src/app/controlthread.cpp
+++ b/src/app/controlthread.cpp
@@ -183,8 +183,15 @@
         coordination::storageSynced(*m_state, synced->write, now, m_actions);
     } else if (auto *stored = std::get_if<storage::SnapshotStored>(&event)) {
         coordination::snapshotStored(*m_state, stored->index, stored->replacesLog, std::move(stored->data), now, m_actions);
+    } else if (const auto *refused = std::get_if<storage::StorageRefused>(&event)) {
+        observability::logError("the disk refuses writes, so that this voter acknowledges nothing until it takes them: " + refused->error.message);
+        coordination::storageSuspended(*m_state, now, m_actions);
+    } else if (std::holds_alternative<storage::StorageResumed>(event)) {
+        observability::logInfo("the disk takes writes again");
+        coordination::storageResumed(*m_state, now);
     } else {
         observability::logError("this voter acknowledges nothing any more: " + std::get<storage::StorageFailed>(event).error.message);
+        coordination::storageSuspended(*m_state, now, m_actions);
     }
 }
 
--- a/src/app/voterstorage.cpp
+++ b/src/app/voterstorage.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-VoterStorage::VoterStorage(std::string dataFolder, std::function<void(storage::StorageEvent)> report)
-    : m_dataFolder(std::move(dataFolder)), m_report(std::move(report))
+VoterStorage::VoterStorage(std::string dataFolder, std::function<void(storage::StorageEvent)> report, std::unique_ptr<storage::FileSystem> files)
+    : m_dataFolder(std::move(dataFolder)), m_report(std::move(report)), m_files(std::move(files))
 {
 }
 
@@ -36,7 +36,6 @@
     if (m_dataFolder.empty()) {
         return control::DurableLog{};
     }
-    m_files = storage::posixFileSystem();
     auto opened = storage::LogStore::open(*m_files, m_dataFolder);
     if (const auto *error = std::get_if<storage::StorageError>(&opened)) {
         return error->message;
--- a/src/app/voterstorage.h
+++ b/src/app/voterstorage.h
@@ -18,7 +18,9 @@
 {
 public:
     /** @p report is called on the storage thread, or within write() when there is no data folder. */
-    VoterStorage(std::string dataFolder, std::function<void(storage::StorageEvent)> report);
+    VoterStorage(std::string dataFolder,
+                 std::function<void(storage::StorageEvent)> report,
+                 std::unique_ptr<storage::FileSystem> files = storage::posixFileSystem());
     ~VoterStorage();
     VoterStorage(const VoterStorage &) = delete;
     VoterStorage &operator=(const VoterStorage &) = delete;
--- a/src/control/consensus.cpp
+++ b/src/control/consensus.cpp
@@ -55,7 +55,7 @@
         return;
     }
     const bool installing = state.incomingSnapshot && state.incomingSnapshot->installing;
-    if (now >= state.electionDeadline && isVoter(state, state.self) && !installing) {
+    if (now >= state.electionDeadline && isVoter(state, state.self) && !installing && !state.isStorageSuspended) {
         startPreVote(state, now, actions);
     }
 }
--- a/src/control/consensuslog.cpp
+++ b/src/control/consensuslog.cpp
@@ -81,6 +81,9 @@
     SendToVoter outgoing{to, std::move(message)};
     // Messages wait until term and vote are durable: a voter that loses them in a crash could vote twice in one term.
     if (state.voteWrite > state.syncedWrite) {
+        if (state.isStorageSuspended) {
+            return; // it may take hours; the protocol repeats what gets lost
+        }
         state.deferredMessages.push_back({state.voteWrite, std::move(outgoing)});
         return;
     }
@@ -212,6 +215,21 @@
     actions.emplace_back(CompactLog{state.lastWrite, start});
 }
 
+void storageSuspended(ConsensusState &state, TimePoint now, ConsensusActions &actions)
+{
+    state.isStorageSuspended = true;
+    state.deferredMessages.clear();
+    if (state.role != VoterRole::Follower) {
+        becomeFollower(state, state.term, VoterId{}, now, actions);
+    }
+}
+
+void storageResumed(ConsensusState &state, TimePoint now)
+{
+    state.isStorageSuspended = false;
+    resetElectionDeadline(state, now);
+}
+
 void logSynced(ConsensusState &state, WriteNumber write, TimePoint now, ConsensusActions &actions)
 {
     state.syncedWrite = std::max(state.syncedWrite, write);
--- a/src/coordination/voter.cpp
+++ b/src/coordination/voter.cpp
@@ -164,6 +164,18 @@
     executeActions(state, consensusActions, now, actions);
 }
 
+void storageSuspended(CoordinationState &state, TimePoint now, Actions &actions)
+{
+    control::ConsensusActions consensusActions;
+    control::storageSuspended(state.voter->consensus, now, consensusActions);
+    executeActions(state, consensusActions, now, actions);
+}
+
+void storageResumed(CoordinationState &state, TimePoint now)
+{
+    control::storageResumed(state.voter->consensus, now);
+}
+
 void snapshotStored(CoordinationState &state, control::LogIndex index, bool replacesLog, control::SharedBytes data, TimePoint now, Actions &actions)
 {
     control::ConsensusActions consensusActions;
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -74,22 +74,22 @@
     *m_alive = false;
 }
 
-std::string Coordinator::start()
+std::string Coordinator::start(std::unique_ptr<storage::FileSystem> files)
 {
-    const auto files = storage::posixFileSystem();
     const auto identity = loadOrCreateIdentity(*files, m_settings.dataFolder, makeIdentity(m_settings));
     if (const auto *problem = std::get_if<std::string>(&identity)) {
         return *problem;
     }
     const auto &self = std::get<VoterIdentity>(identity);
     m_self = self.id;
-    m_storage = std::make_unique<app::VoterStorage>(m_settings.dataFolder + "/log", [this, alive = m_alive](storage::StorageEvent event) {
+    const auto report = [this, alive = m_alive](storage::StorageEvent event) {
         asio::post(m_context, [this, alive, event = std::move(event)]() mutable {
             if (*alive) {
                 storageReported(std::move(event));
             }
         });
-    });
+    };
+    m_storage = std::make_unique<app::VoterStorage>(m_settings.dataFolder + "/log", report, std::move(files));
     auto opened = m_storage->open();
     if (const auto *problem = std::get_if<std::string>(&opened)) {
         return *problem;
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -18,6 +18,7 @@
 #include "mimosahollow/quarantine/crashledger.h"
 #include "mimosahollow/registry/serverregistry.h"
 #include "mimosahollow/serverpace/pacetable.h"
+#include "mimosahollow/storage/filesystem.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -87,7 +88,7 @@
     Coordinator &operator=(const Coordinator &) = delete;
 
     /** Opens storage and the link listener. Returns an error message, empty on success. */
-    [[nodiscard]] std::string start();
+    [[nodiscard]] std::string start(std::unique_ptr<storage::FileSystem> files = storage::posixFileSystem());
     /** Replaces the seed addresses and connects to them. */
     void setSeeds(const std::vector<std::string> &seeds);
 
--- a/src/coordinator/coordinatorlog.cpp
+++ b/src/coordinator/coordinatorlog.cpp
@@ -148,8 +148,15 @@
         } else {
             control::snapshotTaken(*m_consensus, stored->index, std::move(stored->data), actions);
         }
+    } else if (const auto *refused = std::get_if<storage::StorageRefused>(&event)) {
+        observability::logError("the disk refuses writes, so that this coordinator acknowledges nothing until it takes them: " + refused->error.message);
+        control::storageSuspended(*m_consensus, now, actions);
+    } else if (std::holds_alternative<storage::StorageResumed>(event)) {
+        observability::logInfo("the disk takes writes again");
+        control::storageResumed(*m_consensus, now);
     } else if (const auto *failed = std::get_if<storage::StorageFailed>(&event)) {
-        observability::logError("storage failed: " + failed->error.message);
+        observability::logError("this coordinator acknowledges nothing any more: " + failed->error.message);
+        control::storageSuspended(*m_consensus, now, actions);
         if (storageFailed) {
             storageFailed(failed->error.message);
         }
--- a/src/storage/logformat.cpp
+++ b/src/storage/logformat.cpp
@@ -143,11 +143,11 @@
 /** Good bytes of a segment whose header is bad. */
 ReplayResult badHeader(std::span<const std::uint8_t> segment, bool isLast, const ReplayedLog &log)
 {
-    std::uint64_t magic = 0;
-    if (segment.size() >= sizeof(magic)) {
-        std::memcpy(&magic, segment.data(), sizeof(magic));
-    }
-    if (segment.size() >= segmentHeaderBytes && magic == segmentMagic) {
+    ByteReader reader{segment};
+    const auto magic = reader.number<std::uint64_t>();
+    const auto format = reader.number<std::uint32_t>();
+    // Formats count from 1: zeros are the place of bytes that were not durable.
+    if (segment.size() >= segmentHeaderBytes && magic == segmentMagic && format != 0) {
         return StorageError{StorageErrorKind::UnknownFormat, "the log segment has a format that this program does not know"};
     }
     if (!isLast || hasLaterRecord(segment, log.nextSequence)) {
--- a/src/storage/logrecovery.cpp
+++ b/src/storage/logrecovery.cpp
@@ -49,13 +49,13 @@
     return std::nullopt;
 }
 
-std::optional<StorageError> LogStore::Impl::cutTail(const std::string &name, std::size_t size, std::size_t good, std::uint64_t &tornBytes)
+/** Cuts @p name to its @p good bytes, or removes it if it has no header. */
+std::optional<StorageError> LogStore::Impl::cutTail(const std::string &name, std::size_t size, std::uint64_t good, std::uint64_t &tornBytes)
 {
     tornBytes += size - good;
     if (good >= segmentHeaderBytes) {
         return good == size ? std::nullopt : failure(files.truncate(path(name), good));
     }
-    segments.pop_back();
     return removeFile(name);
 }
 
@@ -78,13 +78,16 @@
             error->message += " (" + name + ")";
             return std::move(*error);
         }
-        segments.push_back({*nameNumber(name, segmentPrefix, segmentSuffix), log.segmentMaximum});
-        activeBytes = std::get<std::size_t>(replayed);
+        const std::uint64_t good = std::get<std::size_t>(replayed);
         if (isLast) {
-            if (auto error = cutTail(name, data.size(), activeBytes, tornBytes)) {
+            if (auto error = cutTail(name, data.size(), good, tornBytes)) {
                 return error;
             }
         }
+        if (good >= segmentHeaderBytes) {
+            segments.push_back({*nameNumber(name, segmentPrefix, segmentSuffix), log.segmentMaximum});
+            activeBytes = good;
+        }
     }
     return std::nullopt;
 }
@@ -96,12 +99,8 @@
         return converted(*error);
     }
     const auto &names = std::get<std::vector<std::string>>(listed);
-    for (const std::string &name : names) {
-        if (name.ends_with(temporarySuffix)) {
-            if (auto error = removeFile(name)) {
-                return error;
-            }
-        }
+    if (auto error = removeTemporaryFiles(names)) {
+        return error;
     }
     if (auto error = readVoteFile(names, content)) {
         return error;
@@ -109,7 +108,7 @@
     if (auto error = readSnapshot(names, content)) {
         return error;
     }
-    if (auto error = removeOldSnapshots(content.snapshot.index)) {
+    if (auto error = carryOut(RemoveSnapshotsStep{content.snapshot.index})) {
         return error;
     }
     ReplayedLog log;
@@ -136,11 +135,11 @@
         active = std::move(std::get<std::unique_ptr<AppendFile>>(opened));
     }
     if (control::alignWithSnapshot(content)) {
-        addReset(operations, content.snapshot.index);
-        lastIndex = content.snapshot.index;
-        return flush();
+        planReset(content.snapshot.index);
     }
-    return std::nullopt;
+    // If the disk is full, the reset waits like any other order: until it is durable, the log is read in the same way again.
+    auto error = carryOutSteps();
+    return error && error->kind == StorageErrorKind::FileSystem ? std::nullopt : std::move(error);
 }
 
 } // namespace mimosahollow::storage
--- a/src/storage/logstore.cpp
+++ b/src/storage/logstore.cpp
@@ -28,7 +28,131 @@
 
 } // namespace
 
-std::optional<StorageError> LogStore::Impl::startSegment(Bytes &record)
+/** Plans @p orders of one group. The record that earlier orders have begun may grow, since it is not durable. */
+void LogStore::Impl::plan(std::span<const StorageWrite> orders)
+{
+    // The newest vote covers the earlier ones of the group. It goes first: entries of a term need the term to be durable.
+    for (auto order = orders.rbegin(); order != orders.rend(); ++order) {
+        if (const auto *vote = std::get_if<control::SaveVote>(&*order)) {
+            steps.emplace_back(VoteRecord{vote->term, vote->vote});
+            break;
+        }
+    }
+    for (const StorageWrite &order : orders) {
+        std::visit(
+            [this](const auto &content) {
+                if constexpr (!std::is_same_v<std::decay_t<decltype(content)>, control::SaveVote>) {
+                    plan(content);
+                }
+            },
+            order);
+    }
+}
+
+RecordStep &LogStore::Impl::openRecord()
+{
+    const auto *last = steps.empty() ? nullptr : std::get_if<RecordStep>(&steps.back());
+    if (last == nullptr || last->operations.size() >= maximumRecordBytes) {
+        steps.emplace_back(RecordStep{});
+    }
+    return std::get<RecordStep>(steps.back());
+}
+
+void LogStore::Impl::plan(const control::AppendLog &order)
+{
+    for (const control::LogEntry &entry : order.entries) {
+        RecordStep &record = openRecord();
+        addAppend(record.operations, entry);
+        lastIndex = entry.index;
+        record.lastIndex = lastIndex;
+        record.maximum = std::max(record.maximum, entry.index);
+    }
+}
+
+void LogStore::Impl::plan(const control::TruncateLog &order)
+{
+    RecordStep &record = openRecord();
+    addTruncate(record.operations, order.from);
+    lastIndex = std::min(lastIndex, order.from - 1);
+    record.lastIndex = lastIndex;
+}
+
+void LogStore::Impl::plan(const control::CompactLog &order)
+{
+    steps.emplace_back(RemoveSegmentsStep{order.upTo});
+}
+
+void LogStore::Impl::plan(const StoreSnapshot &order)
+{
+    steps.emplace_back(SnapshotStep{order.point, order.data});
+    steps.emplace_back(RemoveSnapshotsStep{order.point.index});
+    if (order.replacesLog) {
+        planReset(order.point.index);
+    }
+}
+
+void LogStore::Impl::planReset(LogIndex index)
+{
+    RecordStep &record = openRecord();
+    addReset(record.operations, index);
+    lastIndex = index;
+    record.lastIndex = lastIndex;
+}
+
+std::optional<StorageError> LogStore::Impl::carryOutSteps()
+{
+    if (hasRemains) {
+        if (auto error = clearRemains()) {
+            return error;
+        }
+    }
+    while (!steps.empty()) {
+        auto error = std::visit(
+            [this](const auto &step) {
+                return carryOut(step);
+            },
+            steps.front());
+        if (error) {
+            hasRemains = true;
+            return error;
+        }
+        steps.pop_front();
+    }
+    return std::nullopt;
+}
+
+/** Undoes what refused operations have done in part, so that their steps can begin again. */
+std::optional<StorageError> LogStore::Impl::clearRemains()
+{
+    if (active) {
+        // Before the record is written again: a reader must not find a later record behind a torn one.
+        if (auto error = failure(files.truncate(path(numberedName(segmentPrefix, segments.back().firstSequence, segmentSuffix)), activeBytes))) {
+            return error;
+        }
+    }
+    auto names = files.list(folder);
+    if (const auto *error = std::get_if<FileError>(&names)) {
+        return converted(*error);
+    }
+    if (auto error = removeTemporaryFiles(std::get<std::vector<std::string>>(names))) {
+        return error;
+    }
+    hasRemains = false;
+    return std::nullopt;
+}
+
+/**
+ * Cuts off what was written since the last sync that succeeded. A restarted process would read it from the page cache and take it for durable.
+ * Whether that succeeds changes nothing: the store has stopped.
+ */
+void LogStore::Impl::dropUnsynced()
+{
+    if (active) {
+        static_cast<void>(files.truncate(path(numberedName(segmentPrefix, segments.back().firstSequence, segmentSuffix)), activeBytes));
+    }
+}
+
+std::optional<StorageError> LogStore::Impl::startSegment()
 {
     const std::string name = numberedName(segmentPrefix, nextSequence, segmentSuffix);
     auto opened = files.openAppend(path(name));
@@ -37,45 +161,40 @@
     }
     active = std::move(std::get<std::unique_ptr<AppendFile>>(opened));
     activeBytes = 0;
+    isActiveNameDurable = false;
     segments.push_back({nextSequence, 0});
-    Bytes start;
-    writeSegmentHeader(start);
-    record.insert(record.begin(), start.begin(), start.end());
     return std::nullopt;
 }
 
-/** Writes the collected operations as one record and syncs it. */
-std::optional<StorageError> LogStore::Impl::flush()
+std::optional<StorageError> LogStore::Impl::carryOut(const RecordStep &record)
 {
-    if (operations.empty()) {
-        return std::nullopt;
-    }
-    Bytes record;
-    writeRecord(record, nextSequence, lastIndex, operations);
     // A segment without records has the name that the new one would get.
     const bool isFull = activeBytes >= options.segmentBytes && activeBytes > segmentHeaderBytes;
-    const bool isNew = !active || isFull;
-    if (isNew) {
-        if (auto error = startSegment(record)) {
+    if (!active || isFull) {
+        if (auto error = startSegment()) {
             return error;
         }
     }
-    if (auto error = writeAll(*active, record)) {
+    Bytes bytes;
+    if (activeBytes == 0) {
+        writeSegmentHeader(bytes);
+    }
+    writeRecord(bytes, nextSequence, record.lastIndex, record.operations);
+    if (auto error = writeAll(*active, bytes)) {
         return error;
     }
     if (auto error = failure(active->sync())) {
         return error;
     }
-    if (isNew) {
+    if (!isActiveNameDurable) {
         if (auto error = failure(files.syncFolder(folder))) {
             return error;
         }
+        isActiveNameDurable = true;
     }
-    activeBytes += record.size();
-    segments.back().maximum = std::max(segments.back().maximum, recordMaximum);
-    recordMaximum = 0;
+    activeBytes += bytes.size();
+    segments.back().maximum = std::max(segments.back().maximum, record.maximum);
     ++nextSequence;
-    operations.clear();
     return std::nullopt;
 }
 
@@ -112,21 +231,11 @@
     return failure(files.syncFolder(folder));
 }
 
-std::optional<StorageError> LogStore::Impl::store(const control::SaveVote &order)
+std::optional<StorageError> LogStore::Impl::removeTemporaryFiles(const std::vector<std::string> &names)
 {
-    const Bytes bytes = writeVote({order.term, order.vote});
-    const std::array<std::span<const std::uint8_t>, 1> parts{bytes};
-    return replaceFile("vote", parts);
-}
-
-std::optional<StorageError> LogStore::Impl::store(const control::AppendLog &order)
-{
-    for (const control::LogEntry &entry : order.entries) {
-        addAppend(operations, entry);
-        lastIndex = entry.index;
-        recordMaximum = std::max(recordMaximum, entry.index);
-        if (operations.size() >= maximumRecordBytes) {
-            if (auto error = flush()) {
+    for (const std::string &name : names) {
+        if (name.ends_with(temporarySuffix)) {
+            if (auto error = removeFile(name)) {
                 return error;
             }
         }
@@ -134,49 +243,21 @@
     return std::nullopt;
 }
 
-std::optional<StorageError> LogStore::Impl::store(const control::TruncateLog &order)
+std::optional<StorageError> LogStore::Impl::carryOut(const VoteRecord &vote)
 {
-    addTruncate(operations, order.from);
-    lastIndex = std::min(lastIndex, order.from - 1);
-    return std::nullopt;
-}
-
-std::optional<StorageError> LogStore::Impl::store(const control::CompactLog &order)
-{
-    if (auto error = flush()) {
-        return error;
-    }
-    // One at a time: a crash must not leave a gap between the segments.
-    while (segments.size() > 1 && segments.front().maximum <= order.upTo) {
-        if (auto error = removeFile(numberedName(segmentPrefix, segments.front().firstSequence, segmentSuffix))) {
-            return error;
-        }
-        segments.pop_front();
-    }
-    return std::nullopt;
+    const Bytes bytes = writeVote(vote);
+    const std::array<std::span<const std::uint8_t>, 1> parts{bytes};
+    return replaceFile("vote", parts);
 }
 
-std::optional<StorageError> LogStore::Impl::store(const StoreSnapshot &order)
+std::optional<StorageError> LogStore::Impl::carryOut(const SnapshotStep &snapshot)
 {
-    if (auto error = flush()) {
-        return error;
-    }
-    const Bytes header = writeSnapshotHeader(order.point, *order.data);
-    const std::array<std::span<const std::uint8_t>, 2> parts{header, *order.data};
-    if (auto error = replaceFile(numberedName(snapshotPrefix, order.point.index, snapshotSuffix), parts)) {
-        return error;
-    }
-    if (auto error = removeOldSnapshots(order.point.index)) {
-        return error;
-    }
-    if (order.replacesLog) {
-        addReset(operations, order.point.index);
-        lastIndex = order.point.index;
-    }
-    return flush();
+    const Bytes header = writeSnapshotHeader(snapshot.point, *snapshot.data);
+    const std::array<std::span<const std::uint8_t>, 2> parts{header, *snapshot.data};
+    return replaceFile(numberedName(snapshotPrefix, snapshot.point.index, snapshotSuffix), parts);
 }
 
-std::optional<StorageError> LogStore::Impl::removeOldSnapshots(LogIndex newest)
+std::optional<StorageError> LogStore::Impl::carryOut(const RemoveSnapshotsStep &step)
 {
     auto names = files.list(folder);
     if (const auto *error = std::get_if<FileError>(&names)) {
@@ -184,7 +265,7 @@
     }
     for (const std::string &name : std::get<std::vector<std::string>>(names)) {
         const auto number = nameNumber(name, snapshotPrefix, snapshotSuffix);
-        if (number && *number < newest) {
+        if (number && *number < step.before) {
             if (auto error = removeFile(name)) {
                 return error;
             }
@@ -193,32 +274,16 @@
     return std::nullopt;
 }
 
-std::optional<StorageError> LogStore::Impl::writeOrders(std::span<const StorageWrite> orders)
+std::optional<StorageError> LogStore::Impl::carryOut(const RemoveSegmentsStep &step)
 {
-    // The newest vote covers the earlier ones of the group. It goes first: entries of a term need the term to be durable.
-    for (auto order = orders.rbegin(); order != orders.rend(); ++order) {
-        if (const auto *vote = std::get_if<control::SaveVote>(&*order)) {
-            if (auto error = store(*vote)) {
-                return error;
-            }
-            break;
-        }
-    }
-    for (const StorageWrite &order : orders) {
-        auto error = std::visit(
-            [this](const auto &content) -> std::optional<StorageError> {
-                if constexpr (std::is_same_v<std::decay_t<decltype(content)>, control::SaveVote>) {
-                    return std::nullopt;
-                } else {
-                    return store(content);
-                }
-            },
-            order);
-        if (error) {
+    // One at a time: a crash must not leave a gap between the segments.
+    while (segments.size() > 1 && segments.front().maximum <= step.upTo) {
+        if (auto error = removeFile(numberedName(segmentPrefix, segments.front().firstSequence, segmentSuffix))) {
             return error;
         }
+        segments.pop_front();
     }
-    return flush();
+    return std::nullopt;
 }
 
 LogStore::LogStore(std::unique_ptr<Impl> impl) : m_impl(std::move(impl))
@@ -232,7 +297,7 @@
     if (auto error = failure(files.makeFolder(folder))) {
         return std::move(*error);
     }
-    auto impl = std::unique_ptr<Impl>(new Impl{files, std::move(folder), options, {}, nullptr, 0, 1, 0, 0, {}, false});
+    auto impl = std::unique_ptr<Impl>(new Impl{files, std::move(folder), options});
     OpenedLog opened;
     if (auto error = impl->recover(opened.content, opened.tornBytes)) {
         return std::move(*error);
@@ -244,11 +309,20 @@
 std::optional<StorageError> LogStore::write(std::span<const StorageWrite> orders)
 {
     if (m_impl->stopped) {
-        return StorageError{StorageErrorKind::Stopped, "an earlier write to " + m_impl->folder + " failed"};
+        return StorageError{StorageErrorKind::Stopped, "an earlier sync of " + m_impl->folder + " failed"};
+    }
+    m_impl->plan(orders);
+    auto error = m_impl->carryOutSteps();
+    if (error && error->kind != StorageErrorKind::FileSystem) {
+        m_impl->stopped = true;
+        m_impl->dropUnsynced();
     }
-    auto error = m_impl->writeOrders(orders);
-    m_impl->stopped = error.has_value();
     return error;
 }
 
+std::optional<StorageError> LogStore::retry()
+{
+    return write({});
+}
+
 } // namespace mimosahollow::storage
--- a/src/storage/posixfilesystem.cpp
+++ b/src/storage/posixfilesystem.cpp
@@ -23,6 +23,13 @@
     return {code, std::string(operation) + " " + path + ": " + std::generic_category().message(code)};
 }
 
+FileError syncError(const char *operation, const std::string &path)
+{
+    FileError error = lastError(operation, path);
+    error.isSync = true;
+    return error;
+}
+
 /** Owns a file descriptor. */
 class Descriptor
 {
@@ -79,7 +86,7 @@
     {
         // fdatasync() also makes the new size of the file durable.
         if (::fdatasync(m_descriptor.value()) != 0) {
-            return lastError("fdatasync", m_path);
+            return syncError("fdatasync", m_path);
         }
         return std::monostate{};
     }
@@ -151,9 +158,12 @@
     FileStatus truncate(const std::string &path, std::uint64_t size) override
     {
         const Descriptor file(openRetrying(path, O_WRONLY));
-        if (file.value() < 0 || ::ftruncate(file.value(), static_cast<off_t>(size)) != 0 || ::fsync(file.value()) != 0) {
+        if (file.value() < 0 || ::ftruncate(file.value(), static_cast<off_t>(size)) != 0) {
             return lastError("truncate", path);
         }
+        if (::fsync(file.value()) != 0) {
+            return syncError("fsync", path);
+        }
         return std::monostate{};
     }
 
@@ -167,7 +177,7 @@
 
     FileStatus remove(const std::string &path) override
     {
-        if (::unlink(path.c_str()) != 0) {
+        if (::unlink(path.c_str()) != 0 && errno != ENOENT) {
             return lastError("remove", path);
         }
         return std::monostate{};
@@ -176,8 +186,11 @@
     FileStatus syncFolder(const std::string &folder) override
     {
         const Descriptor file(openRetrying(folder, O_RDONLY | O_DIRECTORY));
-        if (file.value() < 0 || ::fsync(file.value()) != 0) {
-            return lastError("sync folder", folder);
+        if (file.value() < 0) {
+            return lastError("open folder", folder);
+        }
+        if (::fsync(file.value()) != 0) {
+            return syncError("sync folder", folder);
         }
         return std::monostate{};
     }
--- a/tests/control/cluster.cpp
+++ b/tests/control/cluster.cpp
@@ -121,6 +121,9 @@
         case 8:
             simulation.restoreLinks();
             break;
+        case 9:
+            simulation.fillDisk(randomVoter(), simulation.random() % 300, milliseconds(100 + simulation.random() % 2000));
+            break;
         default:
             break;
         }
@@ -355,3 +358,115 @@
         REQUIRE((result.outcome == CommandOutcome::Accepted || result.message.find("by " + winner + " with hash 00") != std::string::npos));
     }
 }
+
+// Guards against a voter that is out for good after its disk was full for a while, so that the second such disk leaves no majority.
+TEST_CASE("disks that are full one after the other stop no changes")
+{
+    SimulationOptions options;
+    options.seed = firstSeed;
+    INFO("seed " << options.seed);
+    Simulation simulation(options);
+    std::uint64_t keys = 0;
+    const auto commitWithin = [&](Duration limit) {
+        const std::size_t operation = simulation.submit(1, grantKey(++keys));
+        return simulation.runUntil(
+            [&] {
+                return simulation.operation(operation).done;
+            },
+            limit);
+    };
+    simulation.submit(0, applyBundle(0, "first"));
+    REQUIRE(commitWithin(seconds(5)));
+    for (unsigned round = 0; round < 9; ++round) {
+        // The leader each third time, since it is the one that has to give up.
+        const VoterId full = round % 3 == 0 && simulation.leader() != nullptr ? simulation.leader()->id : static_cast<VoterId>(1 + round % 3);
+        CAPTURE(round, static_cast<unsigned>(full));
+        simulation.fillDisk(full, round * 37, seconds(4));
+        REQUIRE(commitWithin(seconds(3)));
+        REQUIRE(commitWithin(seconds(1)));
+        REQUIRE((simulation.leader() == nullptr || simulation.leader()->id != full));
+        simulation.runFor(seconds(5));
+        REQUIRE_FALSE(simulation.node(full).consensus.isStorageSuspended);
+        REQUIRE(simulation.runUntil(
+            [&] {
+                return simulation.isSettled();
+            },
+            seconds(5)));
+    }
+    simulation.checkHistory();
+    INFO(joinLines(simulation.violations()));
+    REQUIRE(simulation.violations().empty());
+}
+
+// Guards against an acknowledgement, a vote or a leadership that rests on a record which the disk has refused.
+TEST_CASE("a leader whose disk refuses a write gives up at once and acknowledges nothing that is not durable")
+{
+    ConsensusOptions options;
+    const Membership members{{VoterId{1}, "10.0.0.1:7000", false}, {VoterId{2}, "10.0.0.2:7000", false}, {VoterId{3}, "10.0.0.3:7000", false}};
+    const TimePoint start{seconds(1000)};
+    TimePoint now = start;
+    ConsensusActions actions;
+    ConsensusState state = makeConsensus(VoterId{1}, options, {}, members, firstSeed, now);
+    const auto sent = [&actions](auto isWanted) {
+        return std::count_if(actions.begin(), actions.end(), [&](const ConsensusAction &action) {
+            const auto *message = std::get_if<SendToVoter>(&action);
+            return message != nullptr && isWanted(message->message);
+        });
+    };
+    const auto isAnyMessage = [](const ConsensusMessage &) {
+        return true;
+    };
+    now += options.electionTimeoutMaximum;
+    tick(state, now, actions);
+    receive(state, VoterId{2}, VoteReply{1, true, true}, now, actions);
+    logSynced(state, state.lastWrite, now, actions);
+    receive(state, VoterId{2}, VoteReply{1, false, true}, now, actions);
+    REQUIRE(state.role == VoterRole::Leader);
+    logSynced(state, state.lastWrite, now, actions);
+    receive(state, VoterId{2}, AppendReply{1, 1, true, 1}, now, actions);
+    const auto payload = std::make_shared<const Bytes>(Bytes(10, 1));
+    static_cast<void>(propose(state, std::span(&payload, 1), now, actions));
+    const WriteNumber refused = state.lastWrite;
+    actions.clear();
+    storageSuspended(state, now, actions);
+    REQUIRE(state.role == VoterRole::Follower);
+    REQUIRE(std::any_of(actions.begin(), actions.end(), [](const ConsensusAction &action) {
+        return std::holds_alternative<LostLeadership>(action);
+    }));
+
+    SECTION("it doesn't stand for election until its disk has room")
+    {
+        actions.clear();
+        now += 10 * options.electionTimeoutMaximum;
+        tick(state, now, actions);
+        REQUIRE(actions.empty());
+        logSynced(state, refused, now, actions);
+        storageResumed(state, now);
+        now += options.electionTimeoutMaximum;
+        tick(state, now, actions);
+        REQUIRE(state.role == VoterRole::PreCandidate);
+    }
+    SECTION("it confirms a leader of its term, but only the entries that are durable")
+    {
+        actions.clear();
+        // Voter 2 has the entry and leads in a later term, which can't be made durable here.
+        receive(state, VoterId{2}, AppendRequest{2, 2, 1, 1, 1, {LogEntry{3, 2, EntryKind::Empty, nullptr, {}}}}, now, actions);
+        REQUIRE(sent(isAnyMessage) == 0);
+        REQUIRE(state.deferredMessages.empty());
+        logSynced(state, state.lastWrite, now, actions);
+        storageResumed(state, now);
+        REQUIRE(sent([](const ConsensusMessage &message) {
+                    const auto *reply = std::get_if<AppendReply>(&message);
+                    return reply != nullptr && reply->accepted && reply->matchIndex == 3;
+                })
+                == 1);
+    }
+    SECTION("it gives no vote that is not durable")
+    {
+        actions.clear();
+        now += options.electionTimeoutMaximum;
+        receive(state, VoterId{3}, VoteRequest{2, 5, 1, false}, now, actions);
+        REQUIRE(sent(isAnyMessage) == 0);
+        REQUIRE(state.vote == VoterId{3});
+    }
+}
--- a/tests/control/simulation.h
+++ b/tests/control/simulation.h
@@ -64,6 +64,7 @@
         std::uint64_t incarnation = 0; /**< Changes at each start and crash; events of an earlier incarnation are dropped. */
         std::vector<storage::StorageWrite> unflushedWrites;
         bool flushScheduled = false;
+        std::vector<storage::StorageWrite> refusedWrites; /**< Wait for room on the disk. */
         LogIndex lastSnapshotIndex = 0;
         std::map<LogIndex, std::pair<Term, std::size_t>> proposals; /**< By log index: term of the entry and number of the operation that waits for it. */
         std::map<std::uint64_t, std::size_t> reads; /**< By read id: number of the operation that waits for it. */
@@ -79,6 +80,8 @@
     void crash(VoterId id, bool restarts = true);
     /** Lets the voter crash in the middle of a disk operation, the one @p steps operations from now. */
     void crashDuringDiskOperation(VoterId id, std::uint64_t steps);
+    /** The disk takes @p bytes more, and nothing after them for @p duration. */
+    void fillDisk(VoterId id, std::size_t bytes, Duration duration);
     void start(VoterId id);
     Node &addNode(VoterId id);
     void cutLink(VoterId from, VoterId to);
@@ -144,6 +147,7 @@
     void install(Node &node, const InstallSnapshot &action);
     void scheduleFlush(Node &node);
     void flush(Node &node);
+    void finishFlush(Node &node, std::vector<storage::StorageWrite> writes, const std::optional<storage::StorageError> &error);
     void attempt(std::size_t number, unsigned tries);
     void answer(std::size_t number, const std::function<void(Operation &)> &fill);
     void checkLeader(Node &node, Term term);
