--- a/tests/gateway/cutuploads.cpp
+++ b/tests/gateway/cutuploads.cpp
@@ -14,16 +14,6 @@
 
 namespace {
 
-GatewayFixture::Decide grantsOf(const std::string &address)
-{
-    return [address](const gateway::ServingRequest &request, unsigned attempt) -> std::optional<ReplyContent> {
-        if (attempt > 0) {
-            return gateway::ServingRefusal{RefusalReason::BackendFailed, CallOutcome::NotRun, {}};
-        }
-        return grantFor(request, address);
-    };
-}
-
 /** Reads the head of one request, answers it and resets the connection while the body is still being written. */
 class ResettingServer
 {
@@ -74,7 +64,7 @@
     SECTION("a plain call")
     {
         const ResettingServer server("half");
-        GatewayFixture fixture(engineOptions(), grantsOf(server.address()), settings);
+        GatewayFixture fixture(engineOptions(), grantsOnce(server.address()), settings);
         const Answer received = fixture.client().call(request("POST", "/registry/entries", "\"" + filler + "\""));
         CHECK(received.status == 502);
         CHECK(received.error("outcome") == "unknown");
@@ -82,7 +72,7 @@
     SECTION("a stream")
     {
         const ResettingServer server("data: {\"choices\":[{\"delta\":{\"content\":\"word0 \"}}]}\n\n");
-        GatewayFixture fixture(engineOptions(), grantsOf(server.address()), settings);
+        GatewayFixture fixture(engineOptions(), grantsOnce(server.address()), settings);
         const Answer received = fixture.client().call(chatCall(3, true, R"(,"filler":")" + filler + "\""));
         CHECK(received.body().find("backend-failed") != std::string::npos);
     }
--- a/tests/gateway/faultyservers.cpp
+++ b/tests/gateway/faultyservers.cpp
@@ -8,16 +8,6 @@
 
 namespace {
 
-GatewayFixture::Decide grantsOf(const ScriptedServer &server)
-{
-    return [&server](const gateway::ServingRequest &request, unsigned attempt) -> std::optional<ReplyContent> {
-        if (attempt > 0) {
-            return gateway::ServingRefusal{RefusalReason::BackendFailed, CallOutcome::NotRun, {}};
-        }
-        return grantFor(request, server.address);
-    };
-}
-
 settings::Settings oneThread()
 {
     settings::Settings settings = gatewaySettings();
@@ -43,7 +33,7 @@
         copy.replace(copy.find("ID"), 2, firstId);
         return {number == 2 ? copy + success : success, false};
     });
-    GatewayFixture fixture(engineOptions(), grantsOf(server), oneThread());
+    GatewayFixture fixture(engineOptions(), grantsOnce(server.address), oneThread());
     HttpClient client = fixture.client();
     REQUIRE(client.call(request("GET", "/registry/entries", "")).status == 503);
     const Answer second = client.call(request("GET", "/registry/entries", ""));
@@ -76,7 +66,7 @@
     ScriptedServer server([&sent](unsigned, const std::string &) -> ScriptedServer::Reply {
         return {sent, true};
     });
-    GatewayFixture fixture(engineOptions(), grantsOf(server), oneThread());
+    GatewayFixture fixture(engineOptions(), grantsOnce(server.address), oneThread());
     for (const std::string &text : {request("POST", "/registry/entries", "{}"), chatCall(3, false), chatCall(3, true)}) {
         const Answer answer = fixture.client().call(text);
         CHECK(answer.status == 502);
--- a/tests/gateway/foldedfields.cpp
+++ b/tests/gateway/foldedfields.cpp
@@ -1,44 +1,12 @@
+#include "orderoutcome.h"
 #include "support/gatewayfixture.h"
 #include "support/scriptedserver.h"
 
-#include "mimosahollow/gateway/ordersender.h"
-
 #include <catch2/catch.hpp>
 
 using namespace mimosahollow;
 using namespace mimosahollow::tests;
 
-namespace {
-
-GatewayFixture::Decide grantsOf(const std::string &address)
-{
-    return [address](const gateway::ServingRequest &request, unsigned attempt) -> std::optional<ReplyContent> {
-        if (attempt > 0) {
-            return gateway::ServingRefusal{RefusalReason::BackendFailed, CallOutcome::NotRun, {}};
-        }
-        return grantFor(request, address);
-    };
-}
-
-/** Outcome of an order that a backend server answers with @p answer. */
-gateway::OrderOutcome outcomeOf(const std::string &answer)
-{
-    ScriptedServer server([&answer](unsigned, const std::string &) -> ScriptedServer::Reply {
-        return {answer, true};
-    });
-    BoundedRing<gateway::ServingEvent> ring(16);
-    gateway::OrderSender sender(ring);
-    sender.start();
-    REQUIRE(sender.send({1, gateway::OrderKind::Load, server.address, "a@1", 7, seconds(2)}));
-    std::vector<gateway::ServingEvent> events;
-    ring.waitAndTake(events, seconds(5));
-    sender.stop();
-    REQUIRE(events.size() == 1);
-    return std::get<gateway::BackendOrderResult>(events.front()).outcome;
-}
-
-} // namespace
-
 // Guards against an answer of a server in trouble whose damaged line becomes part of another field, or hides the length of the body.
 TEST_CASE("An answer with a folded line in its head or trailer is a failure")
 {
@@ -64,7 +32,7 @@
     ScriptedServer server([&answer](unsigned, const std::string &) -> ScriptedServer::Reply {
         return {answer, true};
     });
-    GatewayFixture fixture(engineOptions(), grantsOf(server.address));
+    GatewayFixture fixture(engineOptions(), grantsOnce(server.address));
     for (const std::string &text : {request("POST", "/registry/entries", "{}"), chatCall(3, false), chatCall(3, true)}) {
         const Answer received = fixture.client().call(text);
         CHECK(received.status == 502);
@@ -74,8 +42,8 @@
 
 TEST_CASE("An order whose reply has a folded line has an unknown outcome")
 {
-    CHECK(outcomeOf("HTTP/1.1 200 OK\r\nDate: x\r\n Name: value\r\nContent-Length: 0\r\n\r\n") == gateway::OrderOutcome::Unknown);
-    CHECK(outcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\tName: value\r\n\r\n") == gateway::OrderOutcome::Unknown);
-    CHECK(outcomeOf("HTTP/1.1 412 Stale\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLast: x\r\n Name: value\r\n\r\n") == gateway::OrderOutcome::Unknown);
-    CHECK(outcomeOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLast: x\r\n\r\n") == gateway::OrderOutcome::Done);
+    CHECK(orderOutcome("HTTP/1.1 200 OK\r\nDate: x\r\n Name: value\r\nContent-Length: 0\r\n\r\n") == gateway::OrderOutcome::Unknown);
+    CHECK(orderOutcome("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\tName: value\r\n\r\n") == gateway::OrderOutcome::Unknown);
+    CHECK(orderOutcome("HTTP/1.1 412 Stale\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLast: x\r\n Name: value\r\n\r\n") == gateway::OrderOutcome::Unknown);
+    CHECK(orderOutcome("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLast: x\r\n\r\n") == gateway::OrderOutcome::Done);
 }
--- a/tests/gateway/invalidstatus.cpp
+++ b/tests/gateway/invalidstatus.cpp
@@ -1,8 +1,8 @@
+#include "orderoutcome.h"
 #include "support/gatewayfixture.h"
 #include "support/scriptedserver.h"
 
 #include "httpio/answerstatus.h"
-#include "mimosahollow/gateway/ordersender.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,27 +12,6 @@
 using namespace mimosahollow;
 using namespace mimosahollow::tests;
 
-namespace {
-
-/** Outcome of an order that a backend server answers with @p answer. */
-gateway::OrderOutcome outcomeOf(const std::string &answer)
-{
-    ScriptedServer server([&answer](unsigned, const std::string &) -> ScriptedServer::Reply {
-        return {answer, true};
-    });
-    BoundedRing<gateway::ServingEvent> ring(16);
-    gateway::OrderSender sender(ring);
-    sender.start();
-    REQUIRE(sender.send({1, gateway::OrderKind::Load, server.address, "a@1", 7, seconds(2)}));
-    std::vector<gateway::ServingEvent> events;
-    ring.waitAndTake(events, seconds(5));
-    sender.stop();
-    REQUIRE(events.size() == 1);
-    return std::get<gateway::BackendOrderResult>(events.front()).outcome;
-}
-
-} // namespace
-
 // Guards against a caller that waits for its deadline, or gets a status that isn't one, when a backend server in trouble answers.
 TEST_CASE("An answer with an invalid status fails at once")
 {
@@ -99,12 +78,12 @@
     const std::string end = " OK\r\nContent-Length: 0\r\n\r\n";
     for (const char *status : {"000", "001", "099", "100", "600", "999", "20", "2000", "-20"}) {
         CAPTURE(status);
-        CHECK(outcomeOf("HTTP/1.1 " + std::string(status) + end) == gateway::OrderOutcome::Unknown);
+        CHECK(orderOutcome("HTTP/1.1 " + std::string(status) + end) == gateway::OrderOutcome::Unknown);
     }
-    CHECK(outcomeOf("HTTP/2.0 200" + end) == gateway::OrderOutcome::Unknown);
-    CHECK(outcomeOf("HTTP/1.1 200" + end) == gateway::OrderOutcome::Done);
-    CHECK(outcomeOf("HTTP/1.1 409" + end) == gateway::OrderOutcome::Refused);
-    CHECK(outcomeOf("HTTP/1.1 412" + end) == gateway::OrderOutcome::StaleFencing);
+    CHECK(orderOutcome("HTTP/2.0 200" + end) == gateway::OrderOutcome::Unknown);
+    CHECK(orderOutcome("HTTP/1.1 200" + end) == gateway::OrderOutcome::Done);
+    CHECK(orderOutcome("HTTP/1.1 409" + end) == gateway::OrderOutcome::Refused);
+    CHECK(orderOutcome("HTTP/1.1 412" + end) == gateway::OrderOutcome::StaleFencing);
 }
 
 TEST_CASE("A status line is final, interim or invalid")
--- a/tests/support/gatewayfixture.h
+++ b/tests/support/gatewayfixture.h
@@ -69,6 +69,17 @@
     return grant;
 }
 
+/** Grants the first attempt of each call on @p address, and refuses further ones. */
+inline FakeDispatch::Decide grantsOnce(const std::string &address)
+{
+    return [address](const gateway::ServingRequest &request, unsigned attempt) -> std::optional<ReplyContent> {
+        if (attempt > 0) {
+            return gateway::ServingRefusal{RefusalReason::BackendFailed, CallOutcome::NotRun, {}};
+        }
+        return grantFor(request, address);
+    };
+}
+
 /** A gateway, a fake dispatch and a stand-in backend server in one process. */
 struct GatewayFixture
 {
