--- a/tests/coordination/fakefleet.h
+++ b/tests/coordination/fakefleet.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosahollow::coordination {
@@ -23,6 +24,8 @@
         Options options;
         std::unique_ptr<CoordinationState> state; /**< Null while the instance is down. */
         control::DurableLog disk;
+        bool isDiskFull = false;
+        std::vector<StorageWrite> refusedWrites; /**< Wait for room on the disk. */
         std::shared_ptr<const control::Configuration> configuration;
         TimePoint freshUntil{};
         std::map<PoolId, LeaseChanged> leases;
@@ -137,6 +140,24 @@
         executeActions(name, actions);
     }
 
+    /** The disk refuses writes until makeRoom(). */
+    void fillDisk(const std::string &name)
+    {
+        m_nodes.at(name).isDiskFull = true;
+    }
+
+    void makeRoom(const std::string &name)
+    {
+        Node &node = m_nodes.at(name);
+        node.isDiskFull = false;
+        Actions actions;
+        for (StorageWrite &waiting : std::exchange(node.refusedWrites, {})) {
+            store(node, waiting, actions);
+        }
+        storageResumed(*node.state, m_now);
+        executeActions(name, actions);
+    }
+
     Node &node(const std::string &name)
     {
         return m_nodes.at(name);
@@ -232,7 +253,12 @@
         if (auto *message = std::get_if<SendMessage>(&action)) {
             m_envelopes.push_back({m_now + step, name, message->peer, m_nodes.at(message->peer).options.incarnation, std::move(message->message)});
         } else if (auto *storageWrite = std::get_if<StorageWrite>(&action)) {
-            store(node, *storageWrite, newActions);
+            if (!node.isDiskFull) {
+                store(node, *storageWrite, newActions);
+            } else {
+                node.refusedWrites.push_back(std::move(*storageWrite));
+                storageSuspended(*node.state, m_now, newActions);
+            }
         } else if (const auto *changed = std::get_if<ConfigurationChanged>(&action)) {
             // A configuration that an instance has applied never reverts to an older one (P14).
             REQUIRE((!node.configuration || node.restarted || changed->configuration->logIndex >= node.configuration->logIndex));
--- a/tests/coordination/fleet.cpp
+++ b/tests/coordination/fleet.cpp
@@ -99,6 +99,30 @@
         }
     }
 
+    SECTION("takes changes although the disks of its voters are full one after the other, and each of them counts again")
+    {
+        std::uint64_t number = 0;
+        const auto isInForce = [&](Duration limit) {
+            ++number;
+            fleet.submitAt(
+                "c2", number, makeCommand(number, control::GrantKey{"key" + std::to_string(number), "north", KeyHash{2, static_cast<std::uint8_t>(number)}}));
+            fleet.run(limit);
+            const auto &done = fleet.node("c2").done;
+            return done.size() == number && done.back().inForceEverywhere;
+        };
+        for (const char *full : {"a1", "b1", "c1"}) {
+            fleet.fillDisk(full);
+            REQUIRE(isInForce(recoveryTime));
+            REQUIRE(isInForce(recoveryTime));
+            REQUIRE_FALSE(fleet.leader().empty());
+            REQUIRE(fleet.leader() != full);
+            fleet.makeRoom(full);
+            fleet.run(seconds(1));
+        }
+        fleet.crash(fleet.leader() == "a1" ? "b1" : "a1"); // the other two are needed
+        REQUIRE(isInForce(seconds(20)));
+    }
+
     SECTION("acknowledges a change only after the freshness leases of a partitioned failure domain have expired")
     {
         fleet.isolate({"b1", "b2"});
