--- a/tests/support/memoryfilesystem.h
+++ b/tests/support/memoryfilesystem.h
@@ -43,9 +43,9 @@
     Fault fault = Fault::Fail;
     std::size_t writeLimit = SIZE_MAX; /**< Longest single write: shorter ones are short writes. */
     std::atomic<std::size_t> capacity = SIZE_MAX; /**< Bytes of the disk. */
-    std::uint64_t refuseFrom = 0; /**< Number of the operation from which on those that are no syncs are refused. */
+    std::uint64_t refuseFrom = 0; /**< Number of the operation from which on those that are no syncs are refused, as long as there are refusals. */
+    std::uint64_t refusals = 0; /**< How many operations are still to be refused. */
     std::uint64_t failSyncFrom = 0; /**< Number of the operation from which on syncs fail, 0 for none. */
-    std::uint64_t refusals = 0; /**< How many of them are still to be refused. */
     bool crashed = false;
     std::uint64_t syncs = 0;
 
