Ingress: the connection of an early answer stays until its write has ended

Cause: an exchange whose answer ends before its upload destroys the connection. A write that was done in part, and whose handler is queued, goes on with the socket after that; only a write that waits for room is ended by the close.

The request being sent, which the write shares, now takes over a connection that its exchange gives up, and releases it when the handler has run.

--- a/src/ingress/serverexchange.cpp
+++ b/src/ingress/serverexchange.cpp
@@ -54,6 +54,8 @@
     std::string body;
     bool isDone = false;
     bool hasFailed = false;
+    /** Of an exchange that ended first. A write that was done in part goes on with the socket, even a closed one, until it gets the error. */
+    gateway::UpstreamPointer connection;
 };
 
 ServerExchange::ServerExchange(Entry &entry, std::string address) : m_entry(entry), m_address(std::move(address))
@@ -63,6 +65,7 @@
 ServerExchange::~ServerExchange()
 {
     abort();
+    dropConnection();
 }
 
 /**
@@ -196,7 +199,7 @@
  */
 asio::awaitable<bool> ServerExchange::endedInOrder()
 {
-    if (!m_outgoingRequest->isDone && !m_outgoingRequest->hasFailed) {
+    if (isWriting()) {
         // The write may have failed at the same time; its handler then waits in the queue.
         const auto executor = co_await asio::this_coro::executor;
         co_await asio::post(executor, asio::use_awaitable);
@@ -204,6 +207,11 @@
     co_return !m_outgoingRequest->hasFailed;
 }
 
+bool ServerExchange::isWriting() const noexcept
+{
+    return m_outgoingRequest && !m_outgoingRequest->isDone && !m_outgoingRequest->hasFailed;
+}
+
 void ServerExchange::finish()
 {
     const bool isKept = m_parser->keep_alive() && m_outgoingRequest->isDone && !m_aborted;
@@ -215,6 +223,15 @@
         }
         m_entry.upstream().release(m_address, std::move(m_connection));
     }
+    dropConnection();
+}
+
+void ServerExchange::dropConnection()
+{
+    if (m_connection && isWriting()) {
+        m_connection->stream.close();
+        m_outgoingRequest->connection = std::move(m_connection);
+    }
     m_connection.reset();
 }
 
--- a/src/ingress/serverexchange.h
+++ b/src/ingress/serverexchange.h
@@ -63,6 +63,10 @@
     boost::asio::awaitable<ExchangeError> readHead(TimePoint deadline);
     /** Whether the connection was ended by its server, not reset. For an answer whose end is that of its connection. */
     [[nodiscard]] boost::asio::awaitable<bool> endedInOrder();
+    /** Whether the request is still being sent. */
+    [[nodiscard]] bool isWriting() const noexcept;
+    /** Closes the connection, and destroys it when no operation uses it any more. */
+    void dropConnection();
     [[nodiscard]] ExchangeError noteError(const boost::system::error_code &error);
 
     Entry &m_entry;
--- a/tests/ingress/cutuploads.cpp
+++ b/tests/ingress/cutuploads.cpp
@@ -88,7 +88,8 @@
     }
 }
 
-// Guards against early answers that are lost although their end is certain.
+// Guards against early answers that are lost although their end is certain, and against a write that uses the connection after it was destroyed
+// (shown by the address sanitizer).
 TEST_CASE("An answer that is complete reaches the caller although the upload was not read")
 {
     EntryFixture fixture;
